--- /dev/null
+++ b/bench/client/client.go
@@ -0,0 +1,229 @@
+// Package client speaks to cowslipstage as an agent program does.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/cowslipstage/cowslipstage/protocol/caller"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+)
+
+// Client sends calls to the nodes in turn. It is safe for concurrent use.
+type Client struct {
+	http  *http.Client
+	addrs []string
+	next  atomic.Uint64
+	// customer pays for all calls.
+	customer string
+}
+
+// Result is what a caller was told.
+type Result struct {
+	Outcome answer.Outcome
+	Reason  string
+	Text    string
+	Body    []byte
+	Usage   answer.Usage
+	// First is the time to the first piece of text, Whole to the end.
+	First time.Duration
+	Whole time.Duration
+}
+
+// New returns a client of the nodes at addrs (IP:port).
+func New(customer string, addrs []string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	return &Client{http: &http.Client{Transport: transport}, addrs: addrs, customer: customer}
+}
+
+// Request is one call to make.
+type Request struct {
+	Program string
+	Agent   string
+	Seq     uint64
+	// Key is made up when it is empty.
+	Key     string
+	Service string
+	// Operation is empty for a model call.
+	Operation string
+	Text      string
+	Deadline  time.Duration
+	End       bool
+}
+
+// Do sends a request and waits for its complete answer. A call whose answer
+// does not arrive is sent again with its key, through the next node.
+func (c *Client) Do(ctx context.Context, r Request) (Result, error) {
+	if r.Key == "" {
+		r.Key = uuid.NewString()
+	}
+	var last error
+	for tries := 1; tries <= maxTries; tries++ {
+		result, err := c.once(ctx, r, tries)
+		if err == nil {
+			return result, nil
+		}
+		last = err
+		select {
+		case <-ctx.Done():
+			return Result{}, ctx.Err()
+		case <-time.After(retryPause):
+		}
+	}
+	return Result{}, last
+}
+
+const (
+	// maxTries bounds the attempts of one request.
+	maxTries = 8
+	// retryPause is the time between two attempts.
+	retryPause = 250 * time.Millisecond
+)
+
+func (c *Client) once(ctx context.Context, r Request, tries int) (Result, error) {
+	path, body := "/v1/services/"+r.Service+"/"+r.Operation, []byte(r.Text)
+	if r.Operation == "" {
+		path = "/v1/chat/completions"
+		body, _ = json.Marshal(struct {
+			Model    string         `json:"model"`
+			Messages []call.Message `json:"messages"`
+			Stream   bool           `json:"stream"`
+		}{r.Service, []call.Message{{Role: "user", Content: r.Text}}, true})
+	}
+	addr := c.addrs[c.next.Add(1)%uint64(len(c.addrs))]
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return Result{}, errors.Wrap(err, "client: request")
+	}
+	c.headers(request.Header, r, tries)
+	began := time.Now()
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "client: send")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Content-Type") == "text/event-stream" {
+		return stream(response.Body, began)
+	}
+	return whole(response, began)
+}
+
+func (c *Client) headers(h http.Header, r Request, tries int) {
+	h.Set(caller.HeaderCustomer, c.customer)
+	h.Set(caller.HeaderProgram, r.Program)
+	h.Set(caller.HeaderAgent, r.Agent)
+	h.Set(caller.HeaderKey, r.Key)
+	h.Set(caller.HeaderTries, strconv.Itoa(tries))
+	if r.Seq > 0 {
+		h.Set(caller.HeaderSeq, strconv.FormatUint(r.Seq, 10))
+	}
+	if r.Deadline > 0 {
+		h.Set(caller.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	if r.End {
+		h.Set(caller.HeaderEnd, "true")
+	}
+}
+
+func whole(response *http.Response, began time.Time) (Result, error) {
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "client: body")
+	}
+	r := Result{Whole: time.Since(began), Body: data}
+	r.Outcome = answer.Outcome(response.Header.Get("X-Outcome"))
+	if r.Outcome == "" {
+		return r, errors.Newf("client: status %d without an outcome", response.StatusCode)
+	}
+	r.Reason = problem(data)
+	return r, nil
+}
+
+func problem(data []byte) string {
+	var p struct {
+		Error struct {
+			Reason string `json:"reason"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(data, &p)
+	return p.Error.Reason
+}
+
+// event is any event of a streamed answer.
+type event struct {
+	Object  string `json:"object"`
+	Choices []struct {
+		Delta   call.Message `json:"delta"`
+		Message call.Message `json:"message"`
+	} `json:"choices"`
+	Outcome answer.Outcome `json:"outcome"`
+	Usage   answer.Usage   `json:"usage"`
+	Error   *struct {
+		Outcome answer.Outcome `json:"outcome"`
+		Reason  string         `json:"reason"`
+	} `json:"error"`
+}
+
+func stream(body io.Reader, began time.Time) (Result, error) {
+	var r Result
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 64<<10), 16<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return r, nil
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return r, errors.Wrap(err, "client: event")
+		}
+		if text.Len() == 0 {
+			r.First = time.Since(began)
+		}
+		r.Whole = time.Since(began)
+		switch {
+		case e.Error != nil:
+			r.Outcome, r.Reason = e.Error.Outcome, e.Error.Reason
+			return r, nil
+		case e.Outcome != "":
+			r.Outcome, r.Usage, r.Text = e.Outcome, e.Usage, e.Choices[0].Message.Content
+			if r.Text != text.String() {
+				return r, errors.New("client: the pieces differ from the whole answer")
+			}
+		case len(e.Choices) > 0:
+			text.WriteString(e.Choices[0].Delta.Content)
+		}
+	}
+	return r, errors.New("client: the stream was cut")
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, program string) error {
+	addr := c.addrs[c.next.Add(1)%uint64(len(c.addrs))]
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr+"/v1/programs/"+program, nil)
+	if err != nil {
+		return errors.Wrap(err, "client: request")
+	}
+	c.headers(request.Header, Request{}, 1)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "client: end")
+	}
+	return response.Body.Close()
+}
--- /dev/null
+++ b/cmd/cowslipstage/cmds/root.go
@@ -0,0 +1,57 @@
+// Package cmds holds the command tree of cowslipstage.
+package cmds
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+)
+
+// errRules says that a run broke a rule that must always hold.
+var errRules = errors.New("a rule was broken")
+
+// Code returns the exit code for a command's error.
+func Code(err error) int {
+	if errors.Is(err, errRules) {
+		return 2
+	}
+	return 1
+}
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cowslipstage",
+		Short:         "A scheduler for agent programs",
+		SilenceUsage:  true,
+		SilenceErrors: false,
+	}
+	root.AddCommand(serveCommand(), demoCommand(), versionCommand(), ticketCommand(), checkCommand(), standinCommand())
+	return root
+}
+
+func logger(level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(l).With().Timestamp().Logger()
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			version := "devel"
+			if i, ok := debug.ReadBuildInfo(); ok && i.Main.Version != "" {
+				version = i.Main.Version
+			}
+			c.Println("cowslipstage", version)
+		},
+	}
+}
--- /dev/null
+++ b/coordination/route/route.go
@@ -0,0 +1,111 @@
+// Package route (coordination layer) chooses the endpoint for a call.
+package route
+
+import "math/rand/v2"
+
+// Policy names a way to choose.
+type Policy string
+
+// The ways to choose; Finish is the product's, the others are baselines.
+const (
+	// Finish takes the earliest estimated finish, cached prefix counted.
+	Finish Policy = "finish"
+	// Round takes the endpoints in turn.
+	Round Policy = "round"
+	// Least takes the endpoint with the fewest calls.
+	Least Policy = "least"
+	// Sticky keeps a program on the endpoint of its first call.
+	Sticky Policy = "sticky"
+)
+
+// Choice is one endpoint that may take the call.
+type Choice struct {
+	Name string
+	// Calls is the estimated number of calls there.
+	Calls int
+	// Slots is how many may run at once; 0 means no bound.
+	Slots int
+	// Pending is the prompt tokens waiting for prefill there.
+	Pending int
+	// Cached is the length of the call's prefix in the endpoint's cache, in tokens.
+	Cached int
+}
+
+// Need describes the call.
+type Need struct {
+	// Owner is the program's identity.
+	Owner string
+	// Prompt is the length of the whole prompt, in tokens.
+	Prompt int
+	// Output is the expected number of generated tokens.
+	Output int
+}
+
+// Router chooses endpoints by one policy.
+type Router struct {
+	policy Policy
+	random *rand.Rand
+	next   int
+	// homes is used by Sticky only.
+	homes map[string]string
+}
+
+// New returns a router; random breaks ties.
+func New(policy Policy, random *rand.Rand) *Router {
+	return &Router{policy: policy, random: random, homes: map[string]string{}}
+}
+
+// Pick returns the index of the chosen endpoint, or -1 if none has room.
+func (r *Router) Pick(n Need, choices []Choice) int {
+	if len(choices) == 0 {
+		return -1
+	}
+	switch r.policy {
+	case Round:
+		r.next++
+		return r.next % len(choices)
+	case Sticky:
+		return r.sticky(n, choices)
+	case Least:
+		return r.best(choices, func(c Choice) int { return c.Calls })
+	default:
+		return r.best(choices, func(c Choice) int { return finish(n, c) })
+	}
+}
+
+func (r *Router) sticky(n Need, choices []Choice) int {
+	for i, c := range choices {
+		if c.Name == r.homes[n.Owner] {
+			return i
+		}
+	}
+	i := r.best(choices, func(c Choice) int { return c.Calls })
+	r.homes[n.Owner] = choices[i].Name
+	return i
+}
+
+// Forget drops what Sticky keeps for an ended program.
+func (r *Router) Forget(owner string) { delete(r.homes, owner) }
+
+func (r *Router) best(choices []Choice, cost func(Choice) int) int {
+	best, ties := 0, 1
+	for i := 1; i < len(choices); i++ {
+		switch c, b := cost(choices[i]), cost(choices[best]); {
+		case c < b:
+			best, ties = i, 1
+		case c == b:
+			ties++
+			if r.random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// callTokens is the cost of one more call at an endpoint, in prefill tokens.
+const callTokens = 200
+
+func finish(n Need, c Choice) int {
+	return c.Pending + max(0, n.Prompt-c.Cached) + c.Calls*callTokens
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/transport/links"
+)
+
+// control is the one goroutine of the control state.
+func (n *Node) control(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-n.mailbox:
+			for _, a := range n.core.Step(time.Now(), e) {
+				n.perform(ctx, a)
+			}
+		}
+	}
+}
+
+// tickInterval is how often time-driven decisions are looked at.
+const tickInterval = 20 * time.Millisecond
+
+func (n *Node) tick(ctx context.Context) { every(ctx, tickInterval, func() { n.emit(core.Ticked{}) }) }
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		f()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// perform starts an action; it must not block the control goroutine.
+func (n *Node) perform(ctx context.Context, action core.Action) {
+	switch a := action.(type) {
+	case core.Dispatch:
+		n.metrics.GetOrCreateCounter("dispatches_total").Inc()
+		n.wait.Go(func() { n.dialer.Run(ctx, a) })
+	case core.Abort:
+		n.dialer.Abort(a.Flight)
+	case core.Append:
+		n.append(a)
+	case core.Reply:
+		n.reply(a)
+	case core.Release:
+		n.wait.Go(func() { n.dialer.Release(ctx, a) })
+	case core.Yield:
+		n.wait.Go(func() { n.yield(ctx, a) })
+	}
+}
+
+func (n *Node) append(a core.Append) {
+	n.mu.Lock()
+	o := n.journals[a.Shard]
+	n.mu.Unlock()
+	if o == nil || o.epoch != a.Epoch {
+		n.wait.Go(func() { n.emit(core.Committed{Ref: a.Ref, Err: errClosed}) })
+		return
+	}
+	o.journal.Append(a.Records, func(err error) { n.emit(core.Committed{Ref: a.Ref, Err: err}) })
+}
+
+// errClosed says that the shard's journal is closed.
+var errClosed = errors.New("node: the shard's journal is closed")
+
+func (n *Node) reply(a core.Reply) {
+	r := frame.Reply{Stream: a.To.Stream, Offset: a.Offset, Text: a.Text, Final: a.Final, Moved: a.Moved}
+	if a.To.Node == n.settings.Node.Name {
+		n.edge.Deliver(r)
+		return
+	}
+	n.send(a.To.Node, frame.TopicReply, r)
+}
+
+// send publishes a body to a node; the receiver copes with loss.
+func (n *Node) send(to, topic string, body any) bool {
+	data, err := frame.Pack(body)
+	if err != nil {
+		n.log.Error().Err(err).Str("topic", topic).Msg("encoding a frame")
+		return false
+	}
+	m := message.NewMessage(watermill.NewUUID(), data)
+	m.Metadata.Set(links.To, to)
+	return n.links.Publish(topic, m) == nil
+}
+
+// toOwner takes a request to the owner of its program.
+func (n *Node) toOwner(customer, program, stream, topic string, body any) {
+	shard := call.Shard(customer, program, n.settings.Shards.Count)
+	n.mu.Lock()
+	o, ok := n.owners[shard]
+	n.mu.Unlock()
+	switch {
+	case !ok || o.node == "":
+		n.edge.Deliver(frame.Reply{Stream: stream, Moved: true})
+	case o.node == n.settings.Node.Name:
+		n.accept(o.node, body)
+	case !n.send(o.node, topic, body):
+		n.edge.Deliver(frame.Reply{Stream: stream, Moved: true})
+	}
+}
+
+// accept turns a node's request into an event.
+func (n *Node) accept(from string, body any) {
+	switch b := body.(type) {
+	case frame.Submit:
+		n.emit(core.Submitted{Call: b.Call, From: core.Route{Node: from, Stream: b.Stream}, Partial: b.Partial})
+	case frame.Ask:
+		n.emit(core.Asked{
+			Customer: b.Customer, Program: b.Program, Key: b.Key,
+			From: core.Route{Node: from, Stream: b.Stream}, Partial: b.Partial,
+		})
+	case frame.Close:
+		n.emit(core.Closed{Customer: b.Customer, Program: b.Program, From: core.Route{Node: from, Stream: b.Stream}})
+	case frame.Leave:
+		n.emit(core.Left{From: core.Route{Node: from, Stream: b.Stream}})
+	}
+}
+
+// route subscribes the node to its peers' messages.
+func (n *Node) route(ctx context.Context) error {
+	r, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
+	if err != nil {
+		return errors.Wrap(err, "node: router")
+	}
+	r.AddMiddleware(middleware.Recoverer)
+	handle(n, r, frame.TopicSubmit, func(from string, b frame.Submit) { n.accept(from, b) })
+	handle(n, r, frame.TopicAsk, func(from string, b frame.Ask) { n.accept(from, b) })
+	handle(n, r, frame.TopicClose, func(from string, b frame.Close) { n.accept(from, b) })
+	handle(n, r, frame.TopicLeave, func(from string, b frame.Leave) { n.accept(from, b) })
+	handle(n, r, frame.TopicReply, func(_ string, b frame.Reply) { n.edge.Deliver(b) })
+	handle(n, r, frame.TopicGossip, func(_ string, b frame.Gossip) { n.hear(b) })
+	handle(n, r, frame.TopicWant, func(from string, b frame.Want) { n.want(from, b) })
+	handle(n, r, frame.TopicConfig, func(_ string, b frame.Config) { n.learn(b.Data) })
+	n.router = r
+	n.wait.Go(func() { _ = r.Run(ctx) })
+	<-r.Running()
+	return nil
+}
+
+// handle subscribes to one topic; malformed bodies are logged and dropped.
+func handle[B any](n *Node, r *message.Router, topic string, do func(from string, body B)) {
+	r.AddConsumerHandler(topic, topic, n.links, func(m *message.Message) error {
+		var body B
+		if err := frame.Unpack(m.Payload, &body); err != nil {
+			n.log.Warn().Err(err).Str("topic", topic).Msg("bad frame dropped")
+			return nil
+		}
+		do(m.Metadata.Get(links.From), body)
+		return nil
+	})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,219 @@
+// Package node wires the layers of one entry host together: edge, links,
+// control state, journals, claims and configuration.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/queue"
+	"github.com/cowslipstage/cowslipstage/coordination/route"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/setup"
+	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/transport/dialer"
+	"github.com/cowslipstage/cowslipstage/transport/edge"
+	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/links"
+	"github.com/cowslipstage/cowslipstage/transport/store"
+)
+
+// Node is one running entry host.
+type Node struct {
+	settings *setup.Settings
+	log      zerolog.Logger
+	store    *store.Client
+	links    *links.Links
+	edge     *edge.Edge
+	dialer   *dialer.Dialer
+	core     *core.Core
+	metrics  *metrics.Set
+	router   *message.Router
+	servers  []*http.Server
+	wait     sync.WaitGroup
+	// mailbox feeds the control goroutine, the only one that touches core.
+	mailbox chan core.Event
+	// idle is closed when a draining node owns nothing any more.
+	idle chan struct{}
+
+	mu sync.Mutex
+	// owners is the newest known owner of each shard; epochs never go back.
+	owners map[int]ownership
+	// journals holds the open journals of owned shards.
+	journals map[int]*opened
+	config   *config.Config
+	// ready tells whether the node should get new callers.
+	ready    bool
+	draining bool
+	// live are the nodes whose lease stood when last seen.
+	live map[string]member
+}
+
+// ownership is who owns a shard.
+type ownership struct {
+	node  string
+	epoch uint64
+}
+
+// opened is one owned shard's journal.
+type opened struct {
+	journal *jrnl.Journal
+	epoch   uint64
+	cancel  context.CancelFunc
+}
+
+// mailboxLength bounds the events that wait for the control goroutine.
+const mailboxLength = 65536
+
+// New returns a node that does nothing yet.
+func New(s *setup.Settings, log zerolog.Logger) *Node {
+	n := &Node{
+		settings: s,
+		log:      log.With().Str("node", s.Node.Name).Logger(),
+		store:    store.New(s.Store.Addr, s.Store.Timeout),
+		metrics:  metrics.NewSet(),
+		mailbox:  make(chan core.Event, mailboxLength),
+		idle:     make(chan struct{}),
+		owners:   map[int]ownership{},
+		journals: map[int]*opened{},
+		config:   config.New(),
+		live:     map[string]member{},
+	}
+	n.core = core.New(core.Options{
+		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
+		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
+	})
+	n.links = links.New(links.Options{
+		Node: s.Node.Name, Secret: s.Links.Secret, Ping: s.Links.Ping, Silence: s.Links.Silence,
+	}, n.log)
+	n.dialer = dialer.New(n.emit)
+	n.edge = edge.New(edge.Options{
+		Silence: s.Links.Silence / 2, MaxBody: s.Node.Body, Patience: time.Minute,
+	}, backend{n}, n.log)
+	return n
+}
+
+// emit hands an event to the control goroutine.
+func (n *Node) emit(e core.Event) { n.mailbox <- e }
+
+// Run serves until ctx ends, then stops gracefully within the grace period.
+func (n *Node) Run(ctx context.Context) error {
+	working, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	if err := n.route(working); err != nil {
+		return err
+	}
+	for _, f := range []func(context.Context){
+		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list,
+	} {
+		n.wait.Go(func() { f(working) })
+	}
+	<-ctx.Done()
+	n.drain()
+	cancel()
+	n.close()
+	return nil
+}
+
+func (n *Node) listen() error {
+	public := chi.NewRouter()
+	public.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	public.Get("/readyz", n.readyz)
+	public.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	public.Mount("/", n.edge)
+	private := chi.NewRouter()
+	private.Handle("/link", n.links)
+	if err := n.serve(n.settings.Node.Listen, public); err != nil {
+		return err
+	}
+	return n.serve(n.settings.Node.Link, private)
+}
+
+func (n *Node) serve(addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "node: listening on %s", addr)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	n.servers = append(n.servers, s)
+	n.wait.Go(func() { _ = s.Serve(l) })
+	return nil
+}
+
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ready || n.draining {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// drain stops new work, hands the shards over and lets the callers finish.
+func (n *Node) drain() {
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	n.log.Info().Msg("planned stop: handing over")
+	n.emit(core.Drained{})
+	end := time.After(n.settings.Node.Grace)
+	for {
+		select {
+		case <-end:
+			n.log.Warn().Int("callers", n.edge.Waiting()).Msg("grace period over; abandoning what is left")
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		if n.edge.Waiting() == 0 && n.owned() == 0 {
+			return
+		}
+	}
+}
+
+func (n *Node) owned() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.journals)
+}
+
+func (n *Node) close() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	_ = n.router.Close()
+	_ = n.links.Close()
+	n.wait.Wait()
+}
+
+// backend takes the edge's requests to the owners.
+type backend struct{ n *Node }
+
+func (b backend) Submit(s frame.Submit) {
+	b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
+}
+
+func (b backend) Ask(a frame.Ask) {
+	b.n.toOwner(a.Customer, a.Program, a.Stream, frame.TopicAsk, a)
+}
+
+func (b backend) Close(c frame.Close) {
+	b.n.toOwner(c.Customer, c.Program, c.Stream, frame.TopicClose, c)
+}
+
+func (b backend) Leave(stream, customer, program string) {
+	b.n.toOwner(customer, program, stream, frame.TopicLeave, frame.Leave{Stream: stream})
+}
--- /dev/null
+++ b/protocol/frame/frame.go
@@ -0,0 +1,156 @@
+// Package frame (protocol layer) defines what nodes say to each other.
+package frame
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/load"
+)
+
+// Version is the newest frame version that this program speaks.
+const Version = 1
+
+// ErrBad means that bytes are no valid frame.
+var ErrBad = errors.New("frame: not a valid frame")
+
+// The topics of frames; each has one body type.
+const (
+	TopicSubmit = "submit"
+	TopicAsk    = "ask"
+	TopicClose  = "close"
+	TopicLeave  = "leave"
+	TopicReply  = "reply"
+	TopicGossip = "gossip"
+	TopicConfig = "config"
+	TopicWant   = "want"
+	TopicHold   = "hold"
+	TopicHeld   = "held"
+	TopicSeal   = "seal"
+	TopicSealed = "sealed"
+)
+
+// Frame is one message between two nodes.
+type Frame struct {
+	Version int    `cbor:"1,keyasint"`
+	Topic   string `cbor:"2,keyasint"`
+	// ID is unique; it follows the message through logs.
+	ID string `cbor:"3,keyasint"`
+	// From is the sending node.
+	From string          `cbor:"4,keyasint"`
+	Body cbor.RawMessage `cbor:"5,keyasint"`
+}
+
+// Submit asks the owner to schedule a call, or to attach to it.
+type Submit struct {
+	Call    *call.Call `cbor:"1,keyasint"`
+	Stream  string     `cbor:"2,keyasint"`
+	Partial string     `cbor:"3,keyasint,omitempty"`
+}
+
+// Ask asks the owner for the answer with a key.
+type Ask struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	Key      string `cbor:"3,keyasint"`
+	Stream   string `cbor:"4,keyasint"`
+	Partial  string `cbor:"5,keyasint,omitempty"`
+}
+
+// Close asks the owner to end a program.
+type Close struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	Stream   string `cbor:"3,keyasint"`
+}
+
+// Leave says that nobody waits for a stream any more.
+type Leave struct {
+	Stream string `cbor:"1,keyasint"`
+}
+
+// Reply carries part of an answer to the node that took the call.
+type Reply struct {
+	Stream string         `cbor:"1,keyasint"`
+	Offset int            `cbor:"2,keyasint"`
+	Text   string         `cbor:"3,keyasint,omitempty"`
+	Final  *answer.Answer `cbor:"4,keyasint,omitempty"`
+	Moved  bool           `cbor:"5,keyasint,omitempty"`
+}
+
+// Gossip is what a node tells its peers about itself.
+type Gossip struct {
+	Node   string `cbor:"1,keyasint"`
+	Centre string `cbor:"2,keyasint"`
+	// Addr is where the node listens for links.
+	Addr string `cbor:"3,keyasint"`
+	// Owned holds the shards owned, with their epochs.
+	Owned map[int]uint64 `cbor:"4,keyasint,omitempty"`
+	// Revision is the configuration in force at the node.
+	Revision uint64 `cbor:"5,keyasint"`
+	// Leaving says that the node takes no new work.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Loads are the newest reports of the endpoints that the node polls.
+	Loads map[string]load.Report `cbor:"7,keyasint,omitempty"`
+	// Sent is the node's dispatches in flight, by endpoint.
+	Sent map[string]int `cbor:"8,keyasint,omitempty"`
+}
+
+// Hold asks a standby to keep a journal batch while the store is slow or down.
+type Hold struct {
+	Shard int    `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Number is the batch's place in the shard's journal.
+	Number uint64 `cbor:"3,keyasint"`
+	Data   []byte `cbor:"4,keyasint,omitempty"`
+	// Below lets the standby drop batches with lower numbers.
+	Below uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Held answers a Hold.
+type Held struct {
+	Shard  int    `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+	Number uint64 `cbor:"3,keyasint"`
+	// Sealed is the epoch that the standby accepts now, when it is higher than the Hold's.
+	Sealed uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Seal asks a standby to accept no older epoch any more, and to hand over what it holds.
+type Seal struct {
+	Shard int    `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
+// Sealed answers a Seal.
+type Sealed struct {
+	Shard   int               `cbor:"1,keyasint"`
+	Epoch   uint64            `cbor:"2,keyasint"`
+	Batches map[uint64][]byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Want asks a peer for its configuration.
+type Want struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// Config carries a whole configuration record.
+type Config struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
+// Pack encodes a body.
+func Pack(body any) ([]byte, error) {
+	data, err := cbor.Marshal(body)
+	return data, errors.Wrap(err, "frame: encoding")
+}
+
+// Unpack decodes a body; the error is ErrBad for malformed bytes.
+func Unpack(data []byte, body any) error {
+	if err := cbor.Unmarshal(data, body); err != nil {
+		return errors.Mark(errors.Wrap(err, "frame: decoding"), ErrBad)
+	}
+	return nil
+}
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,98 @@
+// Package setup reads a node's settings from an INI file and checks them.
+package setup
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Settings are what one node is told at its start.
+type Settings struct {
+	Node   Node   `ini:"node"`
+	Store  Store  `ini:"store"`
+	Hosts  Hosts  `ini:"hosts"`
+	Links  Links  `ini:"links"`
+	Policy Policy `ini:"policy"`
+	Shards Shards `ini:"shards"`
+}
+
+// Node says who the node is.
+type Node struct {
+	Name string `ini:"name"`
+	// Centre is the data centre.
+	Centre string `ini:"centre"`
+	// Listen is the IP:port for callers and operators.
+	Listen string `ini:"listen"`
+	// Link is the IP:port for other nodes.
+	Link string `ini:"link"`
+	// Data is a folder for bulk data; "" keeps nothing.
+	Data string `ini:"data"`
+	// Body bounds a request's body in bytes.
+	Body int64 `ini:"body"`
+	// Grace bounds a planned stop.
+	Grace time.Duration `ini:"grace"`
+}
+
+// Store says where the platform's key-value service is.
+type Store struct {
+	Addr    string        `ini:"addr"`
+	Timeout time.Duration `ini:"timeout"`
+	// Lease is how long a node without renewal keeps its claims.
+	Lease time.Duration `ini:"lease"`
+}
+
+// Hosts says where the platform's host list is.
+type Hosts struct {
+	Addr string        `ini:"addr"`
+	Poll time.Duration `ini:"poll"`
+}
+
+// Links sets the links between nodes.
+type Links struct {
+	Secret  string        `ini:"secret"`
+	Ping    time.Duration `ini:"ping"`
+	Silence time.Duration `ini:"silence"`
+	// Peers are "node=IP:port" seeds.
+	Peers []string `ini:"peers"`
+}
+
+// Policy chooses how calls are scheduled.
+type Policy struct {
+	Queue string `ini:"queue"`
+	Route string `ini:"route"`
+	Seed  uint64 `ini:"seed"`
+	// Load is the time between two reads of an endpoint's load.
+	Load time.Duration `ini:"load"`
+}
+
+// Shards sets how programs are divided.
+type Shards struct {
+	Count int `ini:"count"`
+}
+
+// Default returns the settings that a file need not give.
+func Default() Settings {
+	return Settings{
+		Node:   Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", Body: 8 << 20, Grace: time.Minute},
+		Store:  Store{Timeout: 2 * time.Second, Lease: 3 * time.Second},
+		Hosts:  Hosts{Poll: time.Second},
+		Links:  Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
+		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond},
+		Shards: Shards{Count: 16},
+	}
+}
+
+// Load reads the settings in a file.
+func Load(file string) (*Settings, error) {
+	f, err := ini.Load(file)
+	if err != nil {
+		return nil, errors.Wrapf(err, "setup: %s", file)
+	}
+	s := Default()
+	if err := f.StrictMapTo(&s); err != nil {
+		return nil, errors.Wrapf(err, "setup: %s", file)
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/state/purse/purse.go
@@ -0,0 +1,98 @@
+// Package purse (state layer) keeps one program's budget.
+package purse
+
+import "github.com/cowslipstage/cowslipstage/state/answer"
+
+// Purse is a budget in tokens and money. What is granted is journaled before
+// it is reserved, so that a successor can count it as spent.
+type Purse struct {
+	tokens account
+	money  account
+}
+
+// account is one currency of a purse.
+type account struct {
+	// limit is 0 for no bound; otherwise spent+granted never exceeds it.
+	limit int64
+	// spent is settled.
+	spent int64
+	// granted is journaled and not settled.
+	granted int64
+	// reserved is held by calls in flight; it never exceeds granted.
+	reserved int64
+}
+
+// New returns a purse with these limits; 0 means no bound.
+func New(tokens, money int64) Purse {
+	return Purse{tokens: account{limit: tokens}, money: account{limit: money}}
+}
+
+// Grant sets the outstanding grant.
+func (p *Purse) Grant(tokens, money int64) {
+	p.tokens.granted = tokens
+	p.money.granted = money
+}
+
+// Fits tells whether the need can be granted without exceeding a limit.
+func (p *Purse) Fits(tokens, money int64) bool {
+	return p.tokens.fits(tokens) && p.money.fits(money)
+}
+
+// Covered tells whether the outstanding grant already covers the need.
+func (p *Purse) Covered(tokens, money int64) bool {
+	return p.tokens.free() >= tokens && p.money.free() >= money
+}
+
+// Raise returns the grant totals that cover the need besides what is reserved.
+func (p *Purse) Raise(tokens, money int64) (int64, int64) {
+	return p.tokens.raise(tokens), p.money.raise(money)
+}
+
+// Reserve holds a need that is covered.
+func (p *Purse) Reserve(tokens, money int64) {
+	p.tokens.reserved += tokens
+	p.money.reserved += money
+}
+
+// Release gives a reservation back without spending it.
+func (p *Purse) Release(tokens, money int64) {
+	p.tokens.reserved -= tokens
+	p.money.reserved -= money
+}
+
+// Settle books what a call spent and sets the grant that remains.
+func (p *Purse) Settle(used answer.Usage, tokens, money int64) {
+	p.tokens.spent += int64(used.Prompt + used.Output)
+	p.money.spent += used.Money
+	p.Grant(tokens, money)
+}
+
+// Forfeit counts the outstanding grant as spent: a successor cannot know which
+// part of it its predecessor used.
+func (p *Purse) Forfeit() {
+	p.tokens.forfeit()
+	p.money.forfeit()
+}
+
+// Spent returns what is settled.
+func (p *Purse) Spent() (tokens, money int64) { return p.tokens.spent, p.money.spent }
+
+// Reserved returns what calls in flight hold.
+func (p *Purse) Reserved() (tokens, money int64) { return p.tokens.reserved, p.money.reserved }
+
+// Limit returns the bounds; 0 means none.
+func (p *Purse) Limit() (tokens, money int64) { return p.tokens.limit, p.money.limit }
+
+func (a *account) fits(need int64) bool {
+	return a.limit == 0 || a.spent+a.reserved+need <= a.limit
+}
+
+func (a *account) free() int64 { return a.granted - a.reserved }
+
+func (a *account) raise(need int64) int64 { return max(a.granted, a.reserved+need) }
+
+func (a *account) forfeit() {
+	a.spent += a.granted
+	a.granted = 0
+	a.reserved = 0
+}
--- /dev/null
+++ b/state/record/record.go
@@ -0,0 +1,75 @@
+// Package record (state layer) holds the journal's entries: the facts about
+// programs that a successor needs.
+package record
+
+import (
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+)
+
+// Record is one journal entry. Exactly one field is set: the struct is the
+// codec's form of a sum type.
+type Record struct {
+	Opened *Opened `cbor:"1,keyasint,omitempty"`
+	Grant  *Grant  `cbor:"2,keyasint,omitempty"`
+	Intent *Intent `cbor:"3,keyasint,omitempty"`
+	Turn   *Turn   `cbor:"4,keyasint,omitempty"`
+	Ended  *Ended  `cbor:"5,keyasint,omitempty"`
+	Swept  *Swept  `cbor:"6,keyasint,omitempty"`
+}
+
+// Opened begins a program.
+type Opened struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	// Service is the root agent's service; it sets budget and turn cap.
+	Service string    `cbor:"3,keyasint"`
+	Time    time.Time `cbor:"4,keyasint"`
+}
+
+// Grant raises what may be spent by calls that are not settled yet. A
+// successor counts the whole outstanding grant as spent.
+type Grant struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	// Tokens and Money are the new outstanding totals, not differences.
+	Tokens int64 `cbor:"3,keyasint"`
+	Money  int64 `cbor:"4,keyasint"`
+}
+
+// Intent says that a non-idempotent call is about to be dispatched. Only the
+// process that wrote the intent may dispatch it, once.
+type Intent struct {
+	Call *call.Call `cbor:"1,keyasint"`
+	// Endpoint is the only endpoint that may receive the call.
+	Endpoint string `cbor:"2,keyasint"`
+	// Epoch is the fencing number that the dispatch carries.
+	Epoch uint64 `cbor:"3,keyasint"`
+}
+
+// Turn settles a call: its answer is final.
+type Turn struct {
+	Call   *call.Call     `cbor:"1,keyasint"`
+	Answer *answer.Answer `cbor:"2,keyasint"`
+	// Tokens and Money are the outstanding grant after this turn.
+	Tokens int64     `cbor:"3,keyasint"`
+	Money  int64     `cbor:"4,keyasint"`
+	Time   time.Time `cbor:"5,keyasint"`
+}
+
+// Ended closes a program; its engine memory is to be released.
+type Ended struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	// Reason is "caller", "idle", "turns" or "budget".
+	Reason string    `cbor:"3,keyasint"`
+	Time   time.Time `cbor:"4,keyasint"`
+}
+
+// Swept says that every endpoint has confirmed the release of a program's memory.
+type Swept struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/transport/store/store.go
@@ -0,0 +1,179 @@
+// Package store (transport layer) is the adapter to the platform's key-value service.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The errors of the adapter. Any other error is marked with one of them.
+var (
+	// ErrConflict means that the key's version was not the expected one; nothing was written.
+	ErrConflict = errors.New("store: version conflict")
+	// ErrMissing means that the key or lease does not exist.
+	ErrMissing = errors.New("store: no such key")
+	// ErrUnknown means that the call may or may not have taken effect.
+	ErrUnknown = errors.New("store: no answer")
+)
+
+// Pair is one key with its value.
+type Pair struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version is the store's revision at the key's last write; it only rises.
+	Version uint64 `json:"version"`
+	// Deleted marks a removed key in a watch.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Client speaks to one key-value service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the service at addr (IP:port); each call but a watch
+// is bounded by timeout.
+func New(addr string, timeout time.Duration) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	return &Client{base: "http://" + addr, http: &http.Client{Timeout: timeout, Transport: transport}}
+}
+
+// Get returns a key's pair, or ErrMissing.
+func (c *Client) Get(ctx context.Context, key string) (Pair, error) {
+	var p Pair
+	err := c.post(ctx, c.http, "/get", struct {
+		Key string `json:"key"`
+	}{key}, &p)
+	return p, err
+}
+
+// Put writes a key if its version is still expect (0: the key must not exist)
+// and returns the new version. A lease other than "" removes the key when it lapses.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64, lease string) (uint64, error) {
+	var reply struct {
+		Version uint64 `json:"version"`
+	}
+	err := c.post(ctx, c.http, "/put", struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Expect uint64 `json:"expect"`
+		Lease  string `json:"lease"`
+	}{key, value, expect, lease}, &reply)
+	return reply.Version, err
+}
+
+// Delete removes a key if its version is still expect.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	return c.post(ctx, c.http, "/delete", struct {
+		Key    string `json:"key"`
+		Expect uint64 `json:"expect"`
+	}{key, expect}, nil)
+}
+
+// List returns the pairs whose keys begin with prefix, after the key after, by
+// key, at most limit of them and at most about a megabyte.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Pair, error) {
+	var reply struct {
+		Pairs []Pair `json:"pairs"`
+	}
+	err := c.post(ctx, c.http, "/list", struct {
+		Prefix string `json:"prefix"`
+		After  string `json:"after"`
+		Limit  int    `json:"limit"`
+	}{prefix, after, limit}, &reply)
+	return reply.Pairs, err
+}
+
+// Watch waits until a key with the prefix changes after revision since, at
+// most for wait, and returns the changes and the revision to go on from.
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]Pair, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.http.Timeout)
+	defer cancel()
+	var reply struct {
+		Pairs    []Pair `json:"pairs"`
+		Revision uint64 `json:"revision"`
+	}
+	patient := &http.Client{Transport: c.http.Transport}
+	err := c.post(ctx, patient, "/watch", struct {
+		Prefix string `json:"prefix"`
+		Since  uint64 `json:"since"`
+		Wait   int64  `json:"wait"`
+	}{prefix, since, wait.Milliseconds()}, &reply)
+	return reply.Pairs, reply.Revision, err
+}
+
+// Grant makes a lease that lapses after ttl without a Renew.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	var reply struct {
+		Lease string `json:"lease"`
+	}
+	err := c.post(ctx, c.http, "/grant", struct {
+		TTL int64 `json:"ttl"`
+	}{ttl.Milliseconds()}, &reply)
+	return reply.Lease, err
+}
+
+// Renew keeps a lease for another ttl, or returns ErrMissing once it lapsed.
+func (c *Client) Renew(ctx context.Context, lease string) error {
+	return c.post(ctx, c.http, "/renew", struct {
+		Lease string `json:"lease"`
+	}{lease}, nil)
+}
+
+// Revoke ends a lease and removes its keys.
+func (c *Client) Revoke(ctx context.Context, lease string) error {
+	return c.post(ctx, c.http, "/revoke", struct {
+		Lease string `json:"lease"`
+	}{lease}, nil)
+}
+
+// maxReply bounds a reply's size in bytes.
+const maxReply = 64 << 20
+
+func (c *Client) post(ctx context.Context, client *http.Client, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "store: encoding")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "store: request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "store: %s", path), ErrUnknown)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return decode(path, response, reply)
+}
+
+func decode(path string, response *http.Response, reply any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "store: %s", path), ErrUnknown)
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return errors.Mark(errors.Newf("store: %s: version conflict", path), ErrConflict)
+	case http.StatusNotFound:
+		return errors.Mark(errors.Newf("store: %s: not found", path), ErrMissing)
+	default:
+		return errors.Mark(errors.Newf("store: %s: status %d", path, response.StatusCode), ErrUnknown)
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return errors.Mark(errors.Wrapf(err, "store: %s", path), ErrUnknown)
+	}
+	return nil
+}
