Split the claims: pure decisions, both signs of death, bounded owners

Change: coordination/claim and coordination/lease decide, without input or output; an owner is dead only when its lease is gone and its links are silent; at most [shards] owners nodes renew and poll; given-back shards are gossiped.

--- /dev/null
+++ b/coordination/claim/claim_test.go
@@ -0,0 +1,86 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+)
+
+func hosts(n int) map[string]claim.Host {
+	all := map[string]claim.Host{}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i)
+		all[name] = claim.Host{Name: name, Centre: fmt.Sprintf("c%d", i%3), Boot: "b" + name}
+	}
+	return all
+}
+
+func TestQuorumsIntersect(t *testing.T) {
+	g := NewWithT(t)
+	for n := 1; n <= 5; n++ {
+		g.Expect(claim.Quorum(n)+claim.Seals(n)).To(BeNumerically(">", n), "%d standbys", n)
+	}
+	g.Expect(claim.Seals(0)).To(BeZero())
+}
+
+func TestChoosePrefersOtherCentresAndKeepsWhoServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		all := hosts(rapid.IntRange(1, 12).Draw(t, "hosts"))
+		shard := rapid.IntRange(0, 63).Draw(t, "shard")
+		chosen := claim.Choose(shard, "n0", nil, all)
+		g.Expect(chosen).To(HaveLen(min(3, len(all)-1)))
+		centres := map[string]bool{}
+		for _, s := range chosen {
+			g.Expect(s.Node).NotTo(Equal("n0"))
+			centres[all[s.Node].Centre] = true
+		}
+		if len(all) >= 3 {
+			g.Expect(centres).To(And(HaveKey("c1"), HaveKey("c2")))
+		}
+		g.Expect(claim.Choose(shard, "n0", chosen, all)).To(Equal(chosen), "no needless change")
+		if len(chosen) > 0 {
+			h := all[chosen[0].Node]
+			h.Boot = "restarted"
+			all[h.Name] = h
+			g.Expect(claim.Choose(shard, "n0", chosen, all)).NotTo(ContainElement(chosen[0]))
+		}
+	})
+}
+
+func TestOwnersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	all := hosts(350)
+	owners := claim.Owners(all, 16)
+	g.Expect(owners).To(HaveLen(16))
+	for shard := range 64 {
+		g.Expect(owners).To(HaveKey(claim.Preferred(shard, owners)))
+	}
+	g.Expect(claim.Owners(all, 0)).To(HaveLen(350))
+	g.Expect(claim.Preferred(1, nil)).To(BeEmpty())
+}
+
+func TestFreeNeedsBothSignsOfDeath(t *testing.T) {
+	owned := claim.Claim{Node: "b", Epoch: 4}
+	for name, c := range map[string]struct {
+		claim claim.Claim
+		view  claim.View
+		free  bool
+	}{
+		"given back":              {claim.Claim{Epoch: 4}, claim.View{Leased: true}, true},
+		"store outage, links up":  {owned, claim.View{Leased: false, Silent: false}, false},
+		"links cut, lease stands": {owned, claim.View{Leased: true, Silent: true}, false},
+		"dead":                    {owned, claim.View{Silent: true}, true},
+		"own, after a restart":    {claim.Claim{Node: "a", Epoch: 4}, claim.View{Leased: true}, true},
+		"draining":                {claim.Claim{}, claim.View{Draining: true}, false},
+		"open here already":       {claim.Claim{Node: "a"}, claim.View{Open: true}, false},
+	} {
+		c.view.Self, c.view.Preferred = "a", "a"
+		NewWithT(t).Expect(c.view.Free(c.claim)).To(Equal(c.free), name)
+	}
+	NewWithT(t).Expect(claim.View{Self: "a", Preferred: "b"}.Free(claim.Claim{})).To(BeFalse())
+}
--- /dev/null
+++ b/coordination/lease/lease.go
@@ -0,0 +1,66 @@
+// Package lease (coordination layer) judges by local clocks who is alive: a
+// failure detector that decides when others may take over, never who is right.
+package lease
+
+import "time"
+
+// margin is the share of a lease, in per cent, kept back for clocks that drift.
+const margin = 5
+
+// Lease is the holder's own view of its lease.
+type Lease struct {
+	duration time.Duration
+	// sent is when the last confirmed renewal was sent; it never goes back.
+	sent time.Time
+}
+
+// New returns a lease that was never renewed.
+func New(duration time.Duration) *Lease { return &Lease{duration: duration} }
+
+// Renewed notes a confirmed renewal by the time it was sent: the store counts
+// from a later moment, so that the holder gives up before others may take over.
+func (l *Lease) Renewed(sent time.Time) {
+	if sent.After(l.sent) {
+		l.sent = sent
+	}
+}
+
+// Valid tells whether the lease surely stands.
+func (l *Lease) Valid(now time.Time) bool {
+	return !l.sent.IsZero() && now.Sub(l.sent) < l.duration-l.duration*margin/100
+}
+
+// Watch notes the signs of life of other nodes.
+type Watch struct {
+	duration time.Duration
+	// start bounds the silence of nodes never heard: a node that has just begun
+	// to listen judges nobody.
+	start time.Time
+	heard map[string]time.Time
+}
+
+// NewWatch returns a watch that has listened since now.
+func NewWatch(now time.Time, duration time.Duration) *Watch {
+	return &Watch{duration: duration, start: now, heard: map[string]time.Time{}}
+}
+
+// Heard notes a sign of life.
+func (w *Watch) Heard(now time.Time, node string) {
+	if now.After(w.heard[node]) {
+		w.heard[node] = now
+	}
+}
+
+// Forget drops a node that is gone for good.
+func (w *Watch) Forget(node string) { delete(w.heard, node) }
+
+// Silent tells whether a node gave no sign of life for a whole lease.
+func (w *Watch) Silent(now time.Time, node string) bool { return w.quiet(now, node) >= w.duration }
+
+func (w *Watch) quiet(now time.Time, node string) time.Duration {
+	last := w.start
+	if t, ok := w.heard[node]; ok && t.After(last) {
+		last = t
+	}
+	return now.Sub(last)
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -3,31 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/cowslipstage/cowslipstage/coordination/core"
-	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
-// member is a node's own record in the store; it stands while its lease does.
+// member is a shard owner's own record in the store; it stands while its lease does.
 type member struct {
 	Node   string `cbor:"1,keyasint"`
 	Centre string `cbor:"2,keyasint"`
 	Link   string `cbor:"3,keyasint"`
-	// Leaving nodes get no shards.
-	Leaving bool `cbor:"4,keyasint,omitempty"`
-}
-
-// claim is who owns a shard; it outlives its owner's lease.
-type claim struct {
-	Node  string `cbor:"1,keyasint"`
-	Epoch uint64 `cbor:"2,keyasint"`
+	Boot   string `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -37,18 +30,65 @@
 
 func claimKey(shard int) string { return fmt.Sprintf("%s%04d", claimPrefix, shard) }
 
-// claims keeps the node's lease and takes the shards that fall to it.
-func (n *Node) claims(ctx context.Context) {
+// seen is a host as this node knows it.
+type seen struct {
+	claim.Host
+	// leased tells whether the host's lease stood in the store when last read.
+	leased bool
+}
+
+// hosts returns the hosts that show a sign of life, this one included.
+func (n *Node) hosts(now time.Time) map[string]claim.Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.settings.Node
+	all := map[string]claim.Host{
+		s.Name: {Name: s.Name, Centre: s.Centre, Boot: n.boot, Leaving: n.draining},
+	}
+	for name, h := range n.known {
+		if name != s.Name && (h.leased || !n.signs.Silent(now, name)) {
+			all[name] = h.Host
+		}
+	}
+	return all
+}
+
+// candidate tells whether this node may own shards.
+func (n *Node) candidate(now time.Time) bool {
+	_, ok := claim.Owners(n.hosts(now), n.settings.Shards.Owners)[n.settings.Node.Name]
+	return ok
+}
+
+// meet takes over a peer's news of itself.
+func (n *Node) meet(now time.Time, g frame.Gossip) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.known[g.Node]
+	boot := g.Boot
+	if boot == "" {
+		boot = h.Boot
+	}
+	h.Host = claim.Host{Name: g.Node, Centre: g.Centre, Boot: boot, Leaving: g.Leaving}
+	n.known[g.Node] = h
+	n.signs.Heard(now, g.Node)
+}
+
+// keepLease renews the node's lease in the store while it may own shards.
+func (n *Node) keepLease(ctx context.Context) {
 	var lease string
 	every(ctx, n.settings.Store.Lease/3, func() {
+		if !n.candidate(time.Now()) && n.owned() == 0 {
+			return
+		}
+		sent := time.Now()
 		var err error
 		if lease, err = n.renew(ctx, lease); err != nil {
 			n.log.Warn().Err(err).Msg("lease not renewed; trying again")
 			return
 		}
-		if err := n.balance(ctx); err != nil {
-			n.log.Warn().Err(err).Msg("claims not read; trying again")
-		}
+		n.mu.Lock()
+		n.lease.Renewed(sent)
+		n.mu.Unlock()
 	})
 }
 
@@ -64,7 +104,7 @@
 		return "", err
 	}
 	s := n.settings.Node
-	data, err := cbor.Marshal(member{Node: s.Name, Centre: s.Centre, Link: s.Link})
+	data, err := cbor.Marshal(member{Node: s.Name, Centre: s.Centre, Link: s.Link, Boot: n.boot})
 	if err != nil {
 		return "", errors.Wrap(err, "node: encoding")
 	}
@@ -73,75 +113,133 @@
 	if p, err := n.store.Get(ctx, key); err == nil {
 		version = p.Version
 	}
-	_, err = n.store.Put(ctx, key, data, version, lease)
-	return lease, err
+	if _, err = n.store.Put(ctx, key, data, version, lease); err != nil {
+		return "", err
+	}
+	return lease, nil
+}
+
+// claimTick is how often a node looks, without asking the store, whether it should.
+const claimTick = 100 * time.Millisecond
+
+// claims takes the shards that fall to the node. The store is asked once in a
+// third of a lease, sooner when an owner fell silent or gave a shard back, and
+// not at all by nodes that own nothing and may not.
+func (n *Node) claims(ctx context.Context) {
+	n.wait.Go(func() { n.keepLease(ctx) })
+	random := rand.New(rand.NewPCG(n.settings.Policy.Seed, n.settings.Policy.Seed))
+	ticker := time.NewTicker(claimTick)
+	defer ticker.Stop()
+	var next time.Time
+	for {
+		now := time.Now()
+		if n.candidate(now) && (!now.Before(next) || n.orphaned(now)) {
+			if err := n.balance(ctx); err != nil {
+				n.log.Warn().Err(err).Msg("claims not read; trying again")
+			}
+			next = now.Add(n.settings.Store.Lease/3 + below(random, n.settings.Store.Lease/12))
+		}
+		n.setReady()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-n.wake:
+			next = time.Time{}
+		}
+	}
+}
+
+// below draws a duration below bound.
+func below(r *rand.Rand, bound time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(max(bound, 1))))
+}
+
+// orphaned tells whether a shard falls to this node whose owner is silent.
+func (n *Node) orphaned(now time.Time) bool {
+	owners := claim.Owners(n.hosts(now), n.settings.Shards.Owners)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for shard, o := range n.owners {
+		if o.node != "" && o.node != n.settings.Node.Name && n.signs.Silent(now, o.node) &&
+			claim.Preferred(shard, owners) == n.settings.Node.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// stir makes the claims loop look at the store now.
+func (n *Node) stir() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (n *Node) balance(ctx context.Context) error {
-	live, err := n.members(ctx)
-	if err != nil {
+	if err := n.members(ctx); err != nil {
 		return err
 	}
 	pairs, err := n.store.List(ctx, claimPrefix, "", 0)
 	if err != nil {
 		return err
 	}
-	claims := make(map[int]store.Pair, len(pairs))
+	found := make(map[int]store.Pair, len(pairs))
 	for _, p := range pairs {
 		var shard int
 		if _, err := fmt.Sscanf(strings.TrimPrefix(p.Key, claimPrefix), "%d", &shard); err == nil {
-			claims[shard] = p
+			found[shard] = p
 		}
 	}
+	owners := claim.Owners(n.hosts(time.Now()), n.settings.Shards.Owners)
 	for shard := range n.settings.Shards.Count {
-		n.consider(ctx, shard, claims[shard], live)
+		n.consider(ctx, shard, found[shard], claim.Preferred(shard, owners))
 	}
-	n.setReady()
 	return nil
 }
 
+// setReady lets callers in once the node knows what to do with them.
 func (n *Node) setReady() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ready = n.config.Revision > 0
+	n.ready = n.config.Revision > 0 && len(n.owners) > 0
 }
 
-func (n *Node) members(ctx context.Context) (map[string]member, error) {
+// members reads which owners' leases stand.
+func (n *Node) members(ctx context.Context) error {
 	pairs, err := n.store.List(ctx, memberPrefix, "", 0)
 	if err != nil {
-		return nil, err
-	}
-	live := make(map[string]member, len(pairs))
-	for _, p := range pairs {
-		var m member
-		if err := cbor.Unmarshal(p.Value, &m); err == nil {
-			live[m.Node] = m
-			n.links.Connect(m.Node, m.Link)
-		}
+		return err
 	}
 	n.mu.Lock()
-	n.live = live
+	for name, h := range n.known {
+		h.leased = false
+		n.known[name] = h
+	}
 	n.mu.Unlock()
-	return live, nil
-}
-
-// preferred returns the live node that a shard falls to, by rendezvous hashing.
-func preferred(shard int, live map[string]member) string {
-	best, top := "", uint64(0)
-	for name, m := range live {
-		if m.Leaving {
+	for _, p := range pairs {
+		var m member
+		if err := cbor.Unmarshal(p.Value, &m); err != nil {
+			n.log.Error().Err(err).Str("key", p.Key).Msg("unreadable member record ignored")
 			continue
 		}
-		score := xxhash.Sum64String(fmt.Sprintf("%d/%s", shard, name))
-		if best == "" || score > top {
-			best, top = name, score
+		n.mu.Lock()
+		h := n.known[m.Node]
+		leaving := h.Leaving && h.Boot == m.Boot
+		n.known[m.Node] = seen{
+			Host:   claim.Host{Name: m.Node, Centre: m.Centre, Boot: m.Boot, Leaving: leaving},
+			leased: true,
 		}
+		n.mu.Unlock()
+		n.links.Connect(m.Node, m.Link)
 	}
-	return best
+	return nil
 }
 
-func (n *Node) consider(ctx context.Context, shard int, p store.Pair, live map[string]member) {
-	var c claim
+// consider looks at one shard's claim, and takes the shard if it falls to this node.
+func (n *Node) consider(ctx context.Context, shard int, p store.Pair, preferred string) {
+	var c claim.Claim
 	if p.Version != 0 {
 		if err := cbor.Unmarshal(p.Value, &c); err != nil {
 			n.log.Error().Err(err).Int("shard", shard).Msg("unreadable claim")
@@ -150,86 +248,18 @@
 		n.see(shard, ownership{node: c.Node, epoch: c.Epoch})
 	}
 	n.mu.Lock()
-	draining, open := n.draining, n.journals[shard] != nil
-	n.mu.Unlock()
-	self := n.settings.Node.Name
-	_, alive := live[c.Node]
-	free := c.Node == "" || !alive || c.Node == self && !open
-	if draining || !free || preferred(shard, live) != self {
-		return
-	}
-	if err := n.take(ctx, shard, claim{Node: self, Epoch: c.Epoch + 1}, p.Version); err != nil {
-		n.log.Warn().Err(err).Int("shard", shard).Msg("shard not taken")
+	view := claim.View{
+		Self: n.settings.Node.Name, Draining: n.draining,
+		Open:   n.journals[shard] != nil || n.taking[shard],
+		Leased: n.known[c.Node].leased, Silent: n.signs.Silent(time.Now(), c.Node), Preferred: preferred,
 	}
-}
-
-func (n *Node) take(ctx context.Context, shard int, c claim, version uint64) error {
-	data, err := cbor.Marshal(c)
-	if err != nil {
-		return errors.Wrap(err, "node: encoding")
+	free := view.Free(c)
+	if free {
+		n.taking[shard] = true
 	}
-	if _, err := n.store.Put(ctx, claimKey(shard), data, version, ""); err != nil {
-		return err
-	}
-	j, records, err := jrnl.Open(ctx, n.store, shard, c.Epoch)
-	if err != nil {
-		return err
-	}
-	running, cancel := context.WithCancel(ctx)
-	n.mu.Lock()
-	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, cancel: cancel}
 	n.mu.Unlock()
-	n.wait.Go(func() { j.Run(running) })
-	n.emit(core.Acquired{Shard: shard, Epoch: c.Epoch, Records: records})
-	n.see(shard, ownership{node: c.Node, epoch: c.Epoch})
-	n.log.Info().Int("shard", shard).Uint64("epoch", c.Epoch).Int("records", len(records)).Msg("shard taken")
-	return nil
-}
-
-// see takes over news of a shard's owner unless it is old.
-func (n *Node) see(shard int, o ownership) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if old := n.owners[shard]; o.epoch > old.epoch || o.epoch == old.epoch && o.node == "" {
-		n.owners[shard] = o
-	}
-}
-
-// yield gives a shard back so that another node can take it.
-func (n *Node) yield(ctx context.Context, y core.Yield) {
-	n.mu.Lock()
-	o := n.journals[y.Shard]
-	n.mu.Unlock()
-	if o == nil || o.epoch != y.Epoch {
+	if !free {
 		return
 	}
-	for ctx.Err() == nil {
-		err := n.unclaim(ctx, y)
-		if err == nil || errors.Is(err, store.ErrConflict) {
-			break
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	o.cancel()
-	n.mu.Lock()
-	delete(n.journals, y.Shard)
-	n.mu.Unlock()
-	n.see(y.Shard, ownership{epoch: y.Epoch})
-}
-
-func (n *Node) unclaim(ctx context.Context, y core.Yield) error {
-	p, err := n.store.Get(ctx, claimKey(y.Shard))
-	if err != nil {
-		return err
-	}
-	var c claim
-	if err := cbor.Unmarshal(p.Value, &c); err != nil || c.Epoch != y.Epoch || c.Node != n.settings.Node.Name {
-		return nil
-	}
-	data, err := cbor.Marshal(claim{Epoch: y.Epoch})
-	if err != nil {
-		return errors.Wrap(err, "node: encoding")
-	}
-	_, err = n.store.Put(ctx, p.Key, data, p.Version, "")
-	return err
+	n.wait.Go(func() { n.take(ctx, shard, c, p.Version) })
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -15,26 +15,39 @@
 const gossipInterval = 200 * time.Millisecond
 
 func (n *Node) gossip(ctx context.Context) {
-	every(ctx, gossipInterval, func() {
-		n.mu.Lock()
-		g := frame.Gossip{
-			Node: n.settings.Node.Name, Centre: n.settings.Node.Centre, Addr: n.settings.Node.Link,
-			Owned: map[int]uint64{}, Revision: n.config.Revision, Leaving: n.draining,
-		}
-		for shard, o := range n.journals {
+	every(ctx, gossipInterval, func() { n.send("", frame.TopicGossip, n.news(nil)) })
+}
+
+// news is what the node tells its peers about itself; freed are shards it gave back.
+func (n *Node) news(freed map[int]uint64) frame.Gossip {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.settings.Node
+	g := frame.Gossip{
+		Node: s.Name, Centre: s.Centre, Addr: s.Link, Boot: n.boot, Freed: freed,
+		Owned: map[int]uint64{}, Revision: n.config.Revision, Leaving: n.draining,
+	}
+	for shard, o := range n.journals {
+		if _, ok := freed[shard]; !ok {
 			g.Owned[shard] = o.epoch
 		}
-		n.mu.Unlock()
-		n.send("", frame.TopicGossip, g)
-	})
+	}
+	return g
 }
 
 // hear takes over a peer's gossip.
 func (n *Node) hear(g frame.Gossip) {
 	n.links.Connect(g.Node, g.Addr)
+	n.meet(time.Now(), g)
 	for shard, epoch := range g.Owned {
 		n.see(shard, ownership{node: g.Node, epoch: epoch})
 	}
+	for shard, epoch := range g.Freed {
+		n.see(shard, ownership{epoch: epoch})
+	}
+	if len(g.Freed) > 0 {
+		n.stir()
+	}
 	if g.Revision > n.current().Revision {
 		n.send(g.Node, frame.TopicWant, frame.Want{Revision: g.Revision})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -13,9 +13,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/lease"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
 	"github.com/cowslipstage/cowslipstage/coordination/route"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
@@ -43,6 +45,10 @@
 	wait     sync.WaitGroup
 	// mailbox feeds the control goroutine, the only one that touches core.
 	mailbox chan core.Event
+	// wake makes the claims loop look at the store.
+	wake chan struct{}
+	// boot names this process's memory; a standby that restarts has another.
+	boot string
 	// idle is closed when a draining node owns nothing any more.
 	idle chan struct{}
 
@@ -55,8 +61,14 @@
 	// ready tells whether the node should get new callers.
 	ready    bool
 	draining bool
-	// live are the nodes whose lease stood when last seen.
-	live map[string]member
+	// known are the hosts heard of.
+	known map[string]seen
+	// signs judges by their messages which hosts are alive.
+	signs *lease.Watch
+	// lease is the node's own lease in the store.
+	lease *lease.Lease
+	// taking marks shards that are being opened.
+	taking map[int]bool
 }
 
 // ownership is who owns a shard.
@@ -87,7 +99,12 @@
 		owners:   map[int]ownership{},
 		journals: map[int]*opened{},
 		config:   config.New(),
-		live:     map[string]member{},
+		known:    map[string]seen{},
+		signs:    lease.NewWatch(time.Now(), s.Store.Lease),
+		lease:    lease.New(s.Store.Lease),
+		taking:   map[int]bool{},
+		wake:     make(chan struct{}, 1),
+		boot:     uuid.NewString(),
 	}
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
@@ -169,6 +186,7 @@
 	n.draining = true
 	n.mu.Unlock()
 	n.log.Info().Msg("planned stop: handing over")
+	n.send("", frame.TopicGossip, n.news(nil))
 	n.emit(core.Drained{})
 	end := time.After(n.settings.Node.Grace)
 	for {
--- /dev/null
+++ b/node/shards.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/store"
+)
+
+// take raises a claim to this node's next epoch and opens the shard.
+func (n *Node) take(ctx context.Context, shard int, old claim.Claim, version uint64) {
+	defer func() {
+		n.mu.Lock()
+		delete(n.taking, shard)
+		n.mu.Unlock()
+	}()
+	c := claim.Claim{Node: n.settings.Node.Name, Epoch: old.Epoch + 1, Standbys: old.Standbys}
+	if err := n.open(ctx, shard, c, version); err != nil && ctx.Err() == nil {
+		n.log.Warn().Err(err).Int("shard", shard).Uint64("epoch", c.Epoch).Msg("shard not taken")
+	}
+}
+
+func (n *Node) putClaim(ctx context.Context, shard int, c claim.Claim, version uint64) (uint64, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return 0, errors.Wrap(err, "node: encoding")
+	}
+	return n.store.Put(ctx, claimKey(shard), data, version, "")
+}
+
+func (n *Node) open(ctx context.Context, shard int, c claim.Claim, version uint64) error {
+	if _, err := n.putClaim(ctx, shard, c, version); err != nil {
+		return err
+	}
+	j, records, err := jrnl.Open(ctx, n.store, shard, c.Epoch)
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(ctx)
+	n.mu.Lock()
+	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, cancel: cancel}
+	n.mu.Unlock()
+	n.wait.Go(func() {
+		j.Run(running)
+		cancel()
+		n.closed(shard, c.Epoch)
+	})
+	n.emit(core.Acquired{Shard: shard, Epoch: c.Epoch, Records: records})
+	n.see(shard, ownership{node: c.Node, epoch: c.Epoch})
+	n.log.Info().Int("shard", shard).Uint64("epoch", c.Epoch).Int("records", len(records)).Msg("shard taken")
+	return nil
+}
+
+// closed forgets a journal that ended, by a hand-over or because a later
+// epoch sealed it.
+func (n *Node) closed(shard int, epoch uint64) {
+	n.mu.Lock()
+	if o := n.journals[shard]; o != nil && o.epoch == epoch {
+		delete(n.journals, shard)
+	}
+	n.mu.Unlock()
+	n.emit(core.Lost{Shard: shard, Epoch: epoch})
+}
+
+// see takes over news of a shard's owner unless it is old.
+func (n *Node) see(shard int, o ownership) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.owners[shard]; o.epoch > old.epoch || o.epoch == old.epoch && o.node == "" {
+		n.owners[shard] = o
+	}
+}
+
+// yield gives a shard back so that another node can take it.
+func (n *Node) yield(ctx context.Context, y core.Yield) {
+	n.mu.Lock()
+	o := n.journals[y.Shard]
+	n.mu.Unlock()
+	if o == nil || o.epoch != y.Epoch {
+		return
+	}
+	for ctx.Err() == nil {
+		err := n.unclaim(ctx, y)
+		if err == nil || errors.Is(err, store.ErrConflict) {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	o.cancel()
+	n.mu.Lock()
+	delete(n.journals, y.Shard)
+	n.mu.Unlock()
+	n.see(y.Shard, ownership{epoch: y.Epoch})
+	n.send("", frame.TopicGossip, n.news(map[int]uint64{y.Shard: y.Epoch}))
+}
+
+func (n *Node) unclaim(ctx context.Context, y core.Yield) error {
+	p, err := n.store.Get(ctx, claimKey(y.Shard))
+	if err != nil {
+		return err
+	}
+	var c claim.Claim
+	if err := cbor.Unmarshal(p.Value, &c); err != nil || c.Epoch != y.Epoch || c.Node != n.settings.Node.Name {
+		return nil
+	}
+	_, err = n.putClaim(ctx, y.Shard, claim.Claim{Epoch: y.Epoch}, p.Version)
+	return err
+}
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -96,6 +96,10 @@
 	Loads map[string]load.Report `cbor:"7,keyasint,omitempty"`
 	// Sent is the node's dispatches in flight, by endpoint.
 	Sent map[string]int `cbor:"8,keyasint,omitempty"`
+	// Boot names the node's memory; it changes when the node restarts without it.
+	Boot string `cbor:"9,keyasint,omitempty"`
+	// Freed holds the shards that the node has just given back, with their epochs.
+	Freed map[int]uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Hold asks a standby to keep a journal batch while the store is slow or down.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -70,6 +70,8 @@
 // Shards sets how programs are divided.
 type Shards struct {
 	Count int `ini:"count"`
+	// Owners bounds the nodes that own shards, and so the store's load; 0 means no bound.
+	Owners int `ini:"owners"`
 }
 
 // Default returns the settings that a file need not give.
@@ -80,7 +82,7 @@
 		Hosts:  Hosts{Poll: time.Second},
 		Links:  Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
 		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond},
-		Shards: Shards{Count: 16},
+		Shards: Shards{Count: 16, Owners: 16},
 	}
 }
 
