--- a/coordination/core/action.go
+++ b/coordination/core/action.go
@@ -59,15 +59,19 @@
 	Final *answer.Answer
 	// Moved says that another node owns the program now; the edge asks there.
 	Moved bool
+	// Touched says of a moved call that it may have run here.
+	Touched bool
 }
 
-// Release asks an engine to drop what it holds for an ended program.
+// Release asks an engine to drop what it holds for a program.
 type Release struct {
 	Endpoint string
 	Target   *config.Endpoint
 	Customer string
 	Program  string
-	Epoch    uint64
+	// Agents limits the release to some conversations; nil means all.
+	Agents []string
+	Epoch  uint64
 }
 
 // Yield gives up a shard: nothing of it is in flight any more.
--- /dev/null
+++ b/coordination/core/admit.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/state/prog"
+	"github.com/cowslipstage/cowslipstage/state/record"
+)
+
+// admit checks a new call against the configuration and its program.
+func (c *Core) admit(now time.Time, s *shard, p *prog.Program, k *call.Call) (*request, *answer.Answer) {
+	v := c.config.Services[k.Service]
+	if v == nil {
+		return nil, refuse("service", "no service is named "+k.Service, 0)
+	}
+	r := &request{call: k, shard: s, service: v, arrived: now, deadline: k.Deadline}
+	if k.Kind == call.Plain {
+		if r.operation = v.Operations[k.Operation]; r.operation == nil {
+			return nil, refuse("operation", "the service has no operation "+k.Operation, 0)
+		}
+	}
+	if limit := now.Add(timeout(v)); r.deadline.IsZero() || r.deadline.After(limit) {
+		r.deadline = limit
+	}
+	if a := c.overload(now, r); a != nil {
+		return nil, a
+	}
+	if p == nil {
+		p = c.open(now, s, k, v)
+	}
+	r.program = p
+	return r, c.admitProgram(r)
+}
+
+func (c *Core) open(now time.Time, s *shard, k *call.Call, v *config.Service) *prog.Program {
+	o := &record.Opened{
+		Customer: k.Customer, Program: k.Program, Service: k.Service, Time: now,
+		Tokens: v.Tokens, Money: v.Money,
+	}
+	c.journal(s, []record.Record{{Opened: o}}, nil)
+	return s.programs[k.Owner()]
+}
+
+// admitProgram checks a call against the state of its program.
+func (c *Core) admitProgram(r *request) *answer.Answer {
+	p, k := r.program, r.call
+	root := c.config.Services[p.Service()]
+	switch {
+	case p.Ended():
+		return refuse("ended", "the program has ended", 0)
+	case root == nil:
+		return nil
+	case root.Turns > 0 && p.Turns()+r.shard.active[k.Owner()] >= root.Turns:
+		return refuse("turns", "the program has used all its turns", 0)
+	case k.Seq != 0 && (k.Seq <= p.Last(k.Agent) || c.taken(k)):
+		return refuse("order", "a call with this number or a later one was already taken", 0)
+	case r.operation != nil && root.Kind == "model" && !slices.Contains(root.Tools, k.Service+"/"+k.Operation):
+		return refuse("tool", "the program's service may not call "+k.Service+"/"+k.Operation, 0)
+	}
+	return nil
+}
+
+// taken tells whether a call with the same number waits in the agent's line.
+func (c *Core) taken(k *call.Call) bool {
+	return slices.ContainsFunc(c.lines[k.Queue()], func(r *request) bool { return r.call.Seq == k.Seq })
+}
+
+// queueFactor bounds the calls that wait for a pool, as a multiple of its slots.
+const queueFactor = 50
+
+// overload refuses a call that surely cannot be answered by its deadline, so
+// that its caller knows at once.
+func (c *Core) overload(now time.Time, r *request) *answer.Answer {
+	pool := r.service.Pool
+	q, slots := c.ready[pool], c.slots(pool)
+	if q == nil || slots == 0 || q.Len() < slots {
+		return nil
+	}
+	if q.Len() > queueFactor*slots {
+		return refuse("overload", "too many calls wait for the service", c.wait(pool, q.Len()-queueFactor*slots))
+	}
+	wait := c.wait(pool, q.Len())
+	if r.service.Class > 0 && now.Add(wait).After(r.deadline) {
+		return refuse("overload", "the call cannot be answered by its deadline", max(time.Second, wait-r.deadline.Sub(now)))
+	}
+	return nil
+}
+
+// wait estimates how long a pool needs to take on so many waiting calls.
+func (c *Core) wait(pool string, calls int) time.Duration {
+	p := c.wholes[pool]
+	if p == nil {
+		return time.Second
+	}
+	return p.Expect(calls) / time.Duration(c.slots(pool))
+}
+
+// slots returns the calls that a pool can run at once, 0 when it has no bound.
+func (c *Core) slots(pool string) int {
+	n := 0
+	for _, name := range c.pools[pool] {
+		n += c.config.Endpoints[name].Slots
+	}
+	return n
+}
+
+// defaultTimeout bounds calls of services that declare no timeout.
+const defaultTimeout = 60 * time.Second
+
+func timeout(v *config.Service) time.Duration {
+	if v.Timeout > 0 {
+		return v.Timeout
+	}
+	return defaultTimeout
+}
+
+// add puts an admitted request in its agent's line.
+func (c *Core) add(now time.Time, r *request) {
+	c.requests[r.call.ID()] = r
+	r.shard.active[r.call.Owner()]++
+	for _, w := range r.waiters {
+		c.routes[w.route] = r
+	}
+	name := r.call.Queue()
+	line := c.lines[name]
+	i := len(line)
+	for i > 0 && line[i-1].stage == queued && earlier(r, line[i-1]) {
+		i--
+	}
+	c.lines[name] = slices.Insert(line, i, r)
+	c.advance(now, name)
+}
+
+// remove takes a request out everywhere.
+func (c *Core) remove(r *request) {
+	id, owner, name := r.call.ID(), r.call.Owner(), r.call.Queue()
+	if c.requests[id] != r {
+		return
+	}
+	delete(c.requests, id)
+	for _, w := range r.waiters {
+		delete(c.routes, w.route)
+	}
+	if q := c.ready[r.service.Pool]; q != nil {
+		q.Remove(id)
+	}
+	if r.shard.active[owner]--; r.shard.active[owner] == 0 {
+		delete(r.shard.active, owner)
+	}
+	line := slices.DeleteFunc(c.lines[name], func(x *request) bool { return x == r })
+	c.lines[name] = line
+	if len(line) == 0 {
+		delete(c.lines, name)
+	}
+}
+
+// advance makes the first call of an agent's line ready, unless a call that
+// comes before it has not arrived yet.
+func (c *Core) advance(now time.Time, name string) {
+	line := c.lines[name]
+	if len(line) == 0 || line[0].stage != queued {
+		return
+	}
+	r := line[0]
+	if r.call.Seq > r.program.Last(r.call.Agent)+1 {
+		return
+	}
+	r.readied = now
+	c.enqueue(r)
+}
+
+func earlier(a, b *request) bool {
+	if a.call.Seq != 0 && b.call.Seq != 0 {
+		return a.call.Seq < b.call.Seq
+	}
+	return a.arrived.Before(b.arrived)
+}
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -4,10 +4,16 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cowslipstage/cowslipstage/coordination/eject"
+	"github.com/cowslipstage/cowslipstage/coordination/hedge"
+	"github.com/cowslipstage/cowslipstage/coordination/pace"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
+	"github.com/cowslipstage/cowslipstage/coordination/retry"
 	"github.com/cowslipstage/cowslipstage/coordination/route"
+	"github.com/cowslipstage/cowslipstage/state/cache"
 	"github.com/cowslipstage/cowslipstage/state/config"
 	"github.com/cowslipstage/cowslipstage/state/load"
 )
@@ -18,6 +24,10 @@
 	Shards int
 	Queue  queue.Policy
 	Route  route.Policy
+	// Hedge lets late model calls be sent to a second endpoint.
+	Hedge bool
+	// Weight is the operator's weight of wasted cache against latency, from 0 to 1.
+	Weight float64
 	// Seed fixes the random choices.
 	Seed uint64
 }
@@ -26,34 +36,73 @@
 type Core struct {
 	options Options
 	config  *config.Config
-	shards  map[int]*shard
+	// pools holds the names of each pool's endpoints, sorted.
+	pools  map[string][]string
+	shards map[int]*shard
+	// lease is until when this node's lease surely stands; past it, every
+	// dispatch first proves by a journal write that the shard is still owned.
+	lease time.Time
 	// requests holds every call that has no final answer yet, by id.
 	requests map[string]*request
+	// routes holds which request each waiting caller waits for.
+	routes map[Route]*request
+	// lines holds the requests of each agent, the next to run first.
+	lines map[string][]*request
+	// refused holds the refusals that callers were told lately: the same
+	// caller's late duplicate must not run after all.
+	refused map[Route]refusal
 	// flights holds every dispatch without an end, by flight id.
 	flights map[uint64]*flight
 	// commits holds what waits for the journal, by reference.
 	commits map[uint64]commit
-	ready   *queue.Queue
+	// ready holds the calls that wait for an endpoint, by pool.
+	ready map[string]*queue.Queue
+	// dirty marks the pools that may be able to dispatch.
+	dirty   map[string]bool
 	router  *route.Router
+	random  *rand.Rand
 	loads   *load.Board
+	index   *cache.Index
+	judge   *eject.Judge
+	hedger  *hedge.Hedger
+	retries *retry.Budget
+	// firsts learns the time to the first token per prompt token, by pool;
+	// wholes the time that a call holds its slot, by pool.
+	firsts  map[string]*pace.Pace
+	wholes  map[string]*pace.Pace
 	leaving map[string]bool
 	serial  uint64
 	drained bool
+	// cleaned is when the slow housekeeping last ran.
+	cleaned time.Time
 	actions []Action
 }
 
 // New returns a core that owns nothing.
 func New(o Options) *Core {
+	random := rand.New(rand.NewPCG(o.Seed, o.Seed))
 	return &Core{
 		options:  o,
 		config:   config.New(),
+		pools:    map[string][]string{},
 		shards:   map[int]*shard{},
 		requests: map[string]*request{},
+		routes:   map[Route]*request{},
+		lines:    map[string][]*request{},
+		refused:  map[Route]refusal{},
 		flights:  map[uint64]*flight{},
 		commits:  map[uint64]commit{},
-		ready:    queue.New(o.Queue),
-		router:   route.New(o.Route, rand.New(rand.NewPCG(o.Seed, o.Seed))),
+		ready:    map[string]*queue.Queue{},
+		dirty:    map[string]bool{},
+		router:   route.New(o.Route, random),
+		random:   random,
 		loads:    load.New(),
+		index:    cache.New(),
+		judge:    eject.New(),
+		hedger:   hedge.New(o.Hedge),
+		retries:  retry.New(time.Time{}),
+		firsts:   map[string]*pace.Pace{},
+		wholes:   map[string]*pace.Pace{},
 		leaving:  map[string]bool{},
 	}
 }
@@ -72,35 +121,65 @@
 		c.acquire(now, e)
 	case Lost:
 		c.lose(e)
+	case Renewed:
+		c.lease = e.Until
 	case Submitted:
 		c.submit(now, e)
 	case Asked:
-		c.ask(now, e)
+		c.ask(e)
 	case Left:
-		c.leave(e)
+		c.leave(now, e)
 	case Closed:
 		c.closeProgram(now, e)
 	case Committed:
 		c.committed(now, e)
+	case Started, Piece, Finished, Failed:
+		c.applyFlight(now, event)
+	case Reported, Cached, Held, Released, Listed, Shared:
+		c.applyEndpoint(now, event)
+	case Configured:
+		c.configure(e)
+	case Ticked:
+		c.tick(now)
+	case Drained:
+		c.drained = true
+		for _, s := range c.ordered() {
+			c.surrender(now, s)
+		}
+	case Surrendered:
+		if s := c.shards[e.Shard]; s != nil {
+			c.surrender(now, s)
+		}
+	}
+}
+
+func (c *Core) applyFlight(now time.Time, event Event) {
+	switch e := event.(type) {
 	case Piece:
-		c.piece(e)
+		c.piece(now, e)
 	case Finished:
 		c.finished(now, e)
 	case Failed:
 		c.failed(now, e)
+	}
+}
+
+func (c *Core) applyEndpoint(now time.Time, event Event) {
+	switch e := event.(type) {
 	case Reported:
 		c.loads.Report(e.Endpoint, e.Report)
-	case Configured:
-		c.configure(e)
+		c.touchPool(e.Endpoint)
+	case Cached:
+		conversation := e.Customer + "/" + e.Program + "/" + e.Agent
+		c.index.Event(now, conversation, e.Endpoint, e.Serial, e.Tokens)
+	case Held:
+		c.held(e)
+	case Released:
+		c.released(e)
 	case Listed:
 		c.list(e)
-	case Released:
-		c.released(now, e)
-	case Ticked:
-		c.tick(now)
-	case Drained:
-		c.drained = true
-		c.yieldIdle()
+	case Shared:
+		c.loads.Share(e.Node, e.Taken, e.Sent)
 	}
 }
 
@@ -112,8 +191,17 @@
 }
 
 func (c *Core) configure(e Configured) {
-	if e.Config.Revision > c.config.Revision {
-		c.config = e.Config
+	if e.Config.Revision <= c.config.Revision {
+		return
+	}
+	c.config = e.Config
+	c.pools = map[string][]string{}
+	for name, p := range c.config.Endpoints {
+		c.pools[p.Pool] = append(c.pools[p.Pool], name)
+	}
+	for pool, names := range c.pools {
+		slices.Sort(names)
+		c.dirty[pool] = true
 	}
 }
 
@@ -124,6 +212,23 @@
 	}
 }
 
+// touchPool lets the endpoint's pool be looked at for dispatches.
+func (c *Core) touchPool(endpoint string) {
+	if e := c.config.Endpoints[endpoint]; e != nil {
+		c.dirty[e.Pool] = true
+	}
+}
+
+// ordered returns the owned shards by number, so that runs can be repeated.
+func (c *Core) ordered() []*shard {
+	all := make([]*shard, 0, len(c.shards))
+	for _, s := range c.shards {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *shard) int { return a.number - b.number })
+	return all
+}
+
 // Owned returns the shards that this node owns, with their epochs.
 func (c *Core) Owned() map[int]uint64 {
 	owned := make(map[int]uint64, len(c.shards))
@@ -133,5 +238,14 @@
 	return owned
 }
 
+// Sent returns this node's dispatches in flight, by endpoint.
+func (c *Core) Sent() map[string]int {
+	sent := map[string]int{}
+	for _, f := range c.flights {
+		sent[f.endpoint]++
+	}
+	return sent
+}
+
 // Config returns the configuration in force.
 func (c *Core) Config() *config.Config { return c.config }
--- /dev/null
+++ b/coordination/core/core_test.go
@@ -0,0 +1,282 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/queue"
+	"github.com/cowslipstage/cowslipstage/coordination/route"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/state/record"
+)
+
+func TestCore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core")
+}
+
+// rig drives one core and keeps what it does.
+type rig struct {
+	core    *core.Core
+	now     time.Time
+	journal []record.Record
+	// commits are the appends not answered yet.
+	commits    []core.Append
+	dispatches []core.Dispatch
+	replies    []core.Reply
+	aborts     []core.Abort
+	releases   []core.Release
+	yields     []core.Yield
+}
+
+func declared() *config.Config {
+	c := config.New()
+	c.Revision = 1
+	c.Services["chat"] = &config.Service{Kind: "model", Pool: "engines", Tokens: 4000, Money: 100, Turns: 5, Output: 50, Class: 1, Tools: []string{"desk/book"}}
+	c.Services["desk"] = &config.Service{Kind: "plain", Pool: "desks", Operations: map[string]*config.Operation{
+		"book": {Money: 40}, "look": {Idempotent: true},
+	}}
+	for i := range 3 {
+		c.Endpoints[fmt.Sprintf("engine-%d", i)] = &config.Endpoint{Pool: "engines", Kind: "engine", Slots: 4}
+		c.Endpoints[fmt.Sprintf("desk-%d", i)] = &config.Endpoint{Pool: "desks", Kind: "desk", Slots: 4}
+	}
+	return c
+}
+
+func newRig() *rig {
+	r := &rig{now: time.Unix(1000, 0)}
+	r.core = core.New(core.Options{Shards: 1, Queue: queue.Attained, Route: route.Finish, Seed: 1})
+	r.step(core.Configured{Config: declared()})
+	r.step(core.Acquired{Shard: 0, Epoch: 1})
+	return r
+}
+
+// successor returns a rig that replays what was committed.
+func (r *rig) successor(epoch uint64) *rig {
+	next := &rig{now: r.now, journal: r.journal}
+	next.core = core.New(core.Options{Shards: 1, Queue: queue.Attained, Route: route.Finish, Seed: 2})
+	next.step(core.Configured{Config: declared()})
+	next.step(core.Acquired{Shard: 0, Epoch: epoch, Records: append([]record.Record(nil), r.journal...)})
+	return next
+}
+
+func (r *rig) step(e core.Event) {
+	for _, a := range r.core.Step(r.now, e) {
+		switch a := a.(type) {
+		case core.Append:
+			r.commits = append(r.commits, a)
+		case core.Dispatch:
+			r.dispatches = append(r.dispatches, a)
+		case core.Reply:
+			r.replies = append(r.replies, a)
+		case core.Abort:
+			r.aborts = append(r.aborts, a)
+		case core.Release:
+			r.releases = append(r.releases, a)
+		case core.Yield:
+			r.yields = append(r.yields, a)
+		}
+	}
+}
+
+// commit confirms all appends.
+func (r *rig) commit() {
+	for len(r.commits) > 0 {
+		a := r.commits[0]
+		r.commits = r.commits[1:]
+		r.journal = append(r.journal, a.Records...)
+		r.step(core.Committed{Ref: a.Ref})
+	}
+}
+
+func (r *rig) submit(k call.Call) {
+	k.Customer = "c"
+	k.Digest = k.Sum()
+	r.step(core.Submitted{Call: &k, From: core.Route{Node: "n", Stream: k.Key}})
+	r.commit()
+}
+
+func chat(key string, seq uint64) call.Call {
+	return call.Call{Key: key, Program: "p", Seq: seq, Kind: call.Chat, Service: "chat", Messages: []call.Message{{Role: "user", Content: "Hello " + key}}}
+}
+
+func book(key string) call.Call {
+	return call.Call{Key: key, Program: "p", Kind: call.Plain, Service: "desk", Operation: "book"}
+}
+
+func (r *rig) finish(i int, text string) {
+	r.step(core.Finished{Flight: r.dispatches[i].Flight, Text: text, Status: 0, Usage: answer.Usage{Prompt: 10, Output: 5}})
+}
+
+func (r *rig) last() *answer.Answer {
+	Expect(r.replies).NotTo(BeEmpty())
+	return r.replies[len(r.replies)-1].Final
+}
+
+var _ = Describe("the core", func() {
+	var r *rig
+	BeforeEach(func() { r = newRig() })
+
+	It("withholds the final reply until the turn is recorded", func() {
+		r.submit(chat("a", 1))
+		r.finish(0, "hi")
+		Expect(r.replies).To(BeEmpty())
+		r.commit()
+		Expect(r.last().Text).To(Equal("hi"))
+	})
+
+	It("runs an agent's calls in order, whatever order they arrive in", func() {
+		r.submit(chat("b", 2))
+		Expect(r.dispatches).To(BeEmpty())
+		r.submit(chat("a", 1))
+		Expect(r.dispatches).To(HaveLen(1))
+		Expect(r.dispatches[0].Call.Key).To(Equal("a"))
+		r.finish(0, "hi")
+		r.commit()
+		Expect(r.dispatches).To(HaveLen(2))
+		Expect(r.dispatches[1].History).To(HaveLen(2))
+		r.submit(chat("late", 1))
+		Expect(r.last().Reason).To(Equal("order"))
+	})
+
+	It("never dispatches a non-idempotent call before its intent is recorded", func() {
+		k := book("a")
+		k.Customer = "c"
+		r.step(core.Submitted{Call: &k})
+		Expect(r.dispatches).To(BeEmpty())
+		r.commit()
+		Expect(r.dispatches).To(HaveLen(1))
+	})
+
+	It("answers unknown after a takeover, and does not run the call again", func() {
+		r.submit(book("a"))
+		n := r.successor(2)
+		n.submit(book("a"))
+		Expect(n.dispatches).To(BeEmpty())
+		Expect(n.last().Outcome).To(Equal(answer.Unknown))
+	})
+
+	It("counts an outstanding grant as spent, once, over two takeovers", func() {
+		r.submit(chat("a", 0))
+		first := r.successor(2)
+		first.commit()
+		second := first.successor(3)
+		second.commit()
+		for i := range 200 {
+			second.submit(chat(fmt.Sprint("x", i), 0))
+			if len(second.replies) > 0 && second.last() != nil && second.last().Reason == "turns" {
+				break
+			}
+			second.step(core.Failed{Flight: second.dispatches[len(second.dispatches)-1].Flight, Reason: "cut"})
+			second.commit()
+		}
+		spent := 0
+		for _, d := range append(r.dispatches, second.dispatches...) {
+			spent += 10 + d.MaxTokens
+		}
+		Expect(spent).To(BeNumerically("<=", 4000))
+	})
+
+	It("never lets concurrent sub-agents spend more than the budget", func() {
+		r.submit(chat("root", 0))
+		r.finish(0, "hi")
+		r.commit()
+		for i := range 3 {
+			k := book(fmt.Sprint("k", i))
+			k.Agent = fmt.Sprint("agent", i)
+			r.submit(k)
+		}
+		Expect(r.dispatches).To(HaveLen(3))
+		Expect(r.last().Reason).To(Equal("budget"))
+	})
+
+	It("answers a late duplicate of a refused call with the refusal", func() {
+		k := chat("a", 0)
+		k.Service = "nowhere"
+		r.submit(k)
+		Expect(r.last().Outcome).To(Equal(answer.NotRun))
+		k.Service = "chat"
+		r.submit(k)
+		Expect(r.dispatches).To(BeEmpty())
+		Expect(r.replies).To(HaveLen(2))
+	})
+
+	It("does not say that a call did not run after an endpoint broke off", func() {
+		r.submit(chat("a", 0))
+		for i := range 4 {
+			r.step(core.Failed{Flight: r.dispatches[i].Flight, Reason: "cut"})
+			r.commit()
+		}
+		Expect(r.last().Outcome).To(Equal(answer.Unknown))
+		Expect(r.dispatches).To(HaveLen(4))
+	})
+
+	It("resumes a broken answer after the text that its caller has", func() {
+		r.submit(chat("a", 0))
+		r.step(core.Piece{Flight: r.dispatches[0].Flight, Text: "one "})
+		r.step(core.Failed{Flight: r.dispatches[0].Flight, Reason: "cut"})
+		r.commit()
+		Expect(r.dispatches).To(HaveLen(2))
+		Expect(r.dispatches[1].Partial).To(Equal("one "))
+		r.finish(1, "one two")
+		r.commit()
+		Expect(r.last().Text).To(Equal("one two"))
+	})
+
+	It("settles a refused booking as not run, and lets its key be tried again", func() {
+		r.submit(book("a"))
+		r.now = r.now.Add(2 * time.Minute)
+		r.step(core.Failed{Flight: r.dispatches[0].Flight, Untouched: true, Reason: "refused"})
+		r.commit()
+		Expect(r.last().Outcome).To(Equal(answer.NotRun))
+		k := book("a")
+		k.Customer, k.Digest = "c", k.Sum()
+		r.step(core.Submitted{Call: &k, From: core.Route{Stream: "again"}})
+		r.commit()
+		Expect(r.dispatches).To(HaveLen(2))
+	})
+
+	It("hands a shard over without cutting a booking, and moves model calls with their text", func() {
+		r.submit(chat("a", 0))
+		r.step(core.Piece{Flight: r.dispatches[0].Flight, Text: "one "})
+		k := book("b")
+		k.Agent = "sub"
+		r.submit(k)
+		r.step(core.Drained{})
+		r.now = r.now.Add(time.Second)
+		r.step(core.Ticked{})
+		Expect(r.aborts).To(HaveLen(1))
+		Expect(r.replies[len(r.replies)-1].Touched).To(BeTrue())
+		Expect(r.yields).To(BeEmpty())
+		r.step(core.Finished{Flight: r.dispatches[1].Flight, Body: []byte("ok"), Status: 200})
+		r.commit()
+		Expect(r.yields).To(HaveLen(1))
+		Expect(r.last().Outcome).To(Equal(answer.Done))
+	})
+
+	It("repeats the release of an ended program's memory until it is confirmed", func() {
+		r.submit(chat("a", 0))
+		r.finish(0, "hi")
+		r.commit()
+		r.step(core.Closed{Customer: "c", Program: "p"})
+		r.commit()
+		Expect(r.releases).To(HaveLen(1))
+		for range 3 {
+			r.now = r.now.Add(40 * time.Second)
+			r.step(core.Ticked{})
+		}
+		Expect(r.releases).To(HaveLen(4))
+		r.step(core.Released{Endpoint: r.releases[0].Endpoint, Customer: "c", Program: "p"})
+		r.commit()
+		r.now = r.now.Add(time.Minute)
+		r.step(core.Ticked{})
+		Expect(r.releases).To(HaveLen(4))
+	})
+})
--- a/coordination/core/event.go
+++ b/coordination/core/event.go
@@ -35,6 +35,9 @@
 	Epoch uint64
 }
 
+// Renewed says until when this node's lease surely stands.
+type Renewed struct{ Until time.Time }
+
 // Submitted is a call to be scheduled. Submitting the same call again attaches
 // another route to it.
 type Submitted struct {
@@ -149,22 +152,35 @@
 // Drained asks the core to take no new work and to let go of its shards.
 type Drained struct{}
 
-func (Acquired) event()   {}
-func (Lost) event()       {}
-func (Submitted) event()  {}
-func (Asked) event()      {}
-func (Left) event()       {}
-func (Closed) event()     {}
-func (Committed) event()  {}
-func (Started) event()    {}
-func (Piece) event()      {}
-func (Finished) event()   {}
-func (Failed) event()     {}
-func (Reported) event()   {}
-func (Cached) event()     {}
-func (Held) event()       {}
-func (Released) event()   {}
-func (Configured) event() {}
-func (Listed) event()     {}
-func (Ticked) event()     {}
-func (Drained) event()    {}
+// Surrendered asks the core to let go of one shard, for balance.
+type Surrendered struct{ Shard int }
+
+// Shared is what another node has in flight, by endpoint.
+type Shared struct {
+	Node  string
+	Sent  map[string]int
+	Taken time.Time
+}
+
+func (Acquired) event()    {}
+func (Lost) event()        {}
+func (Renewed) event()     {}
+func (Submitted) event()   {}
+func (Asked) event()       {}
+func (Left) event()        {}
+func (Closed) event()      {}
+func (Committed) event()   {}
+func (Started) event()     {}
+func (Piece) event()       {}
+func (Finished) event()    {}
+func (Failed) event()      {}
+func (Reported) event()    {}
+func (Cached) event()      {}
+func (Held) event()        {}
+func (Released) event()    {}
+func (Configured) event()  {}
+func (Listed) event()      {}
+func (Ticked) event()      {}
+func (Drained) event()     {}
+func (Surrendered) event() {}
+func (Shared) event()      {}
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -1,11 +1,11 @@
 package core
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cowslipstage/cowslipstage/coordination/queue"
-	"github.com/cowslipstage/cowslipstage/coordination/route"
 	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/record"
 )
 
@@ -14,100 +14,63 @@
 	id       uint64
 	request  *request
 	endpoint string
+	// reserved is held in the program's purse until the flight ends.
+	reserved need
+	sent     time.Time
+	// cost is the work before the first token, in prompt tokens.
+	cost int
+	// base is the length of the text that the attempt continues, in bytes.
+	base int
+	// begun is set by the first text.
+	begun bool
+	// aborted is set once the attempt was cancelled.
+	aborted bool
 }
 
-// charsPerToken estimates a prompt's length before the endpoint has counted it.
-const charsPerToken = 4
-
-// defaultOutput bounds the output of services that declare no bound, in tokens.
-const defaultOutput = 512
-
-func (c *Core) enqueue(now time.Time, r *request) {
-	t, _ := r.program.Purse().Spent()
-	c.ready.Push(queue.Item{ID: r.call.ID(), Class: r.service.Class, Attained: t, Arrived: now})
-}
-
-// schedule dispatches ready calls while endpoints have room.
-func (c *Core) schedule(now time.Time) {
-	if c.ready.Len() == 0 {
-		return
-	}
-	for _, i := range c.ready.Sorted(now) {
-		r := c.requests[i.ID]
-		endpoint := c.place(now, r)
-		if endpoint == "" {
-			continue
-		}
-		c.ready.Remove(i.ID)
-		c.launch(now, r, endpoint)
-	}
-}
-
-func (c *Core) place(now time.Time, r *request) string {
-	var choices []route.Choice
-	for name, e := range c.config.Endpoints {
-		if e.Pool != r.service.Pool || c.leaving[name] || !c.loads.Open(now, name) {
-			continue
-		}
-		calls := c.loads.Calls(name)
-		if e.Slots > 0 && calls >= e.Slots {
-			continue
-		}
-		choices = append(choices, route.Choice{
-			Name: name, Calls: calls, Slots: e.Slots, Pending: c.loads.Pending(name),
-		})
-	}
-	sortChoices(choices)
-	i := c.router.Pick(route.Need{Owner: r.call.Owner(), Prompt: r.prompt(), Output: r.output()}, choices)
-	if i < 0 {
-		return ""
-	}
-	return choices[i].Name
-}
-
-// prompt estimates the length of the whole prompt, in tokens.
-func (r *request) prompt() int {
-	n := len(r.service.Prompt)
-	for _, m := range r.call.Messages {
-		n += len(m.Content)
-	}
-	return r.program.Tokens(r.call.Agent) + n/charsPerToken + 8*(len(r.call.Messages)+1)
-}
-
-func (r *request) output() int {
-	bound := r.service.Output
-	if bound == 0 {
-		bound = defaultOutput
-	}
-	if m := r.call.MaxTokens; m > 0 && m < bound {
-		return m
-	}
-	return bound
-}
-
-// need is the most that one attempt can spend.
-func (r *request) need() (tokens, money int64) {
+// worst is the most that one attempt can spend.
+func (r *request) worst() need {
 	if r.operation != nil {
-		return 0, r.operation.Money
+		return need{money: r.operation.Money}
 	}
-	return int64(r.prompt() + r.output()), 0
+	return need{tokens: int64(r.prompt() + r.output())}
 }
 
 func (r *request) repeatable() bool { return r.operation == nil || r.operation.Idempotent }
 
-// launch reserves the worst case, journals what must be known first, and dispatches.
-func (c *Core) launch(now time.Time, r *request, endpoint string) {
+// launch reserves the worst case, journals what a successor must know first,
+// and dispatches.
+func (c *Core) launch(now time.Time, r *request, endpoint string, cost int) {
 	p := r.program.Purse()
-	r.tokens, r.money = r.need()
-	if !p.Fits(r.tokens, r.money) {
-		c.refuse(now, r, refuse("budget", "the call could exceed the program's budget", 0))
+	n := r.worst()
+	if !p.Fits(n.tokens, n.money) {
+		c.giveUp(now, r, "budget", "the call could exceed the program's budget", 0)
+		return
+	}
+	records := c.before(now, r, endpoint, n)
+	p.Reserve(n.tokens, n.money)
+	f := &flight{id: c.next(), request: r, endpoint: endpoint, reserved: n, cost: cost}
+	r.flights = append(r.flights, f)
+	r.program.Place(endpoint)
+	c.loads.Send(now, endpoint, f.id, r.prompt())
+	if len(records) == 0 {
+		c.dispatch(now, f)
 		return
 	}
+	if r.stage < writing {
+		r.stage = writing
+	}
+	c.journal(r.shard, records, func(at time.Time) { c.dispatch(at, f) })
+}
+
+// before returns what must be in the journal before an attempt.
+func (c *Core) before(now time.Time, r *request, endpoint string, n need) []record.Record {
 	var records []record.Record
-	if !p.Covered(r.tokens, r.money) {
-		t, m := p.Raise(r.tokens, r.money)
+	p := r.program.Purse()
+	unproven := !c.lease.IsZero() && !now.Before(c.lease)
+	if unproven || !p.Covered(n.tokens, n.money) {
+		tokens, money := p.Raise(n.tokens, n.money)
 		records = append(records, record.Record{Grant: &record.Grant{
-			Customer: r.call.Customer, Program: r.call.Program, Tokens: t, Money: m,
+			Customer: r.call.Customer, Program: r.call.Program, Tokens: tokens, Money: money,
 		}})
 	}
 	if !r.repeatable() {
@@ -115,131 +78,295 @@
 			Call: r.call, Endpoint: endpoint, Epoch: r.shard.epoch,
 		}})
 	}
-	p.Reserve(r.tokens, r.money)
-	if len(records) == 0 {
-		c.dispatch(now, r, endpoint)
-		return
-	}
-	r.stage = writing
-	c.journal(r.shard, records, func(at time.Time) { c.dispatch(at, r, endpoint) })
+	return records
 }
 
-func (c *Core) dispatch(now time.Time, r *request, endpoint string) {
-	f := &flight{id: c.next(), request: r, endpoint: endpoint}
+// dispatch sends an attempt, unless its time has passed meanwhile.
+func (c *Core) dispatch(now time.Time, f *flight) {
+	r := f.request
+	if c.requests[r.call.ID()] != r || !slices.Contains(r.flights, f) {
+		return
+	}
+	if !now.Before(r.deadline) {
+		c.ground(f)
+		c.giveUp(now, r, "deadline", "the deadline passed before the call could be sent", time.Second)
+		return
+	}
 	c.flights[f.id] = f
+	f.sent = now
+	f.base = len(r.text)
 	r.stage = running
 	r.tries++
-	c.loads.Send(now, endpoint, f.id, r.prompt())
+	r.touched = true
 	c.do(Dispatch{
-		Flight: f.id, Call: r.call, Service: r.service,
-		Endpoint: endpoint, Target: c.config.Endpoints[endpoint],
+		Flight: f.id, Call: c.fresh(r), Service: r.service,
+		Endpoint: f.endpoint, Target: c.config.Endpoints[f.endpoint],
 		History: r.program.History(r.call.Agent), Epoch: r.shard.epoch,
-		Priority: -r.service.Class, MaxTokens: r.output(), Partial: r.text,
-		Until: r.deadline, Timeout: r.deadline.Sub(now), Repeatable: r.repeatable(),
+		Priority: -r.service.Class, MaxTokens: r.output(), Partial: string(r.text),
+		Until: r.deadline, Timeout: r.patience(now), Repeatable: r.repeatable(),
 	})
 }
 
-func (c *Core) piece(e Piece) {
-	f := c.flights[e.Flight]
+// fresh is the call without the messages that its conversation already has.
+func (c *Core) fresh(r *request) *call.Call {
+	messages := r.program.Fresh(r.call.Agent, r.call.Messages)
+	if len(messages) == len(r.call.Messages) {
+		return r.call
+	}
+	k := *r.call
+	k.Messages = messages
+	r.call = &k
+	return r.call
+}
+
+// defaultDispatch bounds one dispatch of an operation that declares no timeout.
+const defaultDispatch = 10 * time.Second
+
+// patience bounds one attempt.
+func (r *request) patience(now time.Time) time.Duration {
+	left := r.deadline.Sub(now)
+	if r.operation == nil {
+		return left
+	}
+	if r.operation.Timeout > 0 {
+		return min(left, r.operation.Timeout)
+	}
+	return min(left, defaultDispatch)
+}
+
+// ground takes an attempt that was never sent off the board.
+func (c *Core) ground(f *flight) {
+	r := f.request
+	r.flights = slices.DeleteFunc(r.flights, func(x *flight) bool { return x == f })
+	r.program.Purse().Release(f.reserved.tokens, f.reserved.money)
+	c.loads.Finish(f.endpoint, f.id)
+	c.touchPool(f.endpoint)
+}
+
+// land takes a sent attempt off the board. It returns nil if nobody wants its
+// end any more.
+func (c *Core) land(id uint64) *flight {
+	f := c.flights[id]
 	if f == nil {
+		return nil
+	}
+	delete(c.flights, id)
+	c.loads.Finish(f.endpoint, id)
+	c.touchPool(f.endpoint)
+	r := f.request
+	r.flights = slices.DeleteFunc(r.flights, func(x *flight) bool { return x == f })
+	if c.requests[r.call.ID()] != r || r.stage == settling {
+		return nil
+	}
+	return f
+}
+
+// piece takes generated text; the first attempt to give any wins.
+func (c *Core) piece(now time.Time, e Piece) {
+	f := c.flights[e.Flight]
+	if f == nil || e.Text == "" {
 		return
 	}
 	r := f.request
-	if e.Offset > len(r.text) || e.Offset+len(e.Text) <= len(r.text) {
+	if c.requests[r.call.ID()] != r || r.stage == settling {
+		return
+	}
+	if !f.begun {
+		f.begun = true
+		c.began(now, f)
+	}
+	if r.winner == nil {
+		c.win(f)
+	}
+	if r.winner != f || e.Offset > len(r.text) || e.Offset+len(e.Text) <= len(r.text) {
 		return
 	}
 	fresh := e.Text[len(r.text)-e.Offset:]
 	at := len(r.text)
-	r.text += fresh
+	r.text = append(r.text, fresh...)
 	for i := range r.waiters {
 		c.do(Reply{To: r.waiters[i].route, Offset: at, Text: fresh})
 		r.waiters[i].offset = len(r.text)
 	}
 }
 
-// land takes a flight off the board.
-func (c *Core) land(id uint64) *request {
-	f := c.flights[id]
-	if f == nil {
-		return nil
+// began learns from the time to the first token.
+func (c *Core) began(now time.Time, f *flight) {
+	took := now.Sub(f.sent)
+	p := c.first(f.request.service.Pool)
+	if expected := p.Expect(f.cost); expected > 0 {
+		c.hedger.Observe(took, expected)
 	}
-	delete(c.flights, id)
-	c.loads.Finish(f.endpoint, id)
-	if c.shards[f.request.shard.number] != f.request.shard {
-		return nil
+	p.Observe(f.cost, took)
+}
+
+// win makes an attempt the one whose text counts and cancels the others.
+func (c *Core) win(f *flight) {
+	r := f.request
+	r.winner = f
+	for _, other := range r.flights {
+		if other != f {
+			c.abort(other)
+		}
+	}
+}
+
+// abort cancels an attempt that was sent.
+func (c *Core) abort(f *flight) {
+	if f.sent.IsZero() || f.aborted {
+		return
 	}
-	f.request.program.Purse().Release(f.request.tokens, f.request.money)
-	return f.request
+	f.aborted = true
+	c.do(Abort{Flight: f.id})
 }
 
+// finished takes an endpoint's whole answer.
 func (c *Core) finished(now time.Time, e Finished) {
-	f := c.flights[e.Flight]
-	r := c.land(e.Flight)
-	if r == nil {
+	f := c.land(e.Flight)
+	if f == nil {
+		return
+	}
+	r := f.request
+	c.judge.Succeed(f.endpoint)
+	c.whole(r.service.Pool).Observe(1, now.Sub(f.sent))
+	if r.operation == nil && !fits(r, f, e.Text) {
+		c.lost(now, f, "garbage", 0)
 		return
 	}
+	c.remember(now, f, e.Usage)
+	r.program.Purse().Release(f.reserved.tokens, f.reserved.money)
+	used := e.Usage
+	used.Money = max(used.Money, f.reserved.money)
 	c.settle(now, r, &answer.Answer{
 		Outcome: answer.Done, Text: e.Text, Body: e.Body, Status: e.Status,
-		Usage: add(r.spent, e.Usage), Endpoint: f.endpoint,
+		Usage: used, Endpoint: f.endpoint,
 	})
 }
 
-func add(a, b answer.Usage) answer.Usage {
-	return answer.Usage{
-		Prompt: a.Prompt + b.Prompt, Cached: a.Cached + b.Cached,
-		Output: a.Output + b.Output, Money: a.Money + b.Money,
+// fits tells whether a whole text continues what the callers already have.
+func fits(r *request, f *flight, text string) bool {
+	if r.winner != nil && r.winner != f {
+		return false
 	}
+	return len(text) >= len(r.text) && compatible(r.text, text)
 }
 
-// settle records a final answer and releases it to the callers once it is safe.
+// settle records a final answer and releases it to the callers once it is
+// safe. What failed and cancelled attempts may have spent counts as spent.
 func (c *Core) settle(now time.Time, r *request, a *answer.Answer) {
+	if q := c.ready[r.service.Pool]; q != nil {
+		q.Remove(r.call.ID())
+	}
 	r.stage = settling
-	t, m := r.program.Purse().Reserved()
-	turn := &record.Turn{Call: r.call, Answer: a, Tokens: t, Money: m, Time: now}
+	c.burn(r)
+	p := r.program.Purse()
+	p.Release(r.burnt.tokens, r.burnt.money)
+	turn := &record.Turn{
+		Call: r.call, Answer: a, Time: now, Burnt: r.burnt.tokens, Lost: r.burnt.money,
+		Again: a.Outcome == answer.NotRun || a.Outcome == answer.Unknown && r.repeatable(),
+	}
+	turn.Tokens, turn.Money = p.Headroom(turn, c.headroom(r, a))
 	records := []record.Record{{Turn: turn}}
-	if r.call.End {
+	if r.call.End && r.call.Agent == "" && !turn.Again {
 		records = append(records, ended(r.program, "caller", now))
 	}
 	c.journal(r.shard, records, func(at time.Time) { c.answered(at, r, a) })
 }
 
-func (c *Core) answered(now time.Time, r *request, a *answer.Answer) {
-	delete(c.requests, r.call.ID())
-	for _, w := range r.waiters {
-		c.final(w, a)
-	}
-	c.advance(now, r.call.Queue())
-	if r.program.Ended() {
-		c.sweep(now, r.shard, r.program)
+// burn ends the attempts that are still under way.
+func (c *Core) burn(r *request) {
+	for _, f := range slices.Clone(r.flights) {
+		if f.sent.IsZero() {
+			c.ground(f)
+			continue
+		}
+		r.burnt = r.burnt.plus(f.reserved)
+		if r.repeatable() {
+			c.abort(f)
+		}
 	}
-	c.yieldIdle()
 }
 
-// refuse ends a request that surely did not run; nothing of it is journaled.
-func (c *Core) refuse(now time.Time, r *request, a *answer.Answer) {
-	c.ready.Remove(r.call.ID())
-	c.answered(now, r, a)
+// headroom estimates what the agent's next call may spend, so that it need not
+// wait for the journal.
+func (c *Core) headroom(r *request, a *answer.Answer) int64 {
+	if r.operation != nil || r.call.End {
+		return 0
+	}
+	return int64(a.Usage.Prompt + a.Usage.Output + r.output() + headroomTokens)
 }
 
+// headroomTokens is the room for the next call's new messages.
+const headroomTokens = 512
+
+// failed takes the end of an attempt without an answer.
 func (c *Core) failed(now time.Time, e Failed) {
-	r := c.land(e.Flight)
-	if r == nil {
-		return
-	}
-	r.spent = add(r.spent, e.Usage)
-	switch {
-	case e.Untouched && now.Before(r.deadline), r.repeatable() && r.tries < maxTries && now.Before(r.deadline):
-		r.stage = ready
-		c.enqueue(now, r)
-	case e.Untouched:
-		c.settle(now, r, refuse(e.Reason, "the endpoint did not take the call", time.Second))
-	default:
+	f := c.land(e.Flight)
+	if f == nil {
+		return
+	}
+	r := f.request
+	if !e.Untouched {
+		c.lost(now, f, e.Reason, e.RetryAfter)
+		return
+	}
+	r.program.Purse().Release(f.reserved.tokens, f.reserved.money)
+	c.loads.Bar(f.endpoint, now.Add(max(e.RetryAfter, refusedPause)))
+	if r.tries--; r.tries == 0 && len(r.text) == 0 {
+		r.touched = r.touched && len(r.flights) > 0
+	}
+	c.again(now, r, e.Reason)
+}
+
+// refusedPause is how long an endpoint that refused a call gets no new work.
+const refusedPause = 250 * time.Millisecond
+
+// lost ends an attempt that may have run. What it reserved counts as spent.
+func (c *Core) lost(now time.Time, f *flight, reason string, after time.Duration) {
+	r := f.request
+	r.burnt = r.burnt.plus(f.reserved)
+	if r.winner == f {
+		r.winner = nil
+	}
+	if !f.aborted {
+		c.judge.Fail(now, f.endpoint, c.pools[r.service.Pool])
+	}
+	if after > 0 {
+		c.loads.Bar(f.endpoint, now.Add(after))
+	}
+	if len(r.flights) > 0 {
+		return
+	}
+	if !r.repeatable() {
 		c.settle(now, r, &answer.Answer{
-			Outcome: answer.Unknown, Reason: e.Reason, Usage: r.spent,
-			Detail: "the endpoint gave no answer; the call may have run",
+			Outcome: answer.Unknown, Reason: reason,
+			Detail: "the endpoint gave no answer; the call may have run and will not run again",
 		})
+		return
+	}
+	if r.tries >= maxTries || !c.retries.Take(now) {
+		c.giveUp(now, r, reason, "the endpoints gave no whole answer; ask again with the same key", time.Second)
+		return
+	}
+	c.again(now, r, reason)
+}
+
+// again puts a request back to wait for an endpoint.
+func (c *Core) again(now time.Time, r *request, reason string) {
+	if len(r.flights) > 0 {
+		return
+	}
+	if !now.Before(r.deadline) {
+		c.giveUp(now, r, reason, "no endpoint took the call in time", time.Second)
+		return
+	}
+	if r.shard.leaving {
+		c.evict(r)
+		c.yield(r.shard)
+		return
 	}
+	c.enqueue(r)
 }
 
 // maxTries bounds the attempts of one repeatable call.
-const maxTries = 3
+const maxTries = 4
--- /dev/null
+++ b/coordination/core/place.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/pace"
+	"github.com/cowslipstage/cowslipstage/coordination/queue"
+	"github.com/cowslipstage/cowslipstage/coordination/route"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+)
+
+// charsPerToken estimates a prompt's length before the endpoint has counted
+// it; it is low, so that reservations cover the real length.
+const charsPerToken = 3
+
+// messageTokens is the length of a message's frame, in tokens.
+const messageTokens = 8
+
+// defaultOutput bounds the output of services that declare no bound, in tokens.
+const defaultOutput = 512
+
+// prompt estimates the length of the whole prompt, in tokens.
+func (r *request) prompt() int {
+	if r.operation != nil {
+		return 1
+	}
+	n := len(r.service.Prompt) + len(r.text)
+	for _, m := range r.call.Messages {
+		n += len(m.Content)
+	}
+	return r.program.Tokens(r.call.Agent) + n/charsPerToken + messageTokens*(len(r.call.Messages)+1)
+}
+
+// output is the most tokens that the call may generate.
+func (r *request) output() int {
+	bound := r.service.Output
+	if bound == 0 {
+		bound = defaultOutput
+	}
+	if m := r.call.MaxTokens; m > 0 && m < bound {
+		return m
+	}
+	return bound
+}
+
+// enqueue lets a request wait for an endpoint.
+func (c *Core) enqueue(r *request) {
+	r.stage = ready
+	pool := r.service.Pool
+	q := c.ready[pool]
+	if q == nil {
+		q = queue.New(c.options.Queue)
+		c.ready[pool] = q
+	}
+	tokens, _ := r.program.Purse().Spent()
+	q.Push(queue.Item{ID: r.call.ID(), Class: r.service.Class, Attained: tokens, Arrived: r.readied})
+	c.dirty[pool] = true
+}
+
+// schedule dispatches ready calls while endpoints have room.
+func (c *Core) schedule(now time.Time) {
+	for len(c.dirty) > 0 {
+		for pool := range c.dirty {
+			delete(c.dirty, pool)
+			c.drainPool(now, pool)
+		}
+	}
+}
+
+func (c *Core) drainPool(now time.Time, pool string) {
+	q := c.ready[pool]
+	for q != nil {
+		i, ok := q.First()
+		if !ok {
+			return
+		}
+		r := c.requests[i.ID]
+		endpoint, cost := c.place(now, r, "")
+		if endpoint == "" {
+			return
+		}
+		q.Remove(i.ID)
+		c.retries.Call()
+		if r.operation == nil {
+			c.hedger.Call()
+		}
+		c.launch(now, r, endpoint, cost)
+	}
+}
+
+const (
+	// scanned is the largest pool of which all endpoints are considered.
+	scanned = 32
+	// sampled is how many endpoints of a larger pool are drawn.
+	sampled = 24
+)
+
+// place chooses an endpoint with room, other than not, and returns the work
+// before the first token there, in prompt tokens.
+func (c *Core) place(now time.Time, r *request, not string) (string, int) {
+	names := c.candidates(r)
+	choices := make([]route.Choice, 0, len(names))
+	for _, name := range names {
+		if name == not || !c.admits(now, r, name) {
+			continue
+		}
+		choices = append(choices, c.choice(now, r, name))
+	}
+	n := route.Need{Owner: r.call.Queue(), Prompt: r.prompt(), Output: r.output(), Weight: c.options.Weight}
+	i := c.router.Pick(n, choices)
+	if i < 0 {
+		return "", 0
+	}
+	o := choices[i]
+	return o.Name, o.Pending + max(0, n.Prompt-o.Cached) + (o.Calls+1)*route.CallTokens
+}
+
+// candidates returns the endpoints worth a look: all of a small pool; of a
+// large one those that hold the conversation and a seeded sample.
+func (c *Core) candidates(r *request) []string {
+	names := c.pools[r.service.Pool]
+	if len(names) <= scanned {
+		return names
+	}
+	some := c.index.Holders(r.call.Queue())
+	for range sampled {
+		some = append(some, names[c.random.IntN(len(names))])
+	}
+	return some
+}
+
+// admits tells whether the endpoint may get the request now.
+func (c *Core) admits(now time.Time, r *request, name string) bool {
+	e := c.config.Endpoints[name]
+	if e == nil || c.leaving[name] || !c.loads.Open(now, name) || c.judge.Ejected(now, name) {
+		return false
+	}
+	if e.Slots == 0 {
+		return true
+	}
+	slots := max(1, int(float64(e.Slots)*c.judge.Share(now, name)))
+	if r.service.Class > 0 {
+		// A few slots are kept for the most urgent class.
+		slots = max(1, slots-slots/reservedPart)
+	}
+	return c.loads.Calls(now, name) < slots
+}
+
+// reservedPart is which part of an endpoint's slots only class 0 may use.
+const reservedPart = 8
+
+func (c *Core) choice(now time.Time, r *request, name string) route.Choice {
+	e := c.config.Endpoints[name]
+	cached := c.index.Tokens(r.call.Queue(), name)
+	if cached == 0 && c.index.Shared(r.call.Service, name) {
+		cached = len(r.service.Prompt) / charsPerToken
+	}
+	return route.Choice{
+		Name: name, Calls: c.loads.Calls(now, name), Slots: e.Slots,
+		Pending: c.loads.Pending(name), Cached: cached,
+	}
+}
+
+// remember notes what an endpoint has cached after an answer, and releases
+// the copies that the conversation left elsewhere.
+func (c *Core) remember(now time.Time, f *flight, u answer.Usage) {
+	r := f.request
+	if r.operation != nil {
+		return
+	}
+	conversation := r.call.Queue()
+	for _, name := range c.index.Holders(conversation) {
+		if name == f.endpoint {
+			continue
+		}
+		c.index.Forget(conversation, name)
+		if e := c.config.Endpoints[name]; e != nil {
+			c.do(Release{
+				Endpoint: name, Target: e, Customer: r.call.Customer, Program: r.call.Program,
+				Agents: []string{r.call.Agent}, Epoch: r.shard.epoch,
+			})
+		}
+	}
+	c.index.Note(now, conversation, f.endpoint, u.Prompt+u.Output)
+	c.index.Share(now, r.call.Service, f.endpoint)
+}
+
+func (c *Core) first(pool string) *pace.Pace { return learned(c.firsts, pool) }
+
+func (c *Core) whole(pool string) *pace.Pace { return learned(c.wholes, pool) }
+
+func learned(m map[string]*pace.Pace, pool string) *pace.Pace {
+	p := m[pool]
+	if p == nil {
+		p = &pace.Pace{}
+		m[pool] = p
+	}
+	return p
+}
--- a/coordination/core/request.go
+++ b/coordination/core/request.go
@@ -19,20 +19,36 @@
 	// operation is nil for model calls.
 	operation *config.Operation
 	arrived   time.Time
-	deadline  time.Time
-	stage     stage
-	waiters   []waiter
-	// text is what was generated so far; offsets never go back.
-	text string
-	// tokens and money are reserved while stage is running.
+	// readied is when the call came first in its agent's line.
+	readied  time.Time
+	deadline time.Time
+	stage    stage
+	waiters  []waiter
+	// alone is since when nobody waits for the answer; zero while someone does.
+	alone time.Time
+	// text is what was generated so far; it only grows.
+	text []byte
+	// flights are the attempts under way; winner is the one whose text counts.
+	flights []*flight
+	winner  *flight
+	// touched is set once an endpoint may have begun to run the call.
+	touched bool
+	tries   int
+	// hedged is set once the call was sent to a second endpoint.
+	hedged bool
+	// burnt is what failed attempts may have spent; it stays reserved until the end.
+	burnt need
+}
+
+// need is an amount of both currencies.
+type need struct {
 	tokens int64
 	money  int64
-	tries  int
-	// spent sums what failed attempts used.
-	spent answer.Usage
 }
 
-// stage is how far a request has come; it only rises, but for a retry.
+func (n need) plus(o need) need { return need{n.tokens + o.tokens, n.money + o.money} }
+
+// stage is how far a request has come; it goes back only for a retry.
 type stage uint8
 
 const (
@@ -55,6 +71,17 @@
 	offset int
 }
 
+// refusal is a final answer that said that a call did not run.
+type refusal struct {
+	answer *answer.Answer
+	until  time.Time
+}
+
+// refusalLife is how long a caller's late duplicates are answered with the
+// refusal that the caller was told.
+const refusalLife = 10 * time.Minute
+
+// submit takes a call, or attaches its caller to the same call under way.
 func (c *Core) submit(now time.Time, e Submitted) {
 	k := e.Call
 	s := c.shardOf(k.Customer, k.Program)
@@ -62,45 +89,57 @@
 		c.do(Reply{To: e.From, Moved: true})
 		return
 	}
-	w := waiter{route: e.From, offset: len(e.Partial)}
-	if r, ok := c.requests[k.ID()]; ok {
-		c.attach(r, w, e.Partial)
+	if f, ok := c.refused[e.From]; ok {
+		c.do(Reply{To: e.From, Final: f.answer})
 		return
 	}
+	w := waiter{route: e.From, offset: len(e.Partial)}
 	p := s.programs[k.Owner()]
-	if p != nil && c.known(p, k.Key, w) {
-		return
-	}
-	if c.drained {
+	switch r := c.requests[k.ID()]; {
+	case r != nil && r.call.Digest != k.Digest:
+		c.refuseCaller(now, e.From, mismatch())
+	case r != nil:
+		c.attach(r, w, e.Partial)
+	case p != nil && p.Settled(k.Key) != nil:
+		c.replaySettled(now, p.Settled(k.Key), k, w)
+	case s.leaving:
 		c.do(Reply{To: e.From, Moved: true})
-		return
+	default:
+		c.begin(now, s, p, e, w)
 	}
-	r, refusal := c.admit(now, s, p, k)
+}
+
+// begin admits a new call, or refuses it.
+func (c *Core) begin(now time.Time, s *shard, p *prog.Program, e Submitted, w waiter) {
+	r, refusal := c.admit(now, s, p, e.Call)
 	if refusal != nil {
-		c.do(Reply{To: e.From, Final: refusal})
+		c.refuseCaller(now, e.From, refusal)
 		return
 	}
 	r.waiters = []waiter{w}
-	r.text = e.Partial
-	c.requests[k.ID()] = r
-	c.advance(now, k.Queue())
+	r.text = []byte(e.Partial)
+	// Text from an earlier owner means that an endpoint has begun the call.
+	r.touched = e.Partial != ""
+	c.add(now, r)
 }
 
-// known answers a call that was settled, or tried by an earlier owner.
-func (c *Core) known(p *prog.Program, key string, w waiter) bool {
-	if t := p.Settled(key); t != nil {
-		c.final(w, t.Answer)
-		return true
-	}
-	if p.Intent(key) == nil {
-		return false
+// refuseCaller tells one caller that the call did not run, and remembers it.
+func (c *Core) refuseCaller(now time.Time, to Route, a *answer.Answer) {
+	c.refused[to] = refusal{answer: a, until: now.Add(refusalLife)}
+	c.do(Reply{To: to, Final: a})
+}
+
+func mismatch() *answer.Answer {
+	return refuse("mismatch", "the key was used for another request", 0)
+}
+
+// replaySettled answers a call that has its final answer already.
+func (c *Core) replaySettled(now time.Time, t *record.Turn, k *call.Call, w waiter) {
+	if t.Call.Digest != k.Digest {
+		c.refuseCaller(now, w.route, mismatch())
+		return
 	}
-	c.final(w, &answer.Answer{
-		Outcome: answer.Unknown,
-		Reason:  "takeover",
-		Detail:  "the call may have run before its node was lost; it will not run again",
-	})
-	return true
+	c.final(w, t.Answer)
 }
 
 // attach adds a caller to a call under way; a route stands there once.
@@ -109,23 +148,35 @@
 		c.final(w, diverged())
 		return
 	}
-	kept := r.waiters[:0]
-	for _, x := range r.waiters {
-		if x.route != w.route {
-			kept = append(kept, x)
-		}
+	if len(partial) > len(r.text) && len(r.flights) == 0 && r.stage <= ready {
+		r.text = []byte(partial)
+		r.touched = true
 	}
+	c.detach(r, w.route)
 	if len(r.text) > w.offset {
-		c.do(Reply{To: w.route, Offset: w.offset, Text: r.text[w.offset:]})
+		c.do(Reply{To: w.route, Offset: w.offset, Text: string(r.text[w.offset:])})
 		w.offset = len(r.text)
 	}
-	r.waiters = append(kept, w)
+	r.waiters = append(r.waiters, w)
+	r.alone = time.Time{}
+	c.routes[w.route] = r
+}
+
+func (c *Core) detach(r *request, route Route) {
+	kept := r.waiters[:0]
+	for _, w := range r.waiters {
+		if w.route != route {
+			kept = append(kept, w)
+		}
+	}
+	r.waiters = kept
+	delete(c.routes, route)
 }
 
 // compatible tells whether one text is the beginning of the other.
-func compatible(a, b string) bool {
+func compatible(a []byte, b string) bool {
 	n := min(len(a), len(b))
-	return a[:n] == b[:n]
+	return string(a[:n]) == b[:n]
 }
 
 // diverged answers a caller who already has the beginning of an answer that
@@ -150,116 +201,74 @@
 	return &answer.Answer{Outcome: answer.NotRun, Reason: reason, Detail: detail, RetryAfter: after}
 }
 
-// admit checks a new call against the configuration and its program.
-func (c *Core) admit(now time.Time, s *shard, p *prog.Program, k *call.Call) (*request, *answer.Answer) {
-	v := c.config.Services[k.Service]
-	if v == nil {
-		return nil, refuse("service", "no service is named "+k.Service, 0)
-	}
-	r := &request{call: k, shard: s, service: v, arrived: now, deadline: k.Deadline}
-	if k.Kind == call.Plain {
-		if r.operation = v.Operations[k.Operation]; r.operation == nil {
-			return nil, refuse("operation", "the service has no operation "+k.Operation, 0)
-		}
+func (c *Core) ask(e Asked) {
+	s := c.shardOf(e.Customer, e.Program)
+	if s == nil {
+		c.do(Reply{To: e.From, Moved: true})
+		return
 	}
-	if r.deadline.IsZero() {
-		r.deadline = now.Add(timeout(v, r.operation))
+	w := waiter{route: e.From, offset: len(e.Partial)}
+	if r, ok := c.requests[requestID(e.Customer, e.Program, e.Key)]; ok {
+		c.attach(r, w, e.Partial)
+		return
 	}
-	if p == nil {
-		o := &record.Opened{Customer: k.Customer, Program: k.Program, Service: k.Service, Time: now}
-		c.journal(s, []record.Record{{Opened: o}}, nil)
-		p = s.programs[k.Owner()]
+	if p := s.programs[e.Customer+"/"+e.Program]; p != nil && p.Settled(e.Key) != nil {
+		c.final(w, p.Settled(e.Key).Answer)
+		return
 	}
-	r.program = p
-	return r, c.admitProgram(r)
+	c.do(Reply{To: e.From, Final: refuse("key", "no call with this key is known", 0)})
 }
 
-func (c *Core) admitProgram(r *request) *answer.Answer {
-	p, k := r.program, r.call
-	if p.Ended() {
-		return refuse("ended", "the program has ended", 0)
-	}
-	if root := c.config.Services[p.Service()]; root != nil && root.Turns > 0 && p.Turns() >= root.Turns {
-		return refuse("turns", "the program has used all its turns", 0)
-	}
-	if k.Seq != 0 && k.Seq <= p.Last(k.Agent) {
-		return refuse("order", "a later call of this agent was already answered", 0)
-	}
-	return nil
+func requestID(customer, program, key string) string {
+	k := call.Call{Customer: customer, Program: program, Key: key}
+	return k.ID()
 }
 
-// defaultTimeout bounds calls of services that declare no timeout.
-const defaultTimeout = 60 * time.Second
-
-func timeout(v *config.Service, o *config.Operation) time.Duration {
-	if o != nil && o.Timeout > 0 {
-		return o.Timeout
+// leave forgets a route. A call that nobody waits for is cancelled after a
+// while if it may be repeated; one with an effect goes on.
+func (c *Core) leave(now time.Time, e Left) {
+	r := c.routes[e.From]
+	if r == nil {
+		return
 	}
-	if v.Timeout > 0 {
-		return v.Timeout
+	c.detach(r, e.From)
+	if len(r.waiters) == 0 {
+		r.alone = now
 	}
-	return defaultTimeout
 }
 
-// advance makes the first call of an agent's queue ready.
-func (c *Core) advance(now time.Time, name string) {
-	var first *request
-	for _, r := range c.requests {
-		if r.call.Queue() != name {
-			continue
-		}
-		if r.stage != queued {
-			return
-		}
-		if first == nil || earlier(r, first) {
-			first = r
+// answered ends a request and tells its callers.
+func (c *Core) answered(now time.Time, r *request, a *answer.Answer) {
+	for _, w := range r.waiters {
+		switch {
+		case a.Outcome == answer.NotRun && r.touched:
+			// The call was cancelled when nobody waited; this caller came since.
+			c.do(Reply{To: w.route, Moved: true, Touched: true})
+		case a.Outcome == answer.NotRun:
+			c.refuseCaller(now, w.route, a)
+		default:
+			c.final(w, a)
 		}
 	}
-	if first == nil || first.call.Seq > first.program.Last(first.call.Agent)+1 {
-		return
+	c.remove(r)
+	c.advance(now, r.call.Queue())
+	if r.program.Ended() && !r.program.Swept() {
+		c.sweep(r.shard, r.program)
 	}
-	first.stage = ready
-	c.enqueue(now, first)
+	c.yield(r.shard)
 }
 
-func earlier(a, b *request) bool {
-	if a.call.Seq != b.call.Seq {
-		return a.call.Seq < b.call.Seq
-	}
-	if !a.arrived.Equal(b.arrived) {
-		return a.arrived.Before(b.arrived)
-	}
-	return a.call.Key < b.call.Key
-}
-
-func (c *Core) ask(_ time.Time, e Asked) {
-	s := c.shardOf(e.Customer, e.Program)
-	if s == nil {
-		c.do(Reply{To: e.From, Moved: true})
+// giveUp ends a request without an answer. Only a call that no endpoint can
+// have begun is said not to have run.
+func (c *Core) giveUp(now time.Time, r *request, reason, detail string, after time.Duration) {
+	if r.touched {
+		c.settle(now, r, &answer.Answer{Outcome: answer.Unknown, Reason: reason, Detail: detail, RetryAfter: after})
 		return
 	}
-	w := waiter{route: e.From, offset: len(e.Partial)}
-	if r, ok := c.requests[e.Customer+"/"+e.Key]; ok {
-		c.attach(r, w, e.Partial)
+	a := refuse(reason, detail, after)
+	if r.program.Intent(r.call.Key) != nil {
+		c.settle(now, r, a)
 		return
 	}
-	p := s.programs[e.Customer+"/"+e.Program]
-	if p != nil && c.known(p, e.Key, w) {
-		return
-	}
-	c.do(Reply{To: e.From, Final: refuse("key", "no call with this key is known", 0)})
-}
-
-// leave forgets a route. A call that nobody waits for is cancelled if it may
-// be repeated; one with an effect goes on.
-func (c *Core) leave(e Left) {
-	for _, r := range c.requests {
-		kept := r.waiters[:0]
-		for _, w := range r.waiters {
-			if w.route != e.From {
-				kept = append(kept, w)
-			}
-		}
-		r.waiters = kept
-	}
+	c.answered(now, r, a)
 }
--- a/coordination/core/shard.go
+++ b/coordination/core/shard.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/prog"
 	"github.com/cowslipstage/cowslipstage/state/record"
@@ -14,8 +17,17 @@
 	epoch  uint64
 	// programs are by "customer/program".
 	programs map[string]*prog.Program
+	// active counts the requests of each program without a final answer.
+	active map[string]int
+	// sweeps holds the ended programs whose memory is not yet confirmed released.
+	sweeps map[string]*sweep
 	// pending counts journal appends without an answer.
 	pending int
+	// leaving shards take no new calls; since is when that began.
+	leaving bool
+	since   time.Time
+	// returned is set once the unused grants were journaled back.
+	returned bool
 }
 
 // commit is what waits for one journal append.
@@ -30,22 +42,51 @@
 		return
 	}
 	c.drop(e.Shard)
-	s := &shard{number: e.Shard, epoch: e.Epoch, programs: map[string]*prog.Program{}}
+	s := &shard{
+		number: e.Shard, epoch: e.Epoch, programs: map[string]*prog.Program{},
+		active: map[string]int{}, sweeps: map[string]*sweep{},
+	}
 	c.shards[e.Shard] = s
 	for i := range e.Records {
-		c.replay(s, &e.Records[i])
+		replay(s, &e.Records[i])
 	}
-	for _, p := range s.programs {
-		p.Purse().Forfeit()
+	var records []record.Record
+	for _, id := range slices.Sorted(maps.Keys(s.programs)) {
+		p := s.programs[id]
+		if tokens, money := p.Purse().Granted(); tokens > 0 || money > 0 {
+			records = append(records, record.Record{Forfeit: &record.Forfeit{Customer: p.Customer(), Program: p.ID()}})
+		}
+		records = append(records, closeIntents(now, p)...)
 		if p.Ended() && !p.Swept() {
-			c.sweep(now, s, p)
+			c.sweep(s, p)
 		}
 	}
+	if len(records) > 0 {
+		c.journal(s, records, nil)
+	}
+	if c.drained {
+		c.surrender(now, s)
+	}
 }
 
-func (c *Core) replay(s *shard, r *record.Record) {
+// closeIntents settles the calls that an earlier owner may have dispatched:
+// only that owner could have known their answers.
+func closeIntents(now time.Time, p *prog.Program) []record.Record {
+	var records []record.Record
+	for _, key := range slices.Sorted(maps.Keys(p.Intents())) {
+		a := &answer.Answer{
+			Outcome: answer.Unknown, Reason: "takeover",
+			Detail: "the call may have run before its node was lost; it will not run again",
+		}
+		turn := &record.Turn{Call: p.Intent(key).Call, Answer: a, Time: now}
+		records = append(records, record.Record{Turn: turn})
+	}
+	return records
+}
+
+func replay(s *shard, r *record.Record) {
 	if o := r.Opened; o != nil {
-		s.programs[o.Customer+"/"+o.Program] = c.program(o)
+		s.programs[o.Customer+"/"+o.Program] = prog.New(o.Customer, o.Program, o.Service, o.Tokens, o.Money)
 	}
 	if p := s.programs[owner(r)]; p != nil {
 		p.Apply(r)
@@ -67,48 +108,70 @@
 		return r.Ended.Customer + "/" + r.Ended.Program
 	case r.Swept != nil:
 		return r.Swept.Customer + "/" + r.Swept.Program
+	case r.Forfeit != nil:
+		return r.Forfeit.Customer + "/" + r.Forfeit.Program
 	}
 	return ""
 }
 
-func (c *Core) program(o *record.Opened) *prog.Program {
-	var tokens, money int64
-	if v := c.config.Services[o.Service]; v != nil {
-		tokens, money = v.Tokens, v.Money
-	}
-	return prog.New(o.Customer, o.Program, o.Service, tokens, money)
-}
-
 func (c *Core) lose(e Lost) {
 	if s, ok := c.shards[e.Shard]; ok && s.epoch == e.Epoch {
 		c.drop(e.Shard)
 	}
 }
 
-// drop forgets a shard. Its callers are sent to the next owner; its dispatches
-// are left to end by themselves, because their effect cannot be taken back.
+// drop forgets a shard. Its callers are sent to the next owner.
 func (c *Core) drop(number int) {
 	s, ok := c.shards[number]
 	if !ok {
 		return
 	}
 	delete(c.shards, number)
-	for id, r := range c.requests {
-		if r.shard != s {
-			continue
+	for _, r := range c.requestsOf(s) {
+		c.evict(r)
+	}
+}
+
+// requestsOf returns a shard's requests by id, so that runs can be repeated.
+func (c *Core) requestsOf(s *shard) []*request {
+	var all []*request
+	for _, r := range c.requests {
+		if r.shard == s {
+			all = append(all, r)
 		}
-		c.ready.Remove(id)
-		delete(c.requests, id)
-		for _, w := range r.waiters {
-			c.do(Reply{To: w.route, Moved: true})
+	}
+	slices.SortFunc(all, func(a, b *request) int { return compareStrings(a.call.ID(), b.call.ID()) })
+	return all
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// evict forgets a request and sends its callers to the next owner. Attempts
+// that may be cancelled are; the others end by themselves, unheard.
+func (c *Core) evict(r *request) {
+	for _, f := range r.flights {
+		if r.repeatable() {
+			c.abort(f)
 		}
 	}
+	for _, w := range r.waiters {
+		c.do(Reply{To: w.route, Moved: true, Touched: r.touched})
+	}
+	c.remove(r)
 }
 
 // journal appends records and applies them at once; then runs when they are safe.
 func (c *Core) journal(s *shard, records []record.Record, then func(time.Time)) {
 	for i := range records {
-		c.replay(s, &records[i])
+		replay(s, &records[i])
 	}
 	ref := c.next()
 	s.pending++
@@ -133,24 +196,74 @@
 	if w.then != nil {
 		w.then(now)
 	}
-	c.yieldIdle()
+	c.yield(w.shard)
 }
 
-// yieldIdle gives up shards with nothing under way when the node is draining.
-func (c *Core) yieldIdle() {
-	if !c.drained {
+// surrender takes no new calls for a shard. Calls that wait go to the next
+// owner at once; those at endpoints get a little time to finish.
+func (c *Core) surrender(now time.Time, s *shard) {
+	if s.leaving {
 		return
 	}
-	busy := map[*shard]bool{}
-	for _, r := range c.requests {
-		busy[r.shard] = true
+	s.leaving = true
+	s.since = now
+	for _, r := range c.requestsOf(s) {
+		if r.stage <= ready {
+			c.evict(r)
+		}
 	}
-	for n, s := range c.shards {
-		if !busy[s] && s.pending == 0 {
-			delete(c.shards, n)
-			c.do(Yield{Shard: n, Epoch: s.epoch})
+	c.yield(s)
+}
+
+// handover is how long model calls may go on at a node that gives their shard
+// up, before the next owner continues them from the text they have.
+const handover = 300 * time.Millisecond
+
+// hasten moves the calls that may be cancelled to the next owner.
+func (c *Core) hasten(now time.Time, s *shard) {
+	if !s.leaving || now.Sub(s.since) < handover {
+		return
+	}
+	for _, r := range c.requestsOf(s) {
+		if r.stage <= running && r.repeatable() {
+			c.evict(r)
+		}
+	}
+	c.yield(s)
+}
+
+// yield gives a leaving shard up once nothing of it is under way.
+func (c *Core) yield(s *shard) {
+	if !s.leaving || s.pending > 0 || len(s.active) > 0 || c.shards[s.number] != s {
+		return
+	}
+	if !s.returned {
+		s.returned = true
+		if records := unused(s); len(records) > 0 {
+			c.journal(s, records, nil)
+			return
+		}
+	}
+	delete(c.shards, s.number)
+	c.do(Yield{Shard: s.number, Epoch: s.epoch})
+}
+
+// unused gives back the grants that no call needs, so that the next owner does
+// not count them as spent.
+func unused(s *shard) []record.Record {
+	var records []record.Record
+	for _, id := range slices.Sorted(maps.Keys(s.programs)) {
+		p := s.programs[id]
+		tokens, money := p.Purse().Granted()
+		lost, forfeited := p.Purse().Reserved()
+		if tokens == lost && money == forfeited {
+			continue
 		}
+		records = append(records, record.Record{Grant: &record.Grant{
+			Customer: p.Customer(), Program: p.ID(), Tokens: lost, Money: forfeited,
+		}})
 	}
+	return records
 }
 
 func (c *Core) shardOf(customer, program string) *shard {
--- a/coordination/core/sweep.go
+++ b/coordination/core/sweep.go
@@ -1,24 +1,43 @@
 package core
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/cowslipstage/cowslipstage/coordination/route"
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/prog"
 	"github.com/cowslipstage/cowslipstage/state/record"
 )
 
+// sweep is the release of one ended program's memory.
+type sweep struct {
+	program *prog.Program
+	// pending are the endpoints that have not confirmed the release.
+	pending map[string]bool
+	// next is when the release is asked for again.
+	next  time.Time
+	pause time.Duration
+}
+
+const (
+	// firstSweep is the pause before a release is repeated; it doubles each time.
+	firstSweep = time.Second
+	// longestSweep bounds the pause.
+	longestSweep = 30 * time.Second
+)
+
 func ended(p *prog.Program, reason string, now time.Time) record.Record {
 	return record.Record{Ended: &record.Ended{
 		Customer: p.Customer(), Program: p.ID(), Reason: reason, Time: now,
 	}}
 }
 
+// closeProgram ends a program at its caller's wish.
 func (c *Core) closeProgram(now time.Time, e Closed) {
 	s := c.shardOf(e.Customer, e.Program)
-	if s == nil {
+	if s == nil || s.leaving {
 		c.do(Reply{To: e.From, Moved: true})
 		return
 	}
@@ -30,34 +49,109 @@
 	}
 	c.journal(s, []record.Record{ended(p, "caller", now)}, func(at time.Time) {
 		c.do(done)
-		c.sweep(at, s, p)
+		c.endCalls(at, s, p)
+		c.sweep(s, p)
 	})
 }
 
-// sweep asks the engines to release what they hold for an ended program.
-func (c *Core) sweep(_ time.Time, s *shard, p *prog.Program) {
-	c.router.Forget(p.Customer() + "/" + p.ID())
-	for name, e := range c.config.Endpoints {
-		if e.Kind != "engine" {
+// endCalls ends the calls of an ended program; those with an effect go on.
+func (c *Core) endCalls(now time.Time, s *shard, p *prog.Program) {
+	for _, r := range c.requestsOf(s) {
+		if r.program != p || r.stage == settling || !r.repeatable() && r.stage > ready {
+			continue
+		}
+		c.giveUp(now, r, "ended", "the program was ended", 0)
+	}
+}
+
+// sweep begins to release what the engines hold for an ended program.
+func (c *Core) sweep(s *shard, p *prog.Program) {
+	owner := p.Customer() + "/" + p.ID()
+	if s.sweeps[owner] != nil || !p.Ended() {
+		return
+	}
+	c.router.Forget(owner)
+	w := &sweep{program: p, pending: map[string]bool{}, pause: firstSweep}
+	for _, name := range p.Places() {
+		if e := c.config.Endpoints[name]; e != nil && e.Kind == "engine" {
+			w.pending[name] = true
+		}
+	}
+	s.sweeps[owner] = w
+	if s.active[owner] == 0 {
+		c.release(s, w)
+	}
+}
+
+// release asks every endpoint that has not confirmed yet.
+func (c *Core) release(s *shard, w *sweep) {
+	for _, name := range slices.Sorted(maps.Keys(w.pending)) {
+		e := c.config.Endpoints[name]
+		if e == nil {
+			delete(w.pending, name)
 			continue
 		}
 		c.do(Release{
-			Endpoint: name, Target: e, Customer: p.Customer(), Program: p.ID(), Epoch: s.epoch,
+			Endpoint: name, Target: e, Customer: w.program.Customer(), Program: w.program.ID(), Epoch: s.epoch,
 		})
 	}
+	c.swept(s, w)
 }
 
-func (c *Core) released(_ time.Time, _ Released) {}
+// swept records that nothing of an ended program is held any more.
+func (c *Core) swept(s *shard, w *sweep) {
+	if len(w.pending) > 0 || s.leaving {
+		return
+	}
+	p := w.program
+	delete(s.sweeps, p.Customer()+"/"+p.ID())
+	c.journal(s, []record.Record{{Swept: &record.Swept{Customer: p.Customer(), Program: p.ID()}}}, nil)
+}
 
-// tick expires what has waited too long.
-func (c *Core) tick(now time.Time) {
-	for _, r := range c.requests {
-		if r.stage <= ready && !now.Before(r.deadline) {
-			c.refuse(now, r, refuse("deadline", "no endpoint was free in time", time.Second))
+// resweep repeats the releases that were not confirmed in time.
+func (c *Core) resweep(now time.Time, s *shard) {
+	for _, owner := range slices.Sorted(maps.Keys(s.sweeps)) {
+		w := s.sweeps[owner]
+		if s.active[owner] > 0 || now.Before(w.next) {
+			continue
 		}
+		w.next = now.Add(w.pause)
+		w.pause = min(2*w.pause, longestSweep)
+		c.release(s, w)
+	}
+}
+
+// released takes an endpoint's confirmation.
+func (c *Core) released(e Released) {
+	s := c.shardOf(e.Customer, e.Program)
+	if s == nil {
+		return
 	}
+	w := s.sweeps[e.Customer+"/"+e.Program]
+	if w == nil || !w.pending[e.Endpoint] {
+		return
+	}
+	delete(w.pending, e.Endpoint)
+	c.swept(s, w)
 }
 
-func sortChoices(all []route.Choice) {
-	sort.Slice(all, func(a, b int) bool { return all[a].Name < all[b].Name })
+// held compares an engine's own listing with the live programs, and releases
+// what no live program will use: the engine's events and the releases of an
+// earlier owner may have been lost.
+func (c *Core) held(e Held) {
+	target := c.config.Endpoints[e.Endpoint]
+	if target == nil {
+		return
+	}
+	for _, owner := range e.Programs {
+		customer, program, ok := strings.Cut(owner, "/")
+		s := c.shardOf(customer, program)
+		if !ok || s == nil || s.active[owner] > 0 {
+			continue
+		}
+		if p := s.programs[owner]; p != nil && !p.Ended() {
+			continue
+		}
+		c.do(Release{Endpoint: e.Endpoint, Target: target, Customer: customer, Program: program, Epoch: s.epoch})
+	}
 }
--- /dev/null
+++ b/coordination/core/tick.go
@@ -0,0 +1,141 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/prog"
+	"github.com/cowslipstage/cowslipstage/state/record"
+)
+
+// tick does what time alone brings about.
+func (c *Core) tick(now time.Time) {
+	for _, r := range c.waiting() {
+		c.expire(now, r)
+	}
+	for _, s := range c.ordered() {
+		c.hasten(now, s)
+	}
+	for pool, q := range c.ready {
+		if q.Len() > 0 {
+			c.dirty[pool] = true
+		}
+	}
+	if now.Sub(c.cleaned) >= cleanInterval {
+		c.cleaned = now
+		c.clean(now)
+	}
+}
+
+// cleanInterval is how often the slow housekeeping runs.
+const cleanInterval = time.Second
+
+// waiting returns the requests by id, so that runs can be repeated.
+func (c *Core) waiting() []*request {
+	all := make([]*request, 0, len(c.requests))
+	for _, r := range c.requests {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *request) int { return compareStrings(a.call.ID(), b.call.ID()) })
+	return all
+}
+
+// aloneTime is how long a call that may be repeated goes on without a caller.
+const aloneTime = 2 * time.Second
+
+// expire ends a request whose time is over, and hedges one that is late.
+func (c *Core) expire(now time.Time, r *request) {
+	switch {
+	case c.requests[r.call.ID()] != r || r.stage == settling:
+	case r.stage <= ready && !now.Before(r.deadline):
+		c.giveUp(now, r, "deadline", "no endpoint was free in time", time.Second)
+	case r.repeatable() && !r.alone.IsZero() && now.Sub(r.alone) >= aloneTime:
+		c.cancel(now, r)
+	case r.stage == running:
+		c.hedge(now, r)
+	}
+}
+
+// cancel ends a call that nobody waits for. Its key can be tried again.
+func (c *Core) cancel(now time.Time, r *request) {
+	a := refuse("cancelled", "the caller left", 0)
+	if len(r.flights) == 0 && r.burnt == (need{}) {
+		c.answered(now, r, a)
+		return
+	}
+	c.settle(now, r, a)
+}
+
+// hedge sends a model call that is late to begin to a second endpoint.
+func (c *Core) hedge(now time.Time, r *request) {
+	if r.operation != nil || r.hedged || r.winner != nil || len(r.flights) != 1 || r.shard.leaving {
+		return
+	}
+	f := r.flights[0]
+	after, ok := c.hedger.After(c.first(r.service.Pool).Expect(f.cost))
+	if !ok || f.sent.IsZero() || now.Sub(f.sent) < after {
+		return
+	}
+	endpoint, cost := c.place(now, r, f.endpoint)
+	n := r.worst()
+	if endpoint == "" || !r.program.Purse().Fits(n.tokens, n.money) || !c.hedger.Take() {
+		return
+	}
+	r.hedged = true
+	c.launch(now, r, endpoint, cost)
+}
+
+// clean runs the slow housekeeping: idle programs, releases, old refusals.
+func (c *Core) clean(now time.Time) {
+	for to, f := range c.refused {
+		if !now.Before(f.until) {
+			delete(c.refused, to)
+		}
+	}
+	for _, s := range c.ordered() {
+		for _, id := range slices.Sorted(maps.Keys(s.programs)) {
+			c.idle(now, s, s.programs[id])
+		}
+		c.resweep(now, s)
+	}
+}
+
+const (
+	// defaultIdle ends programs of services that declare no idle time.
+	defaultIdle = 30 * time.Minute
+	// answerLife is how long the answers of an ended program can be fetched.
+	answerLife = 15 * time.Minute
+	// keyLife is how long the keys of an ended program's calls that may not be
+	// repeated stay known.
+	keyLife = 24 * time.Hour
+)
+
+func (c *Core) idle(now time.Time, s *shard, p *prog.Program) {
+	quiet := now.Sub(p.Touched())
+	owner := p.Customer() + "/" + p.ID()
+	switch {
+	case p.Ended() && p.Swept() && quiet >= keyLife:
+		delete(s.programs, owner)
+	case p.Ended() && quiet >= answerLife:
+		p.Strip(c.mayRepeat)
+	case !p.Ended() && s.active[owner] == 0 && !s.leaving && quiet >= c.idleTime(p):
+		c.journal(s, []record.Record{ended(p, "idle", now)}, func(time.Time) { c.sweep(s, p) })
+	}
+}
+
+func (c *Core) idleTime(p *prog.Program) time.Duration {
+	if v := c.config.Services[p.Service()]; v != nil && v.Idle > 0 {
+		return v.Idle
+	}
+	return defaultIdle
+}
+
+func (c *Core) mayRepeat(k *call.Call) bool {
+	if k.Kind == call.Chat {
+		return true
+	}
+	v := c.config.Services[k.Service]
+	return v != nil && v.Operations[k.Operation] != nil && v.Operations[k.Operation].Idempotent
+}
--- /dev/null
+++ b/coordination/eject/eject.go
@@ -0,0 +1,90 @@
+// Package eject (coordination layer) keeps work away from endpoints that fail,
+// and lets it come back slowly.
+package eject
+
+import "time"
+
+// Judge holds the record of a pool's endpoints.
+type Judge struct {
+	// records has an item for every endpoint that ever failed.
+	records map[string]*record
+}
+
+type record struct {
+	// failures counts failures since the last success.
+	failures int
+	// ejections counts ejections without a success between them.
+	ejections int
+	// until is the end of the last ejection.
+	until time.Time
+}
+
+const (
+	// tolerance is the failures in a row that eject an endpoint.
+	tolerance = 3
+	// base is the first ejection's length; each further one doubles it.
+	base = 2 * time.Second
+	// longest bounds an ejection.
+	longest = time.Minute
+	// slowStart is how long an endpoint takes to get its full share again.
+	slowStart = 5 * time.Second
+	// maxShare is the share of a pool that may be ejected at once.
+	maxShare = 0.5
+)
+
+// New returns a judge without records.
+func New() *Judge { return &Judge{records: map[string]*record{}} }
+
+// Succeed notes an answer.
+func (j *Judge) Succeed(name string) {
+	if r := j.records[name]; r != nil {
+		r.failures, r.ejections = 0, 0
+	}
+}
+
+// Fail notes a failure; pool are the endpoints of the same pool.
+func (j *Judge) Fail(now time.Time, name string, pool []string) {
+	r := j.records[name]
+	if r == nil {
+		r = &record{}
+		j.records[name] = r
+	}
+	r.failures++
+	if r.failures < tolerance || now.Before(r.until) || !j.mayEject(now, pool) {
+		return
+	}
+	r.failures = 0
+	r.until = now.Add(min(longest, base<<min(r.ejections, 10)))
+	r.ejections++
+}
+
+// mayEject tells whether one more of the pool may be ejected; the last
+// endpoint of a pool never is.
+func (j *Judge) mayEject(now time.Time, pool []string) bool {
+	out := 1
+	for _, n := range pool {
+		if j.Ejected(now, n) {
+			out++
+		}
+	}
+	return out < len(pool) && float64(out) <= max(1, maxShare*float64(len(pool)))
+}
+
+// Ejected tells whether the endpoint gets no work now.
+func (j *Judge) Ejected(now time.Time, name string) bool {
+	r := j.records[name]
+	return r != nil && now.Before(r.until)
+}
+
+// Share returns the part of its slots that the endpoint may use, from 0 to 1.
+func (j *Judge) Share(now time.Time, name string) float64 {
+	r := j.records[name]
+	if r == nil || r.until.IsZero() {
+		return 1
+	}
+	back := now.Sub(r.until)
+	if back < 0 {
+		return 0
+	}
+	return min(1, 0.1+0.9*float64(back)/float64(slowStart))
+}
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -2,7 +2,7 @@
 package queue
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 )
 
@@ -33,51 +33,106 @@
 // Queue holds waiting calls. An id stands in it at most once.
 type Queue struct {
 	policy Policy
-	items  map[string]Item
+	heap   line
+	items  map[string]*slot
 }
 
+// slot is an item with its place in the heap.
+type slot struct {
+	Item
+	// rank orders the slots, the lowest first. Waiting raises all items alike,
+	// so a rank never changes.
+	rank  int64
+	index int
+}
+
+// line implements heap.Interface.
+type line []*slot
+
 // New returns an empty queue with the given order.
-func New(policy Policy) *Queue { return &Queue{policy: policy, items: map[string]Item{}} }
+func New(policy Policy) *Queue { return &Queue{policy: policy, items: map[string]*slot{}} }
 
 // Push adds or replaces an item.
-func (q *Queue) Push(i Item) { q.items[i.ID] = i }
+func (q *Queue) Push(i Item) {
+	q.Remove(i.ID)
+	s := &slot{Item: i, rank: q.rank(i)}
+	q.items[i.ID] = s
+	heap.Push(&q.heap, s)
+}
 
 // Remove takes an item out.
-func (q *Queue) Remove(id string) { delete(q.items, id) }
-
-// Len returns how many items wait.
-func (q *Queue) Len() int { return len(q.items) }
-
-// Sorted returns the waiting items, first to be served first.
-func (q *Queue) Sorted(now time.Time) []Item {
-	all := make([]Item, 0, len(q.items))
-	for _, i := range q.items {
-		all = append(all, i)
+func (q *Queue) Remove(id string) {
+	s, ok := q.items[id]
+	if !ok {
+		return
 	}
-	sort.Slice(all, func(a, b int) bool { return q.less(now, all[a], all[b]) })
-	return all
+	heap.Remove(&q.heap, s.index)
+	delete(q.items, id)
 }
 
-func (q *Queue) less(now time.Time, a, b Item) bool {
-	if q.policy == Attained {
-		x, y := score(now, a), score(now, b)
-		if x != y {
-			return x < y
-		}
+// Pop takes the first item out; it returns false when the queue is empty.
+func (q *Queue) Pop() (Item, bool) {
+	if len(q.heap) == 0 {
+		return Item{}, false
 	}
-	if !a.Arrived.Equal(b.Arrived) {
-		return a.Arrived.Before(b.Arrived)
+	s := heap.Pop(&q.heap).(*slot)
+	delete(q.items, s.ID)
+	return s.Item, true
+}
+
+// First returns the item to be served next without taking it out.
+func (q *Queue) First() (Item, bool) {
+	if len(q.heap) == 0 {
+		return Item{}, false
 	}
-	return a.ID < b.ID
+	return q.heap[0].Item, true
 }
 
+// Len returns how many items wait.
+func (q *Queue) Len() int { return len(q.heap) }
+
 // tokensPerSecond converts waiting time into attained service.
 const tokensPerSecond = 500
 
 // tokensPerClass is the head start of a class over the next one, in tokens.
-const tokensPerClass = 4000
+const tokensPerClass = 20000
+
+func (q *Queue) rank(i Item) int64 {
+	if q.policy == Fifo {
+		return i.Arrived.UnixMicro()
+	}
+	waited := i.Arrived.UnixMicro() * tokensPerSecond / time.Second.Microseconds()
+	return waited + i.Attained + int64(i.Class)*tokensPerClass
+}
+
+func (l line) Len() int { return len(l) }
+
+func (l line) Less(a, b int) bool {
+	if l[a].rank != l[b].rank {
+		return l[a].rank < l[b].rank
+	}
+	if !l[a].Arrived.Equal(l[b].Arrived) {
+		return l[a].Arrived.Before(l[b].Arrived)
+	}
+	return l[a].ID < l[b].ID
+}
+
+func (l line) Swap(a, b int) {
+	l[a], l[b] = l[b], l[a]
+	l[a].index, l[b].index = a, b
+}
+
+// Push implements heap.Interface.
+func (l *line) Push(x any) {
+	s := x.(*slot)
+	s.index = len(*l)
+	*l = append(*l, s)
+}
 
-func score(now time.Time, i Item) int64 {
-	age := now.Sub(i.Arrived).Seconds()
-	return i.Attained + int64(i.Class)*tokensPerClass - int64(age*tokensPerSecond)
+// Pop implements heap.Interface.
+func (l *line) Pop() any {
+	old := *l
+	s := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return s
 }
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -39,6 +39,8 @@
 	Prompt int
 	// Output is the expected number of generated tokens.
 	Output int
+	// Weight is the operator's weight of wasted cache against latency, from 0 to 1.
+	Weight float64
 }
 
 // Router chooses endpoints by one policy.
@@ -103,9 +105,12 @@
 	return best
 }
 
-// callTokens is the cost of one more call at an endpoint, in prefill tokens.
-const callTokens = 200
+// CallTokens is the cost of one more call at an endpoint, in prefill tokens.
+const CallTokens = 200
 
+// finish is the work before the call ends at an endpoint, in prefill tokens. A
+// prompt computed anew also displaces what others have cached.
 func finish(n Need, c Choice) int {
-	return c.Pending + max(0, n.Prompt-c.Cached) + c.Calls*callTokens
+	missing := max(0, n.Prompt-c.Cached)
+	return c.Pending + missing + int(n.Weight*float64(missing)) + c.Calls*CallTokens
 }
--- a/node/control.go
+++ b/node/control.go
@@ -81,7 +81,7 @@
 var errClosed = errors.New("node: the shard's journal is closed")
 
 func (n *Node) reply(a core.Reply) {
-	r := frame.Reply{Stream: a.To.Stream, Offset: a.Offset, Text: a.Text, Final: a.Final, Moved: a.Moved}
+	r := frame.Reply{Stream: a.To.Stream, Offset: a.Offset, Text: a.Text, Final: a.Final, Moved: a.Moved, Touched: a.Touched}
 	if a.To.Node == n.settings.Node.Name {
 		n.edge.Deliver(r)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -221,6 +221,9 @@
 type backend struct{ n *Node }
 
 func (b backend) Submit(s frame.Submit) {
+	if s.Call.Digest == 0 {
+		s.Call.Digest = s.Call.Sum()
+	}
 	b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
 }
 
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -78,6 +78,8 @@
 	Text   string         `cbor:"3,keyasint,omitempty"`
 	Final  *answer.Answer `cbor:"4,keyasint,omitempty"`
 	Moved  bool           `cbor:"5,keyasint,omitempty"`
+	// Touched says of a moved call that it may have run.
+	Touched bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Gossip is what a node tells its peers about itself.
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -62,6 +62,25 @@
 	End bool `cbor:"14,keyasint,omitempty"`
 	// Received is when the first node took the call.
 	Received time.Time `cbor:"15,keyasint"`
+	// Digest names the content as the caller sent it; the same key must come
+	// with the same digest.
+	Digest uint64 `cbor:"16,keyasint"`
+}
+
+// Sum returns the digest of what the caller asked for.
+func (c *Call) Sum() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{c.Service, c.Operation, c.Agent, string(c.Body)} {
+		_, _ = d.WriteString(s)
+		_, _ = d.WriteString("\x00")
+	}
+	for _, m := range c.Messages {
+		_, _ = d.WriteString(m.Role)
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(m.Content)
+		_, _ = d.WriteString("\x01")
+	}
+	return d.Sum64()
 }
 
 // ID is the call's identity across the system: the customer and its key.
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -28,10 +28,18 @@
 	report Report
 	// own are this node's dispatches in flight: flight id to prompt tokens.
 	own map[uint64]flight
+	// others are the other nodes' dispatches in flight, by node.
+	others map[string]share
 	// barred is until when the endpoint gets nothing new.
 	barred time.Time
 }
 
+// share is one other node's dispatches in flight.
+type share struct {
+	calls int
+	taken time.Time
+}
+
 type flight struct {
 	sent   time.Time
 	prompt int
@@ -43,7 +51,7 @@
 func (b *Board) entry(name string) *entry {
 	e, ok := b.entries[name]
 	if !ok {
-		e = &entry{own: map[uint64]flight{}}
+		e = &entry{own: map[uint64]flight{}, others: map[string]share{}}
 		b.entries[name] = e
 	}
 	return e
@@ -69,16 +77,38 @@
 // Own returns how many dispatches of this node are in flight there.
 func (b *Board) Own(name string) int { return len(b.entry(name).own) }
 
-// Calls estimates the calls at the endpoint: its report plus what was sent since.
-func (b *Board) Calls(name string) int {
+// Share takes over another node's dispatches in flight.
+func (b *Board) Share(node string, taken time.Time, sent map[string]int) {
+	for name, e := range b.entries {
+		if sent[name] == 0 {
+			delete(e.others, node)
+		}
+	}
+	for name, n := range sent {
+		b.entry(name).others[node] = share{calls: n, taken: taken}
+	}
+}
+
+// shareLife is how long another node's news counts.
+const shareLife = 3 * time.Second
+
+// Calls estimates the calls at the endpoint: the most of its own report with
+// what was sent since, and of what all nodes know to have in flight.
+func (b *Board) Calls(now time.Time, name string) int {
 	e := b.entry(name)
-	n := e.report.Running + e.report.Waiting
+	reported := e.report.Running + e.report.Waiting
 	for _, f := range e.own {
 		if f.sent.After(e.report.Taken) {
-			n++
+			reported++
+		}
+	}
+	known := len(e.own)
+	for _, s := range e.others {
+		if now.Sub(s.taken) < shareLife {
+			known += s.calls
 		}
 	}
-	return max(n, len(e.own))
+	return max(reported, known)
 }
 
 // Pending estimates the prompt tokens waiting for prefill there.
--- a/state/prog/prog.go
+++ b/state/prog/prog.go
@@ -3,6 +3,8 @@
 package prog
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/state/answer"
@@ -23,8 +25,10 @@
 	settled map[string]*record.Turn
 	// intents holds the non-idempotent calls that have no answer yet, by key.
 	intents map[string]*record.Intent
-	purse   purse.Purse
-	turns   int
+	// places are the endpoints that may hold memory for the program.
+	places map[string]bool
+	purse  purse.Purse
+	turns  int
 	// touched never goes back.
 	touched time.Time
 	ended   bool
@@ -49,6 +53,7 @@
 		agents:   map[string]*agent{},
 		settled:  map[string]*record.Turn{},
 		intents:  map[string]*record.Intent{},
+		places:   map[string]bool{},
 		purse:    purse.New(tokens, money),
 	}
 }
@@ -69,33 +74,71 @@
 		p.touch(r.Ended.Time)
 	case r.Swept != nil:
 		p.swept = true
+	case r.Forfeit != nil:
+		p.purse.Forfeit()
 	}
 }
 
+// settle books a final answer. A call whose key may be tried again leaves no
+// trace but its cost.
 func (p *Program) settle(t *record.Turn) {
 	c := t.Call
 	delete(p.intents, c.Key)
 	if _, ok := p.settled[c.Key]; ok {
 		return
 	}
-	p.settled[c.Key] = t
-	p.purse.Settle(t.Answer.Usage, t.Tokens, t.Money)
+	p.purse.Settle(t)
 	p.touch(t.Time)
-	a := p.agent(c.Agent)
-	if c.Seq > a.last {
-		a.last = c.Seq
-	}
-	if t.Answer.Outcome != answer.Done {
+	if t.Again {
 		return
 	}
+	p.settled[c.Key] = t
+	a := p.agent(c.Agent)
+	a.last = max(a.last, c.Seq)
 	p.turns++
-	if c.Kind == call.Chat {
+	if t.Answer.Endpoint != "" && c.Kind == call.Chat {
+		p.places[t.Answer.Endpoint] = true
+	}
+	if t.Answer.Outcome == answer.Done && c.Kind == call.Chat {
 		a.history = append(a.history, c.Messages...)
 		a.history = append(a.history, call.Message{Role: "assistant", Content: t.Answer.Text})
 		a.tokens = t.Answer.Usage.Prompt + t.Answer.Usage.Output
 	}
 }
 
+// Strip drops what an ended program needs no longer: its conversations and its
+// answers to calls that may be repeated. The keys of the others stay known.
+func (p *Program) Strip(repeatable func(*call.Call) bool) {
+	p.agents = map[string]*agent{}
+	for k, t := range p.settled {
+		if repeatable(t.Call) {
+			delete(p.settled, k)
+		}
+	}
+}
+
+// Place notes that an endpoint may hold memory for the program.
+func (p *Program) Place(endpoint string) { p.places[endpoint] = true }
+
+// Places returns the endpoints that may hold memory for the program, sorted.
+func (p *Program) Places() []string { return slices.Sorted(maps.Keys(p.places)) }
+
+// Intents returns the open intents, by key.
+func (p *Program) Intents() map[string]*record.Intent { return p.intents }
+
+// Fresh returns the messages that the agent's conversation does not have yet,
+// for callers who send the whole conversation each time.
+func (p *Program) Fresh(agent string, messages []call.Message) []call.Message {
+	history := p.agent(agent).history
+	if len(history) == 0 || len(messages) <= len(history) {
+		return messages
+	}
+	if slices.Equal(messages[:len(history)], history) {
+		return messages[len(history):]
+	}
+	return messages
+}
+
 func (p *Program) touch(t time.Time) {
 	if t.After(p.touched) {
 		p.touched = t
--- a/state/purse/purse.go
+++ b/state/purse/purse.go
@@ -1,7 +1,7 @@
 // Package purse (state layer) keeps one program's budget.
 package purse
 
-import "github.com/cowslipstage/cowslipstage/state/answer"
+import "github.com/cowslipstage/cowslipstage/state/record"
 
 // Purse is a budget in tokens and money. What is granted is journaled before
 // it is reserved, so that a successor can count it as spent.
@@ -60,11 +60,22 @@
 	p.money.reserved -= money
 }
 
-// Settle books what a call spent and sets the grant that remains.
-func (p *Purse) Settle(used answer.Usage, tokens, money int64) {
-	p.tokens.spent += int64(used.Prompt + used.Output)
-	p.money.spent += used.Money
-	p.Grant(tokens, money)
+// Granted returns the outstanding grant.
+func (p *Purse) Granted() (tokens, money int64) { return p.tokens.granted, p.money.granted }
+
+// Headroom returns the grant totals that are to remain after a turn: what is
+// reserved and, as far as the limit allows, some tokens for the next call.
+func (p *Purse) Headroom(t *record.Turn, next int64) (tokens, money int64) {
+	used := int64(t.Answer.Usage.Prompt+t.Answer.Usage.Output) + t.Burnt
+	return p.tokens.headroom(used, next), p.money.reserved
+}
+
+// Settle books what a call spent, on all its attempts, and sets the grant that remains.
+func (p *Purse) Settle(t *record.Turn) {
+	used := t.Answer.Usage
+	p.tokens.spent += int64(used.Prompt+used.Output) + t.Burnt
+	p.money.spent += used.Money + t.Lost
+	p.Grant(t.Tokens, t.Money)
 }
 
 // Forfeit counts the outstanding grant as spent: a successor cannot know which
@@ -96,3 +107,10 @@
 	a.granted = 0
 	a.reserved = 0
 }
+
+func (a *account) headroom(used, next int64) int64 {
+	if a.limit == 0 {
+		return a.reserved + next
+	}
+	return max(a.reserved, min(a.reserved+next, a.limit-a.spent-used))
+}
--- a/state/record/record.go
+++ b/state/record/record.go
@@ -12,12 +12,20 @@
 // Record is one journal entry. Exactly one field is set: the struct is the
 // codec's form of a sum type.
 type Record struct {
-	Opened *Opened `cbor:"1,keyasint,omitempty"`
-	Grant  *Grant  `cbor:"2,keyasint,omitempty"`
-	Intent *Intent `cbor:"3,keyasint,omitempty"`
-	Turn   *Turn   `cbor:"4,keyasint,omitempty"`
-	Ended  *Ended  `cbor:"5,keyasint,omitempty"`
-	Swept  *Swept  `cbor:"6,keyasint,omitempty"`
+	Opened  *Opened  `cbor:"1,keyasint,omitempty"`
+	Grant   *Grant   `cbor:"2,keyasint,omitempty"`
+	Intent  *Intent  `cbor:"3,keyasint,omitempty"`
+	Turn    *Turn    `cbor:"4,keyasint,omitempty"`
+	Ended   *Ended   `cbor:"5,keyasint,omitempty"`
+	Swept   *Swept   `cbor:"6,keyasint,omitempty"`
+	Forfeit *Forfeit `cbor:"7,keyasint,omitempty"`
+}
+
+// Forfeit counts a program's outstanding grant as spent: the owner that held
+// it is gone, and nobody knows which part of it was used.
+type Forfeit struct {
+	Customer string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
 }
 
 // Opened begins a program.
@@ -27,6 +35,9 @@
 	// Service is the root agent's service; it sets budget and turn cap.
 	Service string    `cbor:"3,keyasint"`
 	Time    time.Time `cbor:"4,keyasint"`
+	// Tokens and Money are the program's budget; 0 means no bound.
+	Tokens int64 `cbor:"5,keyasint,omitempty"`
+	Money  int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Grant raises what may be spent by calls that are not settled yet. A
@@ -57,6 +68,12 @@
 	Tokens int64     `cbor:"3,keyasint"`
 	Money  int64     `cbor:"4,keyasint"`
 	Time   time.Time `cbor:"5,keyasint"`
+	// Burnt and Lost are the tokens and the money that attempts without an
+	// answer may have spent.
+	Burnt int64 `cbor:"6,keyasint,omitempty"`
+	Lost  int64 `cbor:"7,keyasint,omitempty"`
+	// Again says that the key may be tried again.
+	Again bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Ended closes a program; its engine memory is to be released.
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -205,10 +205,11 @@
 // Release asks an engine to drop a program's memory.
 func (d *Dialer) Release(ctx context.Context, r core.Release) {
 	body, _ := json.Marshal(struct {
-		Kind    string `json:"kind"`
-		Program string `json:"program"`
-		Epoch   uint64 `json:"epoch"`
-	}{"release", r.Customer + "/" + r.Program, r.Epoch})
+		Kind    string   `json:"kind"`
+		Program string   `json:"program"`
+		Agents  []string `json:"agents,omitempty"`
+		Epoch   uint64   `json:"epoch"`
+	}{"release", r.Customer + "/" + r.Program, r.Agents, r.Epoch})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Target.Addr+"/orders", bytes.NewReader(body))
 	if err != nil {
 		return
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -146,7 +146,8 @@
 		k.Key = uuid.NewString()
 	}
 	if k.Program == "" {
-		k.Program = uuid.NewString()
+		// A retry with the same key must reach the same program.
+		k.Program = k.Key
 		k.End = true
 	}
 	w.Header().Set(caller.HeaderProgram, k.Program)
