--- a/cmd/cowslipstage/cmds/root.go
+++ b/cmd/cowslipstage/cmds/root.go
@@ -29,6 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
+	root.SetOut(os.Stdout)
 	root.AddCommand(serveCommand(), demoCommand(), versionCommand(), ticketCommand(), checkCommand(), standinCommand())
 	return root
 }
--- a/cmd/cowslipstage/cmds/ticket.go
+++ b/cmd/cowslipstage/cmds/ticket.go
@@ -1,63 +1,269 @@
 package cmds
 
 import (
+	"context"
+	"fmt"
+	"maps"
 	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipstage/cowslipstage/node"
+	"github.com/cowslipstage/cowslipstage/protocol/schema"
 	"github.com/cowslipstage/cowslipstage/protocol/ticket"
 	"github.com/cowslipstage/cowslipstage/setup"
 	"github.com/cowslipstage/cowslipstage/state/config"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
+// errInput says that files are wrong; what is wrong was printed.
+var errInput = errors.New("wrong input")
+
+// storeTimeout bounds one call of a command to the key-value service.
+const storeTimeout = 5 * time.Second
+
+// place finds the key-value service for a command.
+type place struct {
+	addr   string
+	config string
+}
+
+func (p *place) flags(c *cobra.Command) {
+	c.PersistentFlags().StringVar(&p.addr, "store", "", "address of the key-value service (IP:port)")
+	c.PersistentFlags().StringVar(&p.config, "config", "", "settings file that names the key-value service")
+}
+
+func (p *place) open() (*store.Client, error) {
+	if p.addr != "" {
+		return store.New(p.addr, storeTimeout), nil
+	}
+	if p.config == "" {
+		return nil, errors.New("say where the key-value service is: --store IP:port or --config FILE")
+	}
+	s, err := setup.Load(p.config)
+	if err != nil {
+		return nil, err
+	}
+	return store.New(s.Store.Addr, storeTimeout), nil
+}
+
+// current reads the configuration in force.
+func (p *place) current(ctx context.Context) (*config.Config, error) {
+	s, err := p.open()
+	if err != nil {
+		return nil, err
+	}
+	return node.Change(ctx, s, func(c *config.Config) (*config.Config, error) { return c, nil })
+}
+
 func ticketCommand() *cobra.Command {
 	c := &cobra.Command{Use: "ticket", Short: "Apply and inspect change tickets"}
-	c.AddCommand(ticketApplyCommand())
+	p := &place{}
+	p.flags(c)
+	c.AddCommand(applyCommand(p), showCommand(p), diffCommand(p), listCommand(p))
 	return c
 }
 
-func ticketApplyCommand() *cobra.Command {
-	var addr string
+func applyCommand(p *place) *cobra.Command {
+	var dry bool
 	c := &cobra.Command{
-		Use:   "apply FILE",
-		Short: "Apply a ticket",
-		Args:  cobra.ExactArgs(1),
+		Use:   "apply FILE|DIR...",
+		Short: "Apply tickets that are not applied yet, by number",
+		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			data, err := os.ReadFile(args[0])
+			tickets, err := tickets(c, args)
 			if err != nil {
 				return err
 			}
-			t, err := ticket.Parse(args[0], data)
+			s, err := p.open()
 			if err != nil {
 				return err
 			}
-			next, err := node.Change(c.Context(), store.New(addr, 5*time.Second), func(old *config.Config) (*config.Config, error) {
-				return t.Apply(old)
-			})
-			if err != nil {
-				return err
+			if dry {
+				return try(c, s, tickets)
+			}
+			for _, t := range tickets {
+				if err := apply(c, s, t); err != nil {
+					return err
+				}
 			}
-			c.Printf("ticket %d: in force from revision %d\n", t.Number(), next.Revision)
 			return nil
 		},
 	}
-	c.Flags().StringVar(&addr, "store", "127.0.0.1:7000", "address of the key-value service")
+	c.Flags().BoolVar(&dry, "dry-run", false, "print what would change, and change nothing")
 	return c
 }
 
-func checkCommand() *cobra.Command {
+// apply puts one ticket in force. Tickets of closed numbers were applied long ago.
+func apply(c *cobra.Command, s *store.Client, t *ticket.Ticket) error {
+	known := false
+	next, err := node.Change(c.Context(), s, func(old *config.Config) (*config.Config, error) {
+		next, err := t.Apply(old)
+		known = err == nil && next == old
+		return next, err
+	})
+	switch {
+	case errors.Is(err, ticket.ErrClosed):
+		c.Printf("ticket %d: skipped; its number is closed\n", t.Number())
+		return nil
+	case err != nil:
+		return err
+	case known:
+		c.Printf("ticket %d: applied already\n", t.Number())
+	default:
+		c.Printf("ticket %d: in force from revision %d\n", t.Number(), next.Revision)
+	}
+	return nil
+}
+
+// try prints what tickets would change.
+func try(c *cobra.Command, s *store.Client, tickets []*ticket.Ticket) error {
+	old, err := node.Change(c.Context(), s, func(c *config.Config) (*config.Config, error) { return c, nil })
+	if err != nil {
+		return err
+	}
+	for _, t := range tickets {
+		next, err := t.Apply(old)
+		switch {
+		case errors.Is(err, ticket.ErrClosed):
+			c.Printf("ticket %d: would be skipped; its number is closed\n", t.Number())
+			continue
+		case err != nil:
+			return err
+		case next == old:
+			c.Printf("ticket %d: applied already\n", t.Number())
+		default:
+			c.Printf("ticket %d: would change\n%s", t.Number(), ticket.Diff(old, next, t.Objects()))
+		}
+		old = next
+	}
+	return nil
+}
+
+// tickets reads files and the *.ini files of folders, and sorts them by
+// number; it prints everything that is wrong.
+func tickets(c *cobra.Command, args []string) ([]*ticket.Ticket, error) {
+	files, err := expand(args)
+	if err != nil {
+		return nil, err
+	}
+	var all []*ticket.Ticket
+	from := map[uint64]string{}
+	wrong := false
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		t, err := ticket.Parse(file, data)
+		if err != nil {
+			wrong = true
+			c.PrintErrln(err)
+			continue
+		}
+		if first, ok := from[t.Number()]; ok {
+			wrong = true
+			c.PrintErrln(schema.Problem{File: file, Line: 1, Section: "ticket", Key: "number", Text: "stands in " + first + " too; numbers must be unique"})
+		}
+		from[t.Number()] = file
+		all = append(all, t)
+	}
+	if wrong {
+		return nil, errInput
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Number() < all[j].Number() })
+	return all, nil
+}
+
+// expand replaces folders by the *.ini files in them.
+func expand(args []string) ([]string, error) {
+	var files []string
+	for _, a := range args {
+		info, err := os.Stat(a)
+		if err != nil {
+			return nil, err
+		}
+		if !info.IsDir() {
+			files = append(files, a)
+			continue
+		}
+		found, err := filepath.Glob(filepath.Join(a, "*.ini"))
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, found...)
+	}
+	return files, nil
+}
+
+func showCommand(p *place) *cobra.Command {
 	return &cobra.Command{
-		Use:   "check FILE...",
-		Short: "Check settings and tickets",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			for _, file := range args {
-				if _, err := setup.Load(file); err != nil {
-					return err
+		Use:     "show [OBJECT]",
+		Short:   "Print the configuration in force, as a ticket would set it",
+		Example: "  cowslipstage ticket show service gate",
+		Args:    cobra.MaximumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			current, err := p.current(c.Context())
+			if err != nil {
+				return err
+			}
+			objects := ticket.Objects(current)
+			if object := strings.Join(args, " "); object != "" {
+				if !slices.Contains(objects, object) {
+					return errors.Newf("no object is named %q; ticket show prints all", object)
 				}
+				objects = []string{object}
+			}
+			c.Printf("; revision %d\n", current.Revision)
+			for _, o := range objects {
+				c.Printf("\n; set by ticket %d\n%s", current.Tickets[o], ticket.Render(current, o))
+			}
+			return nil
+		},
+	}
+}
+
+func diffCommand(p *place) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Print what a ticket would change, and change nothing",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			tickets, err := tickets(c, args)
+			if err != nil {
+				return err
+			}
+			s, err := p.open()
+			if err != nil {
+				return err
+			}
+			return try(c, s, tickets)
+		},
+	}
+}
+
+func listCommand(p *place) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the accepted tickets",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			current, err := p.current(c.Context())
+			if err != nil {
+				return err
+			}
+			if current.Closed > 0 {
+				c.Printf("numbers up to %d are closed\n", current.Closed)
+			}
+			for _, n := range slices.Sorted(maps.Keys(current.Applied)) {
+				a := current.Applied[n]
+				c.Println(strings.TrimSpace(fmt.Sprintf("%d\trevision %d\t%s\t%s\t%s", n, a.Revision, a.Digest, a.Author, a.Reason)))
 			}
 			return nil
 		},
--- /dev/null
+++ b/cmd/cowslipstage/cmds/ticket_test.go
@@ -0,0 +1,88 @@
+package cmds_test
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/cmd/cowslipstage/cmds"
+	"github.com/cowslipstage/cowslipstage/standin/keyval"
+)
+
+// run runs one command and returns what it printed.
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	c := cmds.New()
+	c.SetOut(&out)
+	c.SetErr(&out)
+	c.SetArgs(args)
+	err := c.Execute()
+	return out.String(), err
+}
+
+func write(t *testing.T, folder, name, text string) string {
+	t.Helper()
+	file := filepath.Join(folder, name)
+	NewWithT(t).Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	return file
+}
+
+func TestTicketCommands(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(keyval.New())
+	defer s.Close()
+	store := "--store=" + strings.TrimPrefix(s.URL, "http://")
+	folder := t.TempDir()
+	write(t, folder, "a.ini", "[ticket]\nnumber = 2\nauthor = ana\nreason = more\n[customer a]\nrate = 20\n")
+	first := write(t, folder, "b.ini", "[ticket]\nnumber = 1\n[customer a]\nrate = 10\n")
+
+	out, err := run("ticket", "apply", "--dry-run", folder, store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal("ticket 1: would change\n[customer a]\n+ [customer a]\n+ rate = 10\n" +
+		"ticket 2: would change\n[customer a]\n- rate = 10\n+ rate = 20\n"))
+	out, err = run("ticket", "apply", folder, store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal("ticket 1: in force from revision 1\nticket 2: in force from revision 2\n"))
+	out, err = run("ticket", "apply", first, store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal("ticket 1: applied already\n"))
+	out, err = run("ticket", "show", "customer", "a", store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal("; revision 2\n\n; set by ticket 2\n[customer a]\nrate = 20\n"))
+	out, err = run("ticket", "list", store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(MatchRegexp(`(?s)^1\trevision 1\t[0-9a-f]{24}\n2\trevision 2\t[0-9a-f]{24}\tana\tmore\n$`))
+
+	third := write(t, folder, "c.ini", "[ticket]\nnumber = 3\n[customer a]\nremove = true\n")
+	out, err = run("ticket", "diff", third, store)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal("ticket 3: would change\n[customer a]\n- [customer a]\n- rate = 20\n"))
+}
+
+func TestTicketNumbersAreUnique(t *testing.T) {
+	folder := t.TempDir()
+	write(t, folder, "a.ini", "[ticket]\nnumber = 1\n")
+	write(t, folder, "b.ini", "[ticket]\nnumber = 1\n")
+	out, err := run("ticket", "apply", folder)
+	NewWithT(t).Expect(err).To(HaveOccurred())
+	NewWithT(t).Expect(out).To(ContainSubstring("b.ini:1: [ticket] number: stands in " + filepath.Join(folder, "a.ini") + " too"))
+}
+
+func TestCheck(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	settings := write(t, folder, "node.ini", "[node]\nname = a b\n[store]\naddr = 1\n")
+	change := write(t, folder, "1.ini", "[ticket]\nnumber = x\n")
+	out, err := run("check", settings, change)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(out).To(ContainSubstring(settings + ":2: [node] name: "))
+	g.Expect(out).To(ContainSubstring(settings + ":4: [store] addr: "))
+	g.Expect(out).To(ContainSubstring(change + ":2: [ticket] number: "))
+	_, err = run("check", "../../../examples/acoepele", "../../../examples/brennecke")
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- /dev/null
+++ b/protocol/schema/file.go
@@ -0,0 +1,248 @@
+package schema
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+)
+
+// File is checked INI text.
+type File struct {
+	name  string
+	parts []*Part
+}
+
+// Part is one section of a checked file. Its values are of their types.
+type Part struct {
+	rule   Section
+	name   string
+	line   int
+	lines  map[string]int
+	values map[string]string
+}
+
+// options make ini.v1 strict: no inline comments, continuation lines, inherited
+// values or other delimiters.
+var options = ini.LoadOptions{
+	IgnoreInlineComment:   true,
+	IgnoreContinuation:    true,
+	KeyValueDelimiters:    "=",
+	ChildSectionDelimiter: "\x00",
+}
+
+// maxFile bounds a file's size in bytes.
+const maxFile = 1 << 20
+
+// Read checks text against a table; name stands in errors. The error is a
+// CheckErrors with everything that is wrong.
+func Read(name string, data []byte, t Table) (*File, error) {
+	r := &reader{file: name, table: t}
+	if len(data) > maxFile || !utf8.Valid(data) || bytes.IndexByte(data, 0) >= 0 {
+		r.report(1, "", "", "the file must be UTF-8 text without NUL, of up to 1 MiB")
+		return nil, r.problems
+	}
+	places := scan(data)
+	f, err := ini.LoadSources(options, without(data, places))
+	if err != nil {
+		r.report(1, "", "", "not readable as INI: "+err.Error())
+		return nil, r.problems
+	}
+	r.read(f, places)
+	if len(r.problems) > 0 {
+		sort.SliceStable(r.problems, func(i, j int) bool { return r.problems[i].Line < r.problems[j].Line })
+		return nil, r.problems
+	}
+	return &File{name: name, parts: r.parts}, nil
+}
+
+// reader collects a file's parts and problems.
+type reader struct {
+	file     string
+	table    Table
+	parts    []*Part
+	problems CheckErrors
+}
+
+func (r *reader) report(line int, section, key, text string) {
+	r.problems = append(r.problems, Problem{File: r.file, Line: line, Section: section, Key: key, Text: text})
+}
+
+func (r *reader) read(f *ini.File, places []place) {
+	seen := map[string]*Part{}
+	var current *Part
+	for _, p := range places {
+		switch {
+		case p.bad:
+			r.report(p.line, p.section, "", "the line is neither a [section], nor key = value, nor a ; comment")
+		case p.key == "":
+			current = r.open(p, seen)
+		case p.section == "":
+			r.report(p.line, "", p.key, "the key stands before any [section]")
+		case current != nil:
+			r.key(f, current, p)
+		}
+	}
+	for _, p := range r.parts {
+		r.complete(p)
+	}
+}
+
+// open checks a section's heading; it returns nil if its keys can't be checked.
+func (r *reader) open(p place, seen map[string]*Part) *Part {
+	kind, name, named := strings.Cut(p.section, " ")
+	rule, ok := r.table.section(kind)
+	switch {
+	case !ok:
+		r.report(p.line, p.section, "", "no such section; allowed: "+r.table.kinds())
+		return nil
+	case rule.Named != named:
+		r.report(p.line, p.section, "", "must be written "+rule.heading())
+		return nil
+	case named && !Allows(rule.Name, name):
+		r.report(p.line, p.section, "", "the name must be "+Describe(rule.Name))
+		return nil
+	case seen[p.section] != nil:
+		r.report(p.line, p.section, "", "the section stands already at line "+strconv.Itoa(seen[p.section].line))
+		return nil
+	}
+	part := &Part{rule: rule, name: name, line: p.line, lines: map[string]int{}, values: map[string]string{}}
+	seen[p.section] = part
+	r.parts = append(r.parts, part)
+	return part
+}
+
+func (r *reader) key(f *ini.File, part *Part, p place) {
+	rule, ok := part.rule.key(p.key)
+	if !ok {
+		r.report(p.line, p.section, p.key, "no such key; allowed: "+part.rule.keys())
+		return
+	}
+	if first := part.lines[p.key]; first != 0 {
+		r.report(p.line, p.section, p.key, "the key stands already at line "+strconv.Itoa(first))
+		return
+	}
+	part.lines[p.key] = p.line
+	value := f.Section(p.section).Key(p.key).Value()
+	if !Allows(rule.Type, value) {
+		r.report(p.line, p.section, p.key, shown(rule.Type, value)+" is not allowed; must be "+Describe(rule.Type))
+		return
+	}
+	part.values[p.key] = value
+}
+
+// maxShown bounds how much of a wrong value an error repeats, in bytes.
+const maxShown = 48
+
+// shown returns a wrong value for an error, but for secrets.
+func shown(t Type, value string) string {
+	switch t.(type) {
+	case Secret, Digest:
+		return "the value"
+	}
+	if len(value) > maxShown {
+		value = strings.ToValidUTF8(value[:maxShown], "") + "…"
+	}
+	return strconv.Quote(value)
+}
+
+func (r *reader) complete(p *Part) {
+	if p.values["remove"] == "true" {
+		return
+	}
+	for _, k := range p.rule.Keys {
+		if k.Required && p.lines[k.Name] == 0 {
+			r.report(p.line, p.Section(), k.Name, "is missing; must be "+Describe(k.Type))
+		}
+	}
+}
+
+// Parts returns the sections in the order of the file.
+func (f *File) Parts() []*Part { return f.parts }
+
+// Part returns the section with this whole name, or nil.
+func (f *File) Part(section string) *Part {
+	for _, p := range f.parts {
+		if p.Section() == section {
+			return p
+		}
+	}
+	return nil
+}
+
+// Problem returns a problem at a key, or at the section if the key has no line.
+func (f *File) Problem(p *Part, key, text string) Problem {
+	line := p.line
+	if l := p.lines[key]; l != 0 {
+		line = l
+	}
+	return Problem{File: f.name, Line: line, Section: p.Section(), Key: key, Text: text}
+}
+
+// Section returns the section's whole name, such as "service gate".
+func (p *Part) Section() string {
+	if p.rule.Named {
+		return p.rule.Kind + " " + p.name
+	}
+	return p.rule.Kind
+}
+
+// Kind returns the section's first word.
+func (p *Part) Kind() string { return p.rule.Kind }
+
+// Name returns what the section declares.
+func (p *Part) Name() string { return p.name }
+
+// Given tells whether the file has the key.
+func (p *Part) Given(key string) bool { return p.lines[key] != 0 }
+
+// Text returns a key's value or its default.
+func (p *Part) Text(key string) string {
+	if v, ok := p.values[key]; ok {
+		return v
+	}
+	rule, _ := p.rule.key(key)
+	return rule.Default
+}
+
+// Count returns a Count's value.
+func (p *Part) Count(key string) int64 {
+	n, _ := strconv.ParseInt(p.Text(key), 10, 64)
+	return n
+}
+
+// Ratio returns a Ratio's value.
+func (p *Part) Ratio(key string) float64 {
+	f, _ := strconv.ParseFloat(p.Text(key), 64)
+	return f
+}
+
+// Span returns a Span's value.
+func (p *Part) Span(key string) time.Duration {
+	d, _ := time.ParseDuration(p.Text(key))
+	return d
+}
+
+// Flag returns a Flag's value.
+func (p *Part) Flag(key string) bool { return p.Text(key) == "true" }
+
+// List returns a List's items.
+func (p *Part) List(key string) []string { return Split(p.Text(key)) }
+
+// Canonical returns the section as lines that don't depend on its spacing.
+func (p *Part) Canonical() []string {
+	lines := []string{"[" + p.Section() + "]"}
+	for key, value := range p.values {
+		lines = append(lines, p.Section()+" "+key+" = "+value)
+	}
+	return lines
+}
+
+// Keys returns the keys that the file gives, sorted.
+func (p *Part) Keys() []string { return slices.Sorted(maps.Keys(p.values)) }
--- /dev/null
+++ b/protocol/schema/page.go
@@ -0,0 +1,32 @@
+package schema
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Page returns a table as Markdown, one heading for each section.
+func Page(t Table) string {
+	var b strings.Builder
+	for _, s := range t.Sections {
+		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n", s.heading(), s.Doc)
+		if s.Named {
+			fmt.Fprintf(&b, "NAME is %s.\n\n", Describe(s.Name))
+		}
+		b.WriteString("| key | value | default | meaning |\n|---|---|---|---|\n")
+		for _, k := range s.Keys {
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", k.Name, Describe(k.Type), fallback(k), k.Doc)
+		}
+	}
+	return b.String()
+}
+
+func fallback(k Key) string {
+	switch {
+	case k.Required:
+		return "required"
+	case k.Default == "":
+		return "none"
+	}
+	return "`" + k.Default + "`"
+}
--- /dev/null
+++ b/protocol/schema/schema.go
@@ -0,0 +1,138 @@
+// Package schema (protocol layer) checks INI text against a table of sections
+// and keys, and reports every problem with its file and line.
+package schema
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Table lists the sections that a kind of file may have.
+type Table struct {
+	Sections []Section
+}
+
+// Section is one kind of section.
+type Section struct {
+	// Kind is the section's name, or its first word when Named.
+	Kind string
+	// Named sections are written [kind name] and may stand once for each name.
+	Named bool
+	// Name is the type of the names; it is in use when Named.
+	Name Type
+	// Doc says what the section declares.
+	Doc  string
+	Keys []Key
+}
+
+// Key is one key of a section.
+type Key struct {
+	Name string
+	Type Type
+	// Default is the value of a key that is left out.
+	Default string
+	// Required keys must stand in every section of the kind.
+	Required bool
+	// Doc says what the key means.
+	Doc string
+}
+
+// Problem is one thing that is wrong with a file.
+type Problem struct {
+	File string
+	// Line counts from 1.
+	Line int
+	// Section and Key are "" where the problem has none.
+	Section string
+	Key     string
+	// Text says what is wrong and what is allowed.
+	Text string
+}
+
+// String returns the problem as "file:line: [section] key: text".
+func (p Problem) String() string {
+	place := ""
+	if p.Section != "" {
+		place = "[" + p.Section + "] "
+	}
+	if p.Key != "" {
+		place += p.Key
+	}
+	place = strings.TrimSpace(place)
+	if place == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, place, p.Text)
+}
+
+// CheckErrors is an error that holds everything wrong with a file, by line.
+type CheckErrors []Problem
+
+// Error returns one line for each problem.
+func (p CheckErrors) Error() string {
+	lines := make([]string, len(p))
+	for i, x := range p {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// section returns the table's entry for a kind.
+func (t Table) section(kind string) (Section, bool) {
+	for _, s := range t.Sections {
+		if s.Kind == kind {
+			return s, true
+		}
+	}
+	return Section{}, false
+}
+
+// Match counts the headings in a text that the table knows.
+func Match(data []byte, t Table) int {
+	count := 0
+	for _, p := range scan(data) {
+		kind, _, _ := strings.Cut(p.section, " ")
+		if _, ok := t.section(kind); ok && p.key == "" {
+			count++
+		}
+	}
+	return count
+}
+
+// Section returns the table's entry for a kind of section.
+func (t Table) Section(kind string) Section {
+	s, _ := t.section(kind)
+	return s
+}
+
+func (t Table) kinds() string {
+	names := make([]string, len(t.Sections))
+	for i, s := range t.Sections {
+		names[i] = s.heading()
+	}
+	return strings.Join(names, ", ")
+}
+
+func (s Section) heading() string {
+	if s.Named {
+		return "[" + s.Kind + " NAME]"
+	}
+	return "[" + s.Kind + "]"
+}
+
+func (s Section) key(name string) (Key, bool) {
+	for _, k := range s.Keys {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+func (s Section) keys() string {
+	names := make([]string, len(s.Keys))
+	for i, k := range s.Keys {
+		names[i] = k.Name
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/protocol/schema/types.go
@@ -0,0 +1,196 @@
+package schema
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Type is what a value may be.
+type Type interface{ kind() }
+
+// Text is any text on one line, or between triple quotes on several.
+type Text struct {
+	// Max bounds the length in bytes.
+	Max int
+}
+
+// Name is a word of letters, digits, dot, hyphen and underscore.
+type Name struct{}
+
+// Pair is two names with a slash between them.
+type Pair struct{}
+
+// List is a comma-separated list.
+type List struct{ Of Type }
+
+// Count is a whole number.
+type Count struct{ Min, Max int64 }
+
+// Ratio is a decimal number.
+type Ratio struct{ Min, Max float64 }
+
+// Span is a duration such as 250ms or 1m30s.
+type Span struct{ Min, Max time.Duration }
+
+// Flag is true or false.
+type Flag struct{}
+
+// Choice is one of a few words.
+type Choice struct{ Words []string }
+
+// Address is IP:port.
+type Address struct{}
+
+// Digest is a SHA-256 in hex; errors don't repeat it.
+type Digest struct{}
+
+// Secret is a text that errors don't repeat.
+type Secret struct {
+	// Max bounds the length in bytes.
+	Max int
+}
+
+// Peer is node=IP:port.
+type Peer struct{}
+
+func (Text) kind()    {}
+func (Name) kind()    {}
+func (Pair) kind()    {}
+func (List) kind()    {}
+func (Count) kind()   {}
+func (Ratio) kind()   {}
+func (Span) kind()    {}
+func (Flag) kind()    {}
+func (Choice) kind()  {}
+func (Address) kind() {}
+func (Digest) kind()  {}
+func (Secret) kind()  {}
+func (Peer) kind()    {}
+
+// maxName bounds a name's length in bytes.
+const maxName = 64
+
+// Describe says in words what a type allows.
+func Describe(t Type) string {
+	switch t := t.(type) {
+	case Text:
+		return fmt.Sprintf("text of up to %d bytes", t.Max)
+	case Secret:
+		return fmt.Sprintf("a secret of up to %d bytes", t.Max)
+	case Name:
+		return "a name of letters, digits and . _ - (up to 64)"
+	case Pair:
+		return "SERVICE/OPERATION"
+	case List:
+		return "a comma-separated list, each item " + Describe(t.Of)
+	case Count:
+		return fmt.Sprintf("a whole number from %d to %d", t.Min, t.Max)
+	case Ratio:
+		return fmt.Sprintf("a number from %g to %g", t.Min, t.Max)
+	case Span:
+		return fmt.Sprintf("a duration from %s to %s, such as 250ms or 2s", t.Min, t.Max)
+	case Flag:
+		return "true or false"
+	case Choice:
+		return "one of " + strings.Join(t.Words, ", ")
+	case Address:
+		return "IP:port, such as 10.0.0.7:7070"
+	case Digest:
+		return "a SHA-256 in 64 hex digits"
+	case Peer:
+		return "NODE=IP:port"
+	}
+	return ""
+}
+
+// Allows tells whether a value is of the type.
+func Allows(t Type, value string) bool {
+	switch t := t.(type) {
+	case Text:
+		return len(value) <= t.Max && utf8.ValidString(value)
+	case Secret:
+		return len(value) <= t.Max && utf8.ValidString(value)
+	case Name:
+		return name(value)
+	case Pair:
+		a, b, ok := strings.Cut(value, "/")
+		return ok && name(a) && name(b)
+	case List:
+		return list(t, value)
+	case Count:
+		n, err := strconv.ParseInt(value, 10, 64)
+		return err == nil && n >= t.Min && n <= t.Max
+	case Ratio:
+		f, err := strconv.ParseFloat(value, 64)
+		return err == nil && f >= t.Min && f <= t.Max
+	case Span:
+		d, err := time.ParseDuration(value)
+		return err == nil && d >= t.Min && d <= t.Max
+	case Flag:
+		return value == "true" || value == "false"
+	case Choice:
+		return contains(t.Words, value)
+	case Address:
+		return address(value)
+	case Digest:
+		raw, err := hex.DecodeString(value)
+		return err == nil && len(raw) == 32 && strings.ToLower(value) == value
+	case Peer:
+		node, addr, ok := strings.Cut(value, "=")
+		return ok && name(node) && address(addr)
+	}
+	return false
+}
+
+func name(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, c := range []byte(s) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && c != '.' && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func address(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+func contains(words []string, value string) bool {
+	for _, w := range words {
+		if w == value {
+			return true
+		}
+	}
+	return false
+}
+
+func list(t List, value string) bool {
+	for _, item := range Split(value) {
+		if !Allows(t.Of, item) {
+			return false
+		}
+	}
+	return true
+}
+
+// Split returns the items of a comma-separated list.
+func Split(value string) []string {
+	if strings.TrimSpace(value) == "" {
+		return nil
+	}
+	items := strings.Split(value, ",")
+	for i := range items {
+		items[i] = strings.TrimSpace(items[i])
+	}
+	return items
+}
--- /dev/null
+++ b/protocol/ticket/refer.go
@@ -0,0 +1,145 @@
+package ticket
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cowslipstage/cowslipstage/protocol/schema"
+	"github.com/cowslipstage/cowslipstage/state/config"
+)
+
+// dangling is a reference that leads nowhere.
+type dangling struct {
+	// object and key hold the reference.
+	object string
+	key    string
+	// target is the object that would be needed, "" when several would do.
+	target string
+	text   string
+}
+
+// broken returns the references that the ticket would leave dangling.
+func (t *Ticket) broken(old, c *config.Config) schema.CheckErrors {
+	var problems schema.CheckErrors
+	for _, p := range t.objects() {
+		service, _, _ := strings.Cut(p.Name(), "/")
+		if p.Kind() == "operation" && !p.Flag("remove") && c.Services[service] == nil {
+			problems = append(problems, t.file.Problem(p, "", "no service is named "+service+"; declare [service "+service+"]"))
+		}
+	}
+	for _, d := range check(c) {
+		p, key := t.culprit(d)
+		text := d.text
+		if p.Section() != d.object {
+			text = fmt.Sprintf("[%s] %s: %s", d.object, d.key, d.text)
+		}
+		problems = append(problems, t.file.Problem(p, key, text))
+	}
+	for _, p := range t.objects() {
+		problems = append(problems, t.orphans(old, p)...)
+	}
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+	return problems
+}
+
+// orphans are the operations that would go with a removed service unasked.
+func (t *Ticket) orphans(old *config.Config, p *schema.Part) schema.CheckErrors {
+	v := old.Services[p.Name()]
+	if p.Kind() != "service" || !p.Flag("remove") || v == nil {
+		return nil
+	}
+	var problems schema.CheckErrors
+	for operation := range v.Operations {
+		object := "operation " + p.Name() + "/" + operation
+		if !slices.Contains(t.Objects(), object) {
+			problems = append(problems, t.file.Problem(p, "remove", "has ["+object+"] still; remove it in the same ticket"))
+		}
+	}
+	sort.Slice(problems, func(i, j int) bool { return problems[i].Text < problems[j].Text })
+	return problems
+}
+
+// culprit returns the ticket's section that best explains a dangling reference.
+func (t *Ticket) culprit(d dangling) (*schema.Part, string) {
+	for _, name := range []string{d.object, d.target} {
+		if p := t.file.Part(name); name != "" && p != nil {
+			if name == d.object {
+				return p, d.key
+			}
+			return p, ""
+		}
+	}
+	for _, p := range t.objects() {
+		if p.Flag("remove") {
+			return p, "remove"
+		}
+	}
+	return t.head, ""
+}
+
+// check returns every dangling reference of a configuration, by object.
+func check(c *config.Config) []dangling {
+	pools := map[string]string{}
+	var found []dangling
+	for _, name := range slices.Sorted(maps.Keys(c.Endpoints)) {
+		e := c.Endpoints[name]
+		if kind, ok := pools[e.Pool]; ok && kind != e.Kind {
+			found = append(found, dangling{"endpoint " + name, "kind", "", "the other endpoints of pool " + e.Pool + " are of kind " + kind})
+		}
+		pools[e.Pool] = e.Kind
+	}
+	for name, v := range c.Services {
+		object := "service " + name
+		found = append(found, checkPool(object, v, pools)...)
+		found = append(found, checkModel(object, v, c.Models)...)
+		for _, tool := range v.Tools {
+			service, operation, _ := strings.Cut(tool, "/")
+			if s := c.Services[service]; s == nil || s.Operations[operation] == nil {
+				found = append(found, dangling{object, "tools", "operation " + tool, "no operation is named " + tool + "; declare [operation " + tool + "]"})
+			}
+		}
+		if v.Kind != "plain" && len(v.Operations) > 0 {
+			found = append(found, dangling{object, "kind", "", "has operations, so it must be plain"})
+		}
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].object < found[j].object })
+	return found
+}
+
+// checkPool wants endpoints of the right kind behind a service.
+func checkPool(object string, v *config.Service, pools map[string]string) []dangling {
+	need := "engine"
+	if v.Kind == "plain" {
+		need = "desk"
+	}
+	kind, ok := pools[v.Pool]
+	switch {
+	case !ok:
+		return []dangling{{object, "pool", "", "no endpoint is in pool " + v.Pool + "; declare an [endpoint NAME] with it"}}
+	case kind != need:
+		return []dangling{{object, "pool", "", "pool " + v.Pool + " has endpoints of kind " + kind + "; " + need + " is needed"}}
+	}
+	return nil
+}
+
+func checkModel(object string, v *config.Service, models map[string]*config.Model) []dangling {
+	if v.Model == "" {
+		return nil
+	}
+	m := models[v.Model]
+	target := "model " + v.Model
+	if m == nil {
+		return []dangling{{object, "model", target, "no model is named " + v.Model + "; declare [" + target + "]"}}
+	}
+	var found []dangling
+	if v.Version != "" && !slices.Contains(m.Versions, v.Version) {
+		found = append(found, dangling{object, "version", target, "the model has no version " + v.Version + "; it has " + strings.Join(m.Versions, ", ")})
+	}
+	if v.Adapter != "" && !slices.Contains(m.Adapters, v.Adapter) {
+		found = append(found, dangling{object, "adapter", target, "the model has no adapter " + v.Adapter + "; it has " + strings.Join(m.Adapters, ", ")})
+	}
+	return found
+}
--- a/protocol/ticket/ticket.go
+++ b/protocol/ticket/ticket.go
@@ -3,135 +3,226 @@
 package ticket
 
 import (
-	"strconv"
-	"strings"
-	"time"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"reflect"
+	"sort"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"gopkg.in/ini.v1"
+	"github.com/fxamacker/cbor/v2"
 
+	"github.com/cowslipstage/cowslipstage/protocol/schema"
 	"github.com/cowslipstage/cowslipstage/state/config"
 )
 
-// ErrRefused means that a ticket lost against a later one.
-var ErrRefused = errors.New("ticket: refused")
+// The errors of tickets that are well formed.
+var (
+	// ErrRefused means that a ticket lost against another one.
+	ErrRefused = errors.New("ticket: refused")
+	// ErrClosed means that the ticket's number is too old to change anything.
+	ErrClosed = errors.New("ticket: number is closed")
+)
 
 // Ticket is one numbered change with the whole new state of all it touches.
 type Ticket struct {
 	number uint64
 	digest string
-	file   *ini.File
+	file   *schema.File
+	head   *schema.Part
 }
 
-// Parse reads a ticket; name is its file's name, for errors.
+// Parse reads a ticket; name is its file's name, for errors. The error is a
+// schema.CheckErrors with all that is wrong in the text itself.
 func Parse(name string, data []byte) (*Ticket, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{}, data)
+	f, err := schema.Read(name, data, Table())
 	if err != nil {
-		return nil, errors.Wrapf(err, "ticket: %s", name)
+		return nil, err
+	}
+	head := f.Part("ticket")
+	if head == nil {
+		return nil, schema.CheckErrors{{File: name, Line: 1, Section: "ticket", Text: "the section is missing; every ticket has a [ticket] with its number"}}
+	}
+	var problems schema.CheckErrors
+	for _, p := range f.Parts() {
+		problems = append(problems, pairs(f, p)...)
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return &Ticket{number: uint64(head.Count("number")), digest: digest(f), file: f, head: head}, nil
+}
+
+// pairs checks keys that stand only together.
+func pairs(f *schema.File, p *schema.Part) schema.CheckErrors {
+	if p.Kind() != "service" || p.Flag("remove") {
+		return nil
+	}
+	var problems schema.CheckErrors
+	if (p.Span("objective") > 0) != (p.Ratio("target") > 0) {
+		problems = append(problems, f.Problem(p, "objective", "stands only together with target, both above 0"))
+	}
+	for _, key := range []string{"model", "adapter", "version", "tools", "prompt"} {
+		if p.Text("kind") == "plain" && p.Given(key) {
+			problems = append(problems, f.Problem(p, key, "is for services of kind model"))
+		}
 	}
-	number, err := f.Section("ticket").Key("number").Uint64()
-	if err != nil || number == 0 {
-		return nil, errors.Newf("%s: [ticket] number: must be a number from 1", name)
+	for _, key := range []string{"adapter", "version"} {
+		if p.Given(key) && !p.Given("model") {
+			problems = append(problems, f.Problem(p, key, "stands only together with model"))
+		}
 	}
-	digest := strconv.FormatUint(xxhash.Sum64(data), 16)
-	return &Ticket{number: number, digest: digest, file: f}, nil
+	return problems
 }
 
+// digest identifies what a ticket says, whatever its comments and spacing.
+func digest(f *schema.File) string {
+	var lines []string
+	for _, p := range f.Parts() {
+		lines = append(lines, p.Canonical()...)
+	}
+	sort.Strings(lines)
+	h := sha256.New()
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(h, "%q\n", l)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:digestLength])
+}
+
+// digestLength is the bytes kept of a ticket's SHA-256.
+const digestLength = 12
+
 // Number returns the ticket's number.
 func (t *Ticket) Number() uint64 { return t.number }
 
+// Digest identifies the ticket's content.
+func (t *Ticket) Digest() string { return t.digest }
+
+// Objects returns the names of all that the ticket sets or removes.
+func (t *Ticket) Objects() []string {
+	var names []string
+	for _, p := range t.objects() {
+		names = append(names, p.Section())
+	}
+	return names
+}
+
+// objects returns the ticket's sections in the order in which they apply:
+// services before their operations.
+func (t *Ticket) objects() []*schema.Part {
+	var objects []*schema.Part
+	for _, p := range t.file.Parts() {
+		if p != t.head {
+			objects = append(objects, p)
+		}
+	}
+	sort.SliceStable(objects, func(i, j int) bool {
+		return objects[i].Kind() != "operation" && objects[j].Kind() == "operation"
+	})
+	return objects
+}
+
 // Apply returns the configuration after the ticket; old is not changed. A
 // ticket that was applied before gives old itself.
 func (t *Ticket) Apply(old *config.Config) (*config.Config, error) {
-	if d, ok := old.Applied[t.number]; ok {
-		if d == t.digest {
+	if known, ok := old.Applied[t.number]; ok {
+		if known.Digest == t.digest {
 			return old, nil
 		}
-		return nil, errors.Mark(errors.Newf("ticket %d: the number was used by another ticket", t.number), ErrRefused)
+		return nil, refused("ticket %d: the number was used by another ticket, in force since revision %d", t.number, known.Revision)
 	}
 	next := clone(old)
-	for _, s := range t.file.Sections() {
-		kind, name, ok := strings.Cut(s.Name(), " ")
-		if !ok {
-			continue
-		}
-		if won := old.Tickets[s.Name()]; won >= t.number {
-			return nil, errors.Mark(errors.Newf("ticket %d: [%s] was set by ticket %d", t.number, s.Name(), won), ErrRefused)
-		}
-		next.Tickets[s.Name()] = t.number
-		if err := set(next, kind, name, s); err != nil {
-			return nil, err
-		}
+	for _, p := range t.objects() {
+		set(next, p)
+	}
+	if t.number <= old.Closed {
+		return t.replay(old, next)
+	}
+	if err := t.outrun(old); err != nil {
+		return nil, err
 	}
-	next.Revision++
-	next.Applied[t.number] = t.digest
-	return next, nil
+	if problems := t.broken(old, next); len(problems) > 0 {
+		return nil, problems
+	}
+	t.note(next)
+	return next, t.fits(next)
 }
 
-func set(c *config.Config, kind, name string, s *ini.Section) error {
-	remove := s.Key("remove").MustBool(false)
-	switch kind {
-	case "service":
-		put(c.Services, name, remove, service(s))
-	case "endpoint":
-		put(c.Endpoints, name, remove, &config.Endpoint{
-			Pool: s.Key("pool").String(), Kind: s.Key("kind").In("engine", []string{"desk"}),
-			Addr: s.Key("addr").String(), Centre: s.Key("centre").String(),
-			Fencing: s.Key("fencing").MustBool(false), Slots: s.Key("slots").MustInt(0),
-		})
-	case "customer":
-		put(c.Customers, name, remove, &config.Customer{Rate: s.Key("rate").MustFloat64(0)})
-	case "operation":
-		up, op, _ := strings.Cut(name, "/")
-		v := c.Services[up]
-		if v == nil {
-			return errors.Newf("[%s]: no service %s", s.Name(), up)
+// outrun refuses a ticket that touches an object which a later one set.
+func (t *Ticket) outrun(old *config.Config) error {
+	for _, p := range t.objects() {
+		if won := old.Tickets[p.Section()]; won >= t.number {
+			return refused("%s", t.file.Problem(p, "", fmt.Sprintf("ticket %d lost: ticket %d set it already", t.number, won)))
 		}
-		put(v.Operations, op, remove, &config.Operation{
-			Idempotent: s.Key("idempotent").MustBool(false),
-			Timeout:    s.Key("timeout").MustDuration(10 * time.Second),
-			Money:      s.Key("money").MustInt64(0),
-		})
 	}
 	return nil
 }
 
-func service(s *ini.Section) *config.Service {
-	return &config.Service{
-		Kind: s.Key("kind").In("model", []string{"plain"}), Pool: s.Key("pool").String(),
-		Model: s.Key("model").String(), Adapter: s.Key("adapter").String(),
-		Version: s.Key("version").String(), Tools: s.Key("tools").Strings(","),
-		Tokens: s.Key("tokens").MustInt64(0), Money: s.Key("money").MustInt64(0),
-		Turns: s.Key("turns").MustInt(0), Class: s.Key("class").MustInt(1),
-		Output: s.Key("output").MustInt(0), Timeout: s.Key("timeout").MustDuration(0),
-		Idle: s.Key("idle").MustDuration(0), Prompt: s.Key("prompt").String(),
-		Operations: map[string]*config.Operation{},
+// replay recognises a ticket whose number is no longer remembered by what it
+// left behind: objects that it set last must be as it says.
+func (t *Ticket) replay(old, next *config.Config) (*config.Config, error) {
+	seen := false
+	for _, p := range t.objects() {
+		won := old.Tickets[p.Section()]
+		switch {
+		case won == t.number && same(old, next, p.Section()):
+			seen = true
+		case won > t.number:
+		default:
+			return nil, t.closed(old)
+		}
+	}
+	if !seen {
+		return nil, t.closed(old)
 	}
+	return old, nil
 }
 
-func put[T any](m map[string]*T, name string, remove bool, value *T) {
-	if remove {
-		delete(m, name)
-		return
-	}
-	m[name] = value
+func (t *Ticket) closed(old *config.Config) error {
+	err := errors.Newf("ticket %d: numbers up to %d are closed; use a higher number", t.number, old.Closed)
+	return errors.Mark(errors.Mark(err, ErrRefused), ErrClosed)
 }
 
-func clone(c *config.Config) *config.Config {
-	n := config.New()
-	n.Revision = c.Revision
-	copyMap(n.Services, c.Services)
-	copyMap(n.Endpoints, c.Endpoints)
-	copyMap(n.Customers, c.Customers)
-	copyMap(n.Models, c.Models)
-	copyMap(n.Tickets, c.Tickets)
-	copyMap(n.Applied, c.Applied)
-	return n
+func refused(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), ErrRefused)
 }
 
-func copyMap[K comparable, V any](to, from map[K]V) {
-	for k, v := range from {
-		to[k] = v
+// note remembers the ticket in the configuration, and forgets the oldest.
+func (t *Ticket) note(c *config.Config) {
+	c.Revision++
+	for _, p := range t.objects() {
+		c.Tickets[p.Section()] = t.number
+	}
+	c.Applied[t.number] = config.Applied{
+		Digest: t.digest, Author: t.head.Text("author"), Reason: t.head.Text("reason"), Revision: c.Revision,
 	}
+	for len(c.Applied) > config.MaxApplied {
+		oldest := t.number
+		for n := range c.Applied {
+			oldest = min(oldest, n)
+		}
+		delete(c.Applied, oldest)
+		c.Closed = max(c.Closed, oldest)
+	}
+	for object, n := range c.Tickets {
+		// No ticket up to Closed can bring the object back.
+		if n <= c.Closed && Value(c, object) == nil {
+			delete(c.Tickets, object)
+		}
+	}
+}
+
+func (t *Ticket) fits(c *config.Config) error {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "ticket: encoding")
+	}
+	if len(data) > config.MaxSize {
+		return refused("ticket %d: the configuration would take %d bytes; at most %d are allowed", t.number, len(data), config.MaxSize)
+	}
+	return nil
+}
+
+func same(a, b *config.Config, object string) bool {
+	return reflect.DeepEqual(Value(a, object), Value(b, object))
 }
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -2,10 +2,13 @@
 package setup
 
 import (
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"github.com/cowslipstage/cowslipstage/protocol/schema"
 )
 
 // Settings are what one node is told at its start.
@@ -86,15 +89,49 @@
 	}
 }
 
-// Load reads the settings in a file.
+// Load reads the settings in a file; the error names everything wrong with it.
 func Load(file string) (*Settings, error) {
-	f, err := ini.Load(file)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "setup: settings file")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads settings; name is their file's name, for errors. The error is a
+// schema.CheckErrors with everything that is wrong.
+func Parse(name string, data []byte) (*Settings, error) {
+	f, err := schema.Read(name, data, Table())
 	if err != nil {
-		return nil, errors.Wrapf(err, "setup: %s", file)
+		return nil, err
+	}
+	plain := ini.Empty()
+	for _, p := range f.Parts() {
+		for _, key := range p.Keys() {
+			_, err = plain.Section(p.Section()).NewKey(key, p.Text(key))
+			if err != nil {
+				return nil, errors.Wrap(err, "setup: settings")
+			}
+		}
 	}
 	s := Default()
-	if err := f.StrictMapTo(&s); err != nil {
-		return nil, errors.Wrapf(err, "setup: %s", file)
+	if err := plain.StrictMapTo(&s); err != nil {
+		return nil, errors.Wrap(err, "setup: settings")
+	}
+	if problems := s.check(f); len(problems) > 0 {
+		return nil, problems
 	}
 	return &s, nil
 }
+
+// check finds values that don't go together.
+func (s *Settings) check(f *schema.File) schema.CheckErrors {
+	var problems schema.CheckErrors
+	if p := f.Part("links"); p != nil && s.Links.Silence < 2*s.Links.Ping {
+		problems = append(problems, f.Problem(p, "silence", "must be at least twice ping, which is "+s.Links.Ping.String()))
+	}
+	if p := f.Part("store"); p != nil && s.Store.Lease < s.Store.Timeout {
+		problems = append(problems, f.Problem(p, "lease", "must be at least timeout, which is "+s.Store.Timeout.String()))
+	}
+	return problems
+}
--- /dev/null
+++ b/setup/table.go
@@ -0,0 +1,132 @@
+package setup
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/queue"
+	"github.com/cowslipstage/cowslipstage/coordination/route"
+	"github.com/cowslipstage/cowslipstage/protocol/schema"
+)
+
+// The bounds of settings.
+const (
+	minSpan  = time.Millisecond
+	maxSpan  = 24 * time.Hour
+	maxPath  = 4096
+	maxText  = 256
+	maxBody  = 64 << 20
+	maxShard = 4096
+)
+
+// span is the type of most durations.
+var span = schema.Span{Min: minSpan, Max: maxSpan}
+
+// Table returns every section and key of settings files, with the defaults of
+// Default.
+func Table() schema.Table {
+	t := schema.Table{Sections: []schema.Section{
+		nodeSection(), storeSection(), hostsSection(), linksSection(), policySection(), shardsSection(),
+	}}
+	defaults(t)
+	return t
+}
+
+func nodeSection() schema.Section {
+	return schema.Section{Kind: "node", Doc: "Who the node is.", Keys: []schema.Key{
+		{Name: "name", Type: schema.Name{}, Required: true, Doc: "The node's name; no other node has it."},
+		{Name: "centre", Type: schema.Name{}, Doc: "The data centre."},
+		{Name: "listen", Type: schema.Address{}, Doc: "Where callers and operators connect."},
+		{Name: "link", Type: schema.Address{}, Doc: "Where other nodes connect."},
+		{Name: "data", Type: schema.Text{Max: maxPath}, Doc: "Folder for bulk data; without it the node keeps nothing."},
+		{Name: "body", Type: schema.Count{Min: 1 << 10, Max: maxBody}, Doc: "Bound of a request's body, in bytes."},
+		{Name: "grace", Type: span, Doc: "How long a planned stop waits for what is in flight."},
+	}}
+}
+
+func storeSection() schema.Section {
+	return schema.Section{Kind: "store", Doc: "The platform's key-value service.", Keys: []schema.Key{
+		{Name: "addr", Type: schema.Address{}, Required: true, Doc: "Where the service listens."},
+		{Name: "timeout", Type: span, Doc: "Bound of one call to the service."},
+		{Name: "lease", Type: span, Doc: "How long a node that doesn't renew keeps its claims."},
+	}}
+}
+
+func hostsSection() schema.Section {
+	return schema.Section{Kind: "hosts", Doc: "The platform's host list.", Keys: []schema.Key{
+		{Name: "addr", Type: schema.Address{}, Doc: "Where the list is served; without it no list is read."},
+		{Name: "poll", Type: span, Doc: "Time between two reads of the list."},
+	}}
+}
+
+func linksSection() schema.Section {
+	return schema.Section{Kind: "links", Doc: "The links between nodes.", Keys: []schema.Key{
+		{Name: "secret", Type: schema.Secret{Max: maxText}, Doc: "Key that nodes show each other."},
+		{Name: "ping", Type: span, Doc: "Time between two heartbeats on a link."},
+		{Name: "silence", Type: span, Doc: "A link that is silent for so long is replaced."},
+		{Name: "peers", Type: schema.List{Of: schema.Peer{}}, Doc: "Nodes to connect to before the store has answered."},
+	}}
+}
+
+func policySection() schema.Section {
+	return schema.Section{Kind: "policy", Doc: "How calls are scheduled.", Keys: []schema.Key{
+		{Name: "queue", Type: schema.Choice{Words: []string{string(queue.Attained), string(queue.Fifo)}}, Doc: "Order of the calls that wait."},
+		{Name: "route", Type: schema.Choice{Words: []string{
+			string(route.Finish), string(route.Round), string(route.Least), string(route.Sticky),
+		}}, Doc: "Choice of the endpoint."},
+		{Name: "seed", Type: schema.Count{Max: math.MaxInt64}, Doc: "Seed of the random choices."},
+		{Name: "load", Type: span, Doc: "Time between two reads of an endpoint's load."},
+	}}
+}
+
+func shardsSection() schema.Section {
+	return schema.Section{Kind: "shards", Doc: "How programs are divided between nodes; equal on all nodes.", Keys: []schema.Key{
+		{Name: "count", Type: schema.Count{Min: 1, Max: maxShard}, Doc: "Number of shards."},
+		{Name: "owners", Type: schema.Count{Max: maxShard}, Doc: "Bound of the nodes that own shards, and so of the store's load; 0 means no bound."},
+	}}
+}
+
+// defaults fills in each key's default from Default.
+func defaults(t schema.Table) {
+	values := Fields()
+	for _, s := range t.Sections {
+		for i := range s.Keys {
+			s.Keys[i].Default = values[s.Kind+" "+s.Keys[i].Name]
+		}
+	}
+}
+
+// Page returns the page of all settings for operators, in Markdown.
+func Page() string {
+	return "# Settings\n\nA node reads its settings once, at its start, from the file that `serve --config`\n" +
+		"names. `cowslipstage check FILE` checks such a file; `cowslipstage check --settings`\n" +
+		"prints this page, which is made from the same table. Lines that begin with `;` are\n" +
+		"comments; a value goes to the end of its line.\n" + schema.Page(Table())
+}
+
+// Fields returns the default of every field of Settings as "section key".
+func Fields() map[string]string {
+	found := map[string]string{}
+	all := reflect.ValueOf(Default())
+	for i := range all.NumField() {
+		section, kind := all.Field(i), all.Type().Field(i).Tag.Get("ini")
+		for j := range section.NumField() {
+			found[kind+" "+section.Type().Field(j).Tag.Get("ini")] = show(section.Field(j))
+		}
+	}
+	return found
+}
+
+func show(v reflect.Value) string {
+	if v.Kind() == reflect.Slice {
+		items := make([]string, v.Len())
+		for i := range items {
+			items[i] = fmt.Sprint(v.Index(i))
+		}
+		return strings.Join(items, ", ")
+	}
+	return fmt.Sprint(v.Interface())
+}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -15,8 +15,35 @@
 	// Tickets holds, for each object ("service sizing"), the number of the
 	// ticket that last set or removed it; removed objects keep their entry.
 	Tickets map[string]uint64 `cbor:"6,keyasint"`
-	// Applied holds the digest of each accepted ticket by number.
-	Applied map[uint64]string `cbor:"7,keyasint"`
+	// Applied holds the newest accepted tickets by number, at most MaxApplied.
+	Applied map[uint64]Applied `cbor:"7,keyasint"`
+	// Closed is the highest number that has left Applied; it never goes back,
+	// and no ticket with a number up to it changes anything any more.
+	Closed    uint64               `cbor:"8,keyasint,omitempty"`
+	Operators map[string]*Operator `cbor:"9,keyasint,omitempty"`
+}
+
+// MaxApplied bounds the accepted tickets that are remembered by number.
+const MaxApplied = 1024
+
+// MaxSize bounds the encoded configuration in bytes; the platform's
+// key-value service holds values of up to a megabyte.
+const MaxSize = 900 << 10
+
+// Applied is what is remembered of an accepted ticket.
+type Applied struct {
+	// Digest tells tickets with the same number apart.
+	Digest string `cbor:"1,keyasint"`
+	Author string `cbor:"2,keyasint,omitempty"`
+	Reason string `cbor:"3,keyasint,omitempty"`
+	// Revision is the first configuration that holds the ticket.
+	Revision uint64 `cbor:"4,keyasint"`
+}
+
+// Operator is who may read reports and traces.
+type Operator struct {
+	// Token is the operator's bearer token, kept as its SHA-256 in hex.
+	Token string `cbor:"1,keyasint"`
 }
 
 // Service is something callers can call.
@@ -52,6 +79,14 @@
 	Objective time.Duration `cbor:"16,keyasint,omitempty"`
 	// Target is the share of calls, between 0 and 1, that must meet Objective.
 	Target float64 `cbor:"17,keyasint,omitempty"`
+	// Rate is calls per second over all nodes; 0 means no bound.
+	Rate float64 `cbor:"18,keyasint,omitempty"`
+	// Burst is the calls that may come at once.
+	Burst int `cbor:"19,keyasint,omitempty"`
+	// Active bounds the calls under way over all nodes; 0 means no bound.
+	Active int `cbor:"20,keyasint,omitempty"`
+	// Waiting bounds the calls that wait for an endpoint at one node; 0 means no bound.
+	Waiting int `cbor:"21,keyasint,omitempty"`
 }
 
 // Operation is one operation of a plain service.
@@ -114,6 +149,7 @@
 		Customers: map[string]*Customer{},
 		Models:    map[string]*Model{},
 		Tickets:   map[string]uint64{},
-		Applied:   map[uint64]string{},
+		Applied:   map[uint64]Applied{},
+		Operators: map[string]*Operator{},
 	}
 }
