--- a/coordination/core/action.go
+++ b/coordination/core/action.go
@@ -41,6 +41,16 @@
 // Abort cancels an attempt whose answer is no longer wanted.
 type Abort struct{ Flight uint64 }
 
+// Inquire asks an endpoint what became of a call with an effect; the answer is
+// a Told event, also when the endpoint cannot be reached.
+type Inquire struct {
+	Inquiry  uint64
+	Endpoint string
+	Target   *config.Endpoint
+	Call     *call.Call
+	Epoch    uint64
+}
+
 // Append journals records; the answer is a Committed event with the same Ref.
 type Append struct {
 	Ref     uint64
@@ -82,6 +92,7 @@
 
 func (Dispatch) action() {}
 func (Abort) action()    {}
+func (Inquire) action()  {}
 func (Append) action()   {}
 func (Reply) action()    {}
 func (Release) action()  {}
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -55,6 +55,8 @@
 	flights map[uint64]*flight
 	// commits holds what waits for the journal, by reference.
 	commits map[uint64]commit
+	// inquiries holds the questions to endpoints without an answer, by number.
+	inquiries map[uint64]inquiry
 	// ready holds the calls that wait for an endpoint, by pool.
 	ready map[string]*queue.Queue
 	// dirty marks the pools that may be able to dispatch.
@@ -82,28 +84,29 @@
 func New(o Options) *Core {
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed))
 	return &Core{
-		options:  o,
-		config:   config.New(),
-		pools:    map[string][]string{},
-		shards:   map[int]*shard{},
-		requests: map[string]*request{},
-		routes:   map[Route]*request{},
-		lines:    map[string][]*request{},
-		refused:  map[Route]refusal{},
-		flights:  map[uint64]*flight{},
-		commits:  map[uint64]commit{},
-		ready:    map[string]*queue.Queue{},
-		dirty:    map[string]bool{},
-		router:   route.New(o.Route, random),
-		random:   random,
-		loads:    load.New(),
-		index:    cache.New(),
-		judge:    eject.New(),
-		hedger:   hedge.New(o.Hedge),
-		retries:  retry.New(time.Time{}),
-		firsts:   map[string]*pace.Pace{},
-		wholes:   map[string]*pace.Pace{},
-		leaving:  map[string]bool{},
+		options:   o,
+		config:    config.New(),
+		pools:     map[string][]string{},
+		shards:    map[int]*shard{},
+		requests:  map[string]*request{},
+		routes:    map[Route]*request{},
+		lines:     map[string][]*request{},
+		refused:   map[Route]refusal{},
+		flights:   map[uint64]*flight{},
+		commits:   map[uint64]commit{},
+		inquiries: map[uint64]inquiry{},
+		ready:     map[string]*queue.Queue{},
+		dirty:     map[string]bool{},
+		router:    route.New(o.Route, random),
+		random:    random,
+		loads:     load.New(),
+		index:     cache.New(),
+		judge:     eject.New(),
+		hedger:    hedge.New(o.Hedge),
+		retries:   retry.New(time.Time{}),
+		firsts:    map[string]*pace.Pace{},
+		wholes:    map[string]*pace.Pace{},
+		leaving:   map[string]bool{},
 	}
 }
 
@@ -135,6 +138,8 @@
 		c.committed(now, e)
 	case Started, Piece, Finished, Failed:
 		c.applyFlight(now, event)
+	case Told:
+		c.told(now, e)
 	case Reported, Cached, Held, Released, Listed, Shared:
 		c.applyEndpoint(now, event)
 	case Configured:
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -34,6 +34,7 @@
 	aborts     []core.Abort
 	releases   []core.Release
 	yields     []core.Yield
+	inquiries  []core.Inquire
 }
 
 func declared() *config.Config {
@@ -45,7 +46,7 @@
 	}}
 	for i := range 3 {
 		c.Endpoints[fmt.Sprintf("engine-%d", i)] = &config.Endpoint{Pool: "engines", Kind: "engine", Slots: 4}
-		c.Endpoints[fmt.Sprintf("desk-%d", i)] = &config.Endpoint{Pool: "desks", Kind: "desk", Slots: 4}
+		c.Endpoints[fmt.Sprintf("desk-%d", i)] = &config.Endpoint{Pool: "desks", Kind: "desk", Slots: 4, Tells: true}
 	}
 	return c
 }
@@ -82,6 +83,8 @@
 			r.releases = append(r.releases, a)
 		case core.Yield:
 			r.yields = append(r.yields, a)
+		case core.Inquire:
+			r.inquiries = append(r.inquiries, a)
 		}
 	}
 }
@@ -161,6 +164,21 @@
 		n.submit(book("a"))
 		Expect(n.dispatches).To(BeEmpty())
 		Expect(n.last().Outcome).To(Equal(answer.Unknown))
+		n.step(core.Told{Inquiry: n.inquiries[0].Inquiry, Found: true, Status: 200, Body: []byte("booked")})
+		n.commit()
+		n.submit(book("a"))
+		Expect(n.dispatches).To(BeEmpty())
+		Expect(n.last().Body).To(Equal([]byte("booked")))
+	})
+
+	It("asks the endpoint what became of a booking without an answer", func() {
+		r.submit(book("a"))
+		r.step(core.Failed{Flight: r.dispatches[0].Flight, Reason: "cut"})
+		Expect(r.replies).To(BeEmpty())
+		r.step(core.Told{Inquiry: r.inquiries[0].Inquiry})
+		r.commit()
+		Expect(r.last().Outcome).To(Equal(answer.Unknown))
+		Expect(r.dispatches).To(HaveLen(1))
 	})
 
 	It("counts an outstanding grant as spent, once, over two takeovers", func() {
--- a/coordination/core/event.go
+++ b/coordination/core/event.go
@@ -107,6 +107,16 @@
 	Usage answer.Usage
 }
 
+// Told is an endpoint's answer to an Inquire.
+type Told struct {
+	Inquiry uint64
+	// Found says that the call ran; Status and Body are then its answer. When
+	// it is false the call may still be on its way to the endpoint.
+	Found  bool
+	Status int
+	Body   []byte
+}
+
 // Reported is an endpoint's load, late as it is.
 type Reported struct {
 	Endpoint string
@@ -174,6 +184,7 @@
 func (Piece) event()       {}
 func (Finished) event()    {}
 func (Failed) event()      {}
+func (Told) event()        {}
 func (Reported) event()    {}
 func (Cached) event()      {}
 func (Held) event()        {}
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -338,10 +338,7 @@
 		return
 	}
 	if !r.repeatable() {
-		c.settle(now, r, &answer.Answer{
-			Outcome: answer.Unknown, Reason: reason,
-			Detail: "the endpoint gave no answer; the call may have run and will not run again",
-		})
+		c.resolve(now, f, reason)
 		return
 	}
 	if r.tries >= maxTries || !c.retries.Take(now) {
--- /dev/null
+++ b/coordination/core/inquire.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/prog"
+	"github.com/cowslipstage/cowslipstage/state/record"
+)
+
+// inquiry is a question to an endpoint about one call with an effect.
+type inquiry struct {
+	shard    *shard
+	program  *prog.Program
+	call     *call.Call
+	endpoint string
+	// request waits for the answer; it is nil after a takeover, when the
+	// callers have already been told that the outcome is unknown.
+	request *request
+	reason  string
+	// money is what the call costs if it ran.
+	money int64
+}
+
+// resolve settles a call with an effect whose endpoint gave no answer: by
+// asking the endpoint, where it can tell, and otherwise as unknown.
+func (c *Core) resolve(now time.Time, f *flight, reason string) {
+	r := f.request
+	target := c.config.Endpoints[f.endpoint]
+	if target == nil || !target.Tells {
+		c.settle(now, r, unknown(reason))
+		return
+	}
+	r.stage = settling
+	c.inquire(inquiry{
+		shard: r.shard, program: r.program, call: r.call, endpoint: f.endpoint,
+		request: r, reason: reason, money: f.reserved.money,
+	})
+}
+
+func unknown(reason string) *answer.Answer {
+	return &answer.Answer{
+		Outcome: answer.Unknown, Reason: reason,
+		Detail: "the endpoint gave no answer; the call may have run and will not run again",
+	}
+}
+
+func (c *Core) inquire(q inquiry) {
+	id := c.next()
+	c.inquiries[id] = q
+	c.do(Inquire{
+		Inquiry: id, Endpoint: q.endpoint, Target: c.config.Endpoints[q.endpoint],
+		Call: q.call, Epoch: q.shard.epoch,
+	})
+}
+
+// inquireIntents asks the endpoints about the calls that an earlier owner may
+// have dispatched.
+func (c *Core) inquireIntents(s *shard, p *prog.Program) {
+	for _, key := range slices.Sorted(maps.Keys(p.Intents())) {
+		i := p.Intent(key)
+		target := c.config.Endpoints[i.Endpoint]
+		if target == nil || !target.Tells {
+			continue
+		}
+		c.inquire(inquiry{shard: s, program: p, call: i.Call, endpoint: i.Endpoint, reason: "takeover"})
+	}
+}
+
+// told takes an endpoint's word. That it has not seen a call proves nothing:
+// the call may still be on its way.
+func (c *Core) told(now time.Time, e Told) {
+	q, ok := c.inquiries[e.Inquiry]
+	if !ok {
+		return
+	}
+	delete(c.inquiries, e.Inquiry)
+	if c.shards[q.shard.number] != q.shard {
+		return
+	}
+	a := unknown(q.reason)
+	if e.Found {
+		a = &answer.Answer{Outcome: answer.Done, Status: e.Status, Body: e.Body, Endpoint: q.endpoint}
+	}
+	switch {
+	case q.request != nil:
+		c.settleTold(now, q, a)
+	case e.Found && !q.shard.leaving:
+		tokens, money := q.program.Purse().Granted()
+		turn := &record.Turn{Call: q.call, Answer: a, Tokens: tokens, Money: money, Time: now}
+		c.journal(q.shard, []record.Record{{Turn: turn}}, nil)
+	}
+}
+
+func (c *Core) settleTold(now time.Time, q inquiry, a *answer.Answer) {
+	r := q.request
+	if c.requests[r.call.ID()] != r {
+		return
+	}
+	if a.Outcome == answer.Done {
+		// What the attempt reserved is spent as the call's own cost.
+		a.Usage.Money = q.money
+		r.program.Purse().Release(r.burnt.tokens, r.burnt.money)
+		r.burnt = need{}
+	}
+	c.settle(now, r, a)
+}
--- a/coordination/core/shard.go
+++ b/coordination/core/shard.go
@@ -53,6 +53,7 @@
 	var records []record.Record
 	for _, id := range slices.Sorted(maps.Keys(s.programs)) {
 		p := s.programs[id]
+		c.inquireIntents(s, p)
 		if tokens, money := p.Purse().Granted(); tokens > 0 || money > 0 {
 			records = append(records, record.Record{Forfeit: &record.Forfeit{Customer: p.Customer(), Program: p.ID()}})
 		}
--- a/node/control.go
+++ b/node/control.go
@@ -55,6 +55,8 @@
 		n.wait.Go(func() { n.dialer.Run(ctx, a) })
 	case core.Abort:
 		n.dialer.Abort(a.Flight)
+	case core.Inquire:
+		n.wait.Go(func() { n.dialer.Inquire(ctx, a) })
 	case core.Append:
 		n.append(a)
 	case core.Reply:
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -111,6 +111,8 @@
 	Centre string `cbor:"4,keyasint,omitempty"`
 	// Fencing tells whether the endpoint refuses old fencing numbers.
 	Fencing bool `cbor:"5,keyasint,omitempty"`
+	// Tells says that the endpoint can be asked for the outcome of a key.
+	Tells bool `cbor:"8,keyasint,omitempty"`
 	// Slots bounds the calls that all nodes together may have running there.
 	Slots int `cbor:"6,keyasint,omitempty"`
 	// Memory is the engine's cache size in tokens.
--- a/state/prog/prog.go
+++ b/state/prog/prog.go
@@ -84,7 +84,8 @@
 func (p *Program) settle(t *record.Turn) {
 	c := t.Call
 	delete(p.intents, c.Key)
-	if _, ok := p.settled[c.Key]; ok {
+	if old, ok := p.settled[c.Key]; ok {
+		p.correct(old, t)
 		return
 	}
 	p.purse.Settle(t)
@@ -106,6 +107,13 @@
 	}
 }
 
+// correct replaces an unknown outcome by the one that the endpoint told later.
+func (p *Program) correct(old, t *record.Turn) {
+	if old.Answer.Outcome == answer.Unknown && t.Answer.Outcome == answer.Done {
+		p.settled[t.Call.Key] = t
+	}
+}
+
 // Strip drops what an ended program needs no longer: its conversations and its
 // answers to calls that may be repeated. The keys of the others stay known.
 func (p *Program) Strip(repeatable func(*call.Call) bool) {
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -202,6 +203,39 @@
 	return text, usage, errors.Mark(errors.New("dialer: the stream ended without its end mark"), ErrEndpoint)
 }
 
+// inquiryTimeout bounds a question about an outcome.
+const inquiryTimeout = 2 * time.Second
+
+// Inquire asks an endpoint for the outcome of a call, and reports Told.
+func (d *Dialer) Inquire(ctx context.Context, q core.Inquire) {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	told := core.Told{Inquiry: q.Inquiry}
+	if status, body, err := d.outcome(ctx, q); err == nil {
+		told.Found, told.Status, told.Body = true, status, body
+	}
+	d.emit(told)
+}
+
+func (d *Dialer) outcome(ctx context.Context, q core.Inquire) (int, []byte, error) {
+	address := "http://" + q.Target.Addr + "/v1/outcome/" + url.PathEscape(q.Call.Key)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "dialer: request")
+	}
+	request.Header.Set("X-Program", q.Call.Owner())
+	response, err := d.http.Do(request)
+	if err != nil {
+		return 0, nil, errors.Mark(errors.Wrap(err, "dialer: outcome"), ErrEndpoint)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, nil, errors.Mark(errors.Newf("dialer: outcome: status %d", response.StatusCode), ErrEndpoint)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, 4<<20))
+	return response.StatusCode, body, errors.Wrap(err, "dialer: outcome")
+}
+
 // Release asks an engine to drop a program's memory.
 func (d *Dialer) Release(ctx context.Context, r core.Release) {
 	body, _ := json.Marshal(struct {
