Stand-ins with honest costs: batching by steps, block cache, faults on demand

The engine stand-in gave each call its own clock and a cache without memory, so queueing and lost cache could not show. It now runs a batch by steps with a prompt budget, keeps prefixes by blocks in limited memory, publishes load and cache events late, and accounts for memory held by ended programs. Desks fence and tell outcomes. Both misbehave on demand over POST /fault.

--- a/standin/desk/desk.go
+++ b/standin/desk/desk.go
@@ -5,53 +5,85 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/cowslipstage/cowslipstage/standin/fault"
 )
 
 // Options are how the desk behaves.
 type Options struct {
-	// Latency is how long an operation takes.
-	Latency time.Duration
+	// Latency is the median time that an operation takes.
+	Latency time.Duration `ini:"latency"`
+	// Spread is the standard deviation of the latency's logarithm; 0 makes it fixed.
+	Spread float64 `ini:"spread"`
 	// Fencing makes the desk refuse fencing numbers lower than the highest seen.
-	Fencing bool
+	Fencing bool `ini:"fencing"`
+	// Seed fixes the latencies.
+	Seed uint64 `ini:"seed"`
 }
 
 // Server is one desk. It is an http.Handler.
 type Server struct {
-	mux     http.Handler
+	handler http.Handler
 	options Options
+	fault   *fault.Knob
 
 	mu      sync.Mutex
 	leaving bool
+	random  *rand.Rand
+	// epochs is the highest fencing number by program.
+	epochs  map[string]uint64
 	ledger  []Entry
+	refused []Refusal
 }
 
 // Entry is one effect.
 type Entry struct {
-	Operation string `json:"operation"`
-	Key       string `json:"key"`
-	Program   string `json:"program"`
-	Epoch     string `json:"epoch"`
-	Body      string `json:"body"`
+	Operation string    `json:"operation"`
+	Key       string    `json:"key"`
+	Program   string    `json:"program"`
+	Epoch     string    `json:"epoch"`
+	Body      string    `json:"body"`
+	Came      time.Time `json:"came"`
+	// Ended is when the answer was ready; the effect is there from Came on.
+	Ended time.Time `json:"ended"`
+}
+
+// Refusal is a call that the desk did not take.
+type Refusal struct {
+	Program string    `json:"program"`
+	Key     string    `json:"key"`
+	Reason  string    `json:"reason"`
+	Time    time.Time `json:"time"`
 }
 
 // New returns a desk with an empty ledger.
 func New(o Options) *Server {
-	s := &Server{options: o}
+	s := &Server{
+		options: o, fault: fault.New(), epochs: map[string]uint64{},
+		random: rand.New(rand.NewPCG(o.Seed, 2)),
+	}
 	r := chi.NewRouter()
 	r.Post("/v1/{operation}", s.run)
+	r.Get("/v1/outcome/{key}", s.outcome)
 	r.Get("/ledger", s.getLedger)
 	r.Get("/load", s.load)
-	s.mux = r
+	s.handler = s.fault.Wrap(r)
 	return s
 }
 
+// Fault returns the desk's fault knob.
+func (s *Server) Fault() *fault.Knob { return s.fault }
+
 // ServeHTTP answers one call.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
@@ -62,23 +94,72 @@
 	e := Entry{
 		Operation: chi.URLParam(r, "operation"), Key: r.Header.Get("Idempotency-Key"),
 		Program: r.Header.Get("X-Program"), Epoch: r.Header.Get("X-Epoch"), Body: string(body),
+		Came: time.Now(),
 	}
-	s.mu.Lock()
-	if s.leaving {
-		s.mu.Unlock()
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	number, took, reason := s.enter(e)
+	switch reason {
+	case "":
+	case "fenced":
+		http.Error(w, reason, http.StatusConflict)
+		return
+	default:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
-	s.ledger = append(s.ledger, e)
-	number := len(s.ledger)
+	time.Sleep(took)
+	s.mu.Lock()
+	s.ledger[number-1].Ended = time.Now()
 	s.mu.Unlock()
-	time.Sleep(s.options.Latency)
 	reply(w, struct {
 		Number    int    `json:"number"`
 		Operation string `json:"operation"`
 	}{number, e.Operation})
 }
 
+// enter notes an effect, and returns its number and how long it takes, or why
+// it was refused.
+func (s *Server) enter(e Entry) (int, time.Duration, string) {
+	epoch, _ := strconv.ParseUint(e.Epoch, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reason := ""
+	switch {
+	case s.leaving:
+		reason = "leaving"
+	case s.options.Fencing && epoch < s.epochs[e.Program]:
+		reason = "fenced"
+	}
+	if reason != "" {
+		s.refused = append(s.refused, Refusal{Program: e.Program, Key: e.Key, Reason: reason, Time: e.Came})
+		return 0, 0, reason
+	}
+	s.epochs[e.Program] = max(epoch, s.epochs[e.Program])
+	s.ledger = append(s.ledger, e)
+	took := float64(s.options.Latency) * s.fault.Slow()
+	if s.options.Spread > 0 {
+		took *= math.Exp(s.options.Spread * s.random.NormFloat64())
+	}
+	return len(s.ledger), time.Duration(took), ""
+}
+
+// outcome tells whether an operation with this key ran.
+func (s *Server) outcome(w http.ResponseWriter, r *http.Request) {
+	key, program := chi.URLParam(r, "key"), r.Header.Get("X-Program")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, e := range s.ledger {
+		if e.Key == key && e.Program == program {
+			reply(w, struct {
+				Number    int    `json:"number"`
+				Operation string `json:"operation"`
+			}{i + 1, e.Operation})
+			return
+		}
+	}
+	http.Error(w, "unknown key", http.StatusNotFound)
+}
+
 // Leave makes the desk refuse new work.
 func (s *Server) Leave(leaving bool) {
 	s.mu.Lock()
@@ -93,6 +174,13 @@
 	return append([]Entry(nil), s.ledger...)
 }
 
+// Refused returns the calls that the desk did not take.
+func (s *Server) Refused() []Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Refusal(nil), s.refused...)
+}
+
 func (s *Server) getLedger(w http.ResponseWriter, _ *http.Request) { reply(w, s.Ledger()) }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,41 +1,49 @@
-// Package engine (stand-in) plays a model engine: it streams answers, caches
-// prompt prefixes and reports its load.
+// Package engine (stand-in) plays a model engine: it batches calls step by
+// step, caches prompt prefixes in limited memory, and reports late.
 package engine
 
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/cowslipstage/cowslipstage/standin/speech"
+	"github.com/cowslipstage/cowslipstage/standin/fault"
+	"github.com/cowslipstage/cowslipstage/standin/weight"
 	"github.com/cowslipstage/cowslipstage/state/call"
 )
 
-// Options are the engine's costs.
-type Options struct {
-	// Prefill is prompt tokens per second.
-	Prefill int
-	// Decode is the time between two tokens of one stream.
-	Decode time.Duration
-	// Slots bounds the calls running at once.
-	Slots int
-}
-
 // Server is one engine. It is an http.Handler.
 type Server struct {
-	mux     http.Handler
 	options Options
+	fault   *fault.Knob
+	weights *weight.Store
+	handler http.Handler
 
-	mu      sync.Mutex
-	running int
+	mu sync.Mutex
+	// busy tells whether the loop runs.
+	busy    bool
+	running []*run
+	waiting []*run
 	leaving bool
-	// held is the cached tokens by program.
-	held   map[string]int
-	ledger []Entry
+	role    string
+	cache   *cache
+	// epochs is the highest fencing number by program.
+	epochs map[string]uint64
+	// loaded is the models in memory; false while one is being loaded.
+	loaded  map[string]bool
+	ledger  []Entry
+	refused []Refusal
+	reports []report
+	events  []Event
+	serial  uint64
+	changed chan struct{}
+	random  *rand.Rand
 }
 
 // Entry is one line of the engine's ledger: a call that ran.
@@ -44,30 +52,63 @@
 	Agent   string `json:"agent"`
 	Key     string `json:"key"`
 	Epoch   string `json:"epoch"`
-	Digest  uint64 `json:"digest"`
-	Output  int    `json:"output"`
-	Done    bool   `json:"done"`
+	// Digest names the conversation that the engine saw.
+	Digest uint64 `json:"digest"`
+	Prompt int    `json:"prompt"`
+	Cached int    `json:"cached"`
+	Output int    `json:"output"`
+	Done   bool   `json:"done"`
+	// Came is when the call arrived, Started when it entered the batch.
+	Came    time.Time `json:"came"`
+	Started time.Time `json:"started"`
+	Ended   time.Time `json:"ended"`
+}
+
+// Refusal is a call that the engine did not take.
+type Refusal struct {
+	Program string    `json:"program"`
+	Key     string    `json:"key"`
+	Reason  string    `json:"reason"`
+	Time    time.Time `json:"time"`
 }
 
 // New returns an idle engine.
 func New(o Options) *Server {
-	s := &Server{options: o, held: map[string]int{}}
+	o = o.filled()
+	s := &Server{
+		options: o, fault: fault.New(), weights: weight.New(weight.Options{}),
+		cache: newCache(o), epochs: map[string]uint64{}, loaded: map[string]bool{},
+		changed: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 1)),
+	}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", s.chat)
-	r.Get("/load", s.load)
+	r.Get("/load", s.getLoad)
 	r.Post("/orders", s.order)
-	r.Get("/cache", s.cache)
+	r.Get("/cache", s.getCache)
+	r.Get("/events", s.getEvents)
 	r.Get("/ledger", s.getLedger)
-	s.mux = r
+	r.Post("/ended", s.postEnded)
+	s.handler = s.fault.Wrap(r)
 	return s
 }
 
+// Share makes the engine load its models through a weight store that others use too.
+func (s *Server) Share(w *weight.Store) *Server {
+	s.weights = w
+	return s
+}
+
+// Fault returns the engine's fault knob.
+func (s *Server) Fault() *fault.Knob { return s.fault }
+
 // ServeHTTP answers one call.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
 // chatBody is the usual chat-completions request with the engine's extensions.
 type chatBody struct {
 	Model     string         `json:"model"`
+	Adapter   string         `json:"adapter"`
+	Version   string         `json:"version"`
 	Messages  []call.Message `json:"messages"`
 	MaxTokens int            `json:"max_tokens"`
 	Priority  int            `json:"priority"`
@@ -84,59 +125,87 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !s.enter() {
-		http.Error(w, "leaving or full", http.StatusServiceUnavailable)
+	now := time.Now()
+	j := s.newRun(now, &q, r.Header.Get("X-Epoch"))
+	if status, reason := s.enter(now, j); reason != "" {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, reason, status)
 		return
 	}
-	defer s.exit()
-	s.stream(w, r, &q)
+	s.stream(w, r, j)
 }
 
-func (s *Server) enter() bool {
+// enter puts a run into the waiting queue unless the engine refuses it.
+func (s *Server) enter(now time.Time, r *run) (int, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving || s.running >= s.options.Slots {
-		return false
+	if status, reason := s.refusal(r); reason != "" {
+		s.refused = append(s.refused, Refusal{Program: r.body.Program, Key: r.body.Key, Reason: reason, Time: now})
+		return status, reason
 	}
-	s.running++
-	return true
+	r.links = s.cache.links(r.body.Messages)
+	s.waiting = append(s.waiting, r)
+	s.note(now)
+	if !s.busy {
+		s.busy = true
+		go s.loop()
+	}
+	return 0, ""
 }
 
-func (s *Server) exit() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running--
+func (s *Server) refusal(r *run) (int, string) {
+	switch {
+	case s.leaving:
+		return http.StatusServiceUnavailable, "leaving"
+	case s.role == "none":
+		return http.StatusServiceUnavailable, "role"
+	case len(s.waiting) >= s.options.Waiting:
+		return http.StatusServiceUnavailable, "full"
+	case s.options.Strict && !s.loaded[weight.Name(r.body.Model, r.body.Adapter, r.body.Version)]:
+		return http.StatusServiceUnavailable, "unloaded"
+	}
+	epoch, _ := strconv.ParseUint(r.epoch, 10, 64)
+	if !s.fence(r.body.Program, epoch) {
+		return http.StatusConflict, "fenced"
+	}
+	return 0, ""
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, q *chatBody) {
-	prompt := speech.Count(q.Messages)
-	cached := s.touch(q.Program, prompt)
-	time.Sleep(time.Second * time.Duration(prompt-cached) / time.Duration(s.options.Prefill))
+// fence notes a program's fencing number and tells whether it may act.
+func (s *Server) fence(program string, epoch uint64) bool {
+	if s.options.Fencing && epoch < s.epochs[program] {
+		return false
+	}
+	s.epochs[program] = max(epoch, s.epochs[program])
+	return true
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, j *run) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	count := min(q.MaxTokens, 16+int(speech.Digest(q.Messages)%32))
-	sent, output := 0, 0
-	for _, t := range speech.Tokens(q.Messages, count) {
-		sent += len(t)
-		if sent <= len(q.Partial) {
-			continue
-		}
+	offset := len(j.body.Partial)
+	for {
 		select {
-		case <-time.After(s.options.Decode):
+		case text, ok := <-j.out:
+			if !ok {
+				writeEnd(w, j)
+				return
+			}
+			writeChunk(w, j.body.Key, offset, text)
+			offset += len(text)
 		case <-r.Context().Done():
-			s.note(q, output, false)
+			s.cancel(time.Now(), j)
 			return
 		}
-		output++
-		s.chunk(w, t)
 	}
-	s.note(q, output, true)
-	s.usage(w, prompt, cached, output)
 }
 
-func (s *Server) chunk(w http.ResponseWriter, text string) {
+// writeChunk writes a part of an answer; offset is its position in bytes.
+func writeChunk(w http.ResponseWriter, key string, offset int, text string) {
 	data, _ := json.Marshal(struct {
-		Choices []any `json:"choices"`
-	}{[]any{struct {
+		ID      string `json:"id"`
+		Offset  int    `json:"offset"`
+		Choices []any  `json:"choices"`
+	}{key, offset, []any{struct {
 		Delta any `json:"delta"`
 	}{struct {
 		Content string `json:"content"`
@@ -145,26 +214,13 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-func (s *Server) usage(w http.ResponseWriter, prompt, cached, output int) {
-	_, _ = fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,"+
-		"\"cached_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", prompt, cached, output)
-}
-
-func (s *Server) touch(program string, prompt int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cached := min(s.held[program], prompt)
-	s.held[program] = prompt
-	return cached
-}
-
-func (s *Server) note(q *chatBody, output int, done bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger = append(s.ledger, Entry{
-		Program: q.Program, Agent: q.Agent, Key: q.Key,
-		Digest: speech.Digest(q.Messages), Output: output, Done: done,
-	})
+// writeEnd writes the end of an answer. A cancelled run has no end mark.
+func writeEnd(w http.ResponseWriter, j *run) {
+	if !j.done {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,"+
+		"\"cached_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", j.body.Key, j.prompt, j.cached, j.output)
 }
 
 // Leave makes the engine refuse new work.
@@ -172,6 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = leaving
+	s.note(time.Now())
 }
 
 // Ledger returns the calls that ran.
@@ -181,45 +238,27 @@
 	return append([]Entry(nil), s.ledger...)
 }
 
-func (s *Server) getLedger(w http.ResponseWriter, _ *http.Request) { reply(w, s.Ledger()) }
-
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+// Refused returns the calls that the engine did not take.
+func (s *Server) Refused() []Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cached := 0
-	for _, n := range s.held {
-		cached += n
-	}
-	reply(w, struct {
-		Running int       `json:"running"`
-		Cached  int       `json:"cached"`
-		Leaving bool      `json:"leaving"`
-		Taken   time.Time `json:"taken"`
-	}{s.running, cached, s.leaving, time.Now()})
+	return append([]Refusal(nil), s.refused...)
 }
 
-func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+func (s *Server) getLedger(w http.ResponseWriter, _ *http.Request) { reply(w, s.Ledger()) }
+
+func (s *Server) getCache(w http.ResponseWriter, _ *http.Request) { reply(w, s.Held()) }
+
+func (s *Server) postEnded(w http.ResponseWriter, r *http.Request) {
 	var q struct {
-		Kind    string `json:"kind"`
-		Program string `json:"program"`
-		Epoch   uint64 `json:"epoch"`
+		Programs []string `json:"programs"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if q.Kind == "release" {
-		delete(s.held, q.Program)
-	}
-	reply(w, struct{}{})
-}
-
-func (s *Server) cache(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	reply(w, s.held)
+	s.Ended(time.Now(), q.Programs...)
+	reply(w, s.Usage(time.Now()))
 }
 
 func reply(w http.ResponseWriter, body any) {
--- a/standin/speech/speech.go
+++ b/standin/speech/speech.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,14 +21,23 @@
 
 // Digest names a conversation.
 func Digest(messages []call.Message) uint64 {
-	d := xxhash.New()
-	for _, m := range messages {
-		_, _ = d.WriteString(m.Role)
-		_, _ = d.WriteString("\x00")
-		_, _ = d.WriteString(m.Content)
-		_, _ = d.WriteString("\x01")
+	text, _ := Bytes(messages)
+	return xxhash.Sum64(text)
+}
+
+// Bytes returns a conversation as one text, and how much of its beginning is
+// the system prompt.
+func Bytes(messages []call.Message) (text []byte, system int) {
+	for i, m := range messages {
+		text = append(text, m.Role...)
+		text = append(text, 0)
+		text = append(text, m.Content...)
+		text = append(text, 1)
+		if i == 0 && m.Role == "system" {
+			system = len(text)
+		}
 	}
-	return d.Sum64()
+	return text, system
 }
 
 // Tokens returns the answer to a conversation as count tokens; the first one
@@ -47,14 +58,35 @@
 	return strings.Join(Tokens(messages, count), "")
 }
 
-// charsPerToken is how the stand-ins count prompt tokens.
-const charsPerToken = 4
+// mark is how a message asks for the length of its answer.
+var mark = regexp.MustCompile(`\[tokens=(\d{1,6})\]`)
+
+// Mark returns the text by which a message asks for an answer of count tokens.
+func Mark(count int) string { return fmt.Sprintf("[tokens=%d]", count) }
+
+// Length returns how many tokens the answer to a conversation has: what its
+// last message asks for, within the bound.
+func Length(messages []call.Message, bound int) int {
+	count := 16 + int(Digest(messages)%32)
+	if len(messages) > 0 {
+		if m := mark.FindStringSubmatch(messages[len(messages)-1].Content); m != nil {
+			count, _ = strconv.Atoi(m[1])
+		}
+	}
+	if bound > 0 {
+		count = min(count, bound)
+	}
+	return max(count, 1)
+}
+
+// CharsPerToken is how the stand-ins count prompt tokens.
+const CharsPerToken = 4
 
 // Count returns the prompt length of a conversation, in tokens.
 func Count(messages []call.Message) int {
 	n := 0
 	for _, m := range messages {
-		n += 4 + len(m.Content)/charsPerToken
+		n += len(m.Role) + len(m.Content) + 2
 	}
-	return n
+	return n / CharsPerToken
 }
