--- a/bench/client/client.go
+++ b/bench/client/client.go
@@ -63,11 +63,14 @@
 	End       bool
 }
 
+// NewKey returns a fresh idempotency key.
+func NewKey() string { return uuid.NewString() }
+
 // Do sends a request and waits for its complete answer. A call whose answer
 // does not arrive is sent again with its key, through the next node.
 func (c *Client) Do(ctx context.Context, r Request) (Result, error) {
 	if r.Key == "" {
-		r.Key = uuid.NewString()
+		r.Key = NewKey()
 	}
 	var last error
 	for tries := 1; tries <= maxTries; tries++ {
--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gopkg.in/ini.v1"
@@ -21,6 +22,7 @@
 	"github.com/cowslipstage/cowslipstage/setup"
 	"github.com/cowslipstage/cowslipstage/standin/desk"
 	"github.com/cowslipstage/cowslipstage/standin/engine"
+	"github.com/cowslipstage/cowslipstage/standin/fault"
 	"github.com/cowslipstage/cowslipstage/standin/hosts"
 	"github.com/cowslipstage/cowslipstage/standin/keyval"
 	"github.com/cowslipstage/cowslipstage/state/config"
@@ -88,6 +90,9 @@
 		return "", errors.Wrap(err, "local: listening")
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	if f, ok := h.(interface{ Fault() *fault.Knob }); ok {
+		f.Fault().Track(s)
+	}
 	d.servers = append(d.servers, s)
 	d.wait.Go(func() { _ = s.Serve(l) })
 	return l.Addr().String(), nil
@@ -129,10 +134,14 @@
 
 func (d *Deployment) standin(name, kind string) http.Handler {
 	if kind == "engine" {
-		d.engines[name] = engine.New(d.options.Engine)
+		o := d.options.Engine
+		o.Seed += xxhash.Sum64String(name)
+		d.engines[name] = engine.New(o)
 		return d.engines[name]
 	}
-	d.desks[name] = desk.New(d.options.Desk)
+	o := d.options.Desk
+	o.Seed += xxhash.Sum64String(name)
+	d.desks[name] = desk.New(o)
 	return d.desks[name]
 }
 
