Reserve by bounds, and give the urgent class a queue of its own

Cause: a reservation estimated its prompt at three bytes a token, so a program could be charged beyond its budget; a call of a lower class at the head of a pool's queue held up the urgent class behind it, though slots were kept for that class. Change: reservations count one token a byte for what is not counted yet; two queues per pool; the baselines know no classes.

--- a/coordination/core/admit.go
+++ b/coordination/core/admit.go
@@ -76,14 +76,14 @@
 // that its caller knows at once.
 func (c *Core) overload(now time.Time, r *request) *answer.Answer {
 	pool := r.service.Pool
-	q, slots := c.ready[pool], c.slots(pool)
-	if q == nil || slots == 0 || q.Len() < slots {
+	waiting, slots := c.ready[pool].len(), c.slots(pool)
+	if slots == 0 || waiting < slots {
 		return nil
 	}
-	if q.Len() > queueFactor*slots {
-		return refuse("overload", "too many calls wait for the service", c.wait(pool, q.Len()-queueFactor*slots))
+	if waiting > queueFactor*slots {
+		return refuse("overload", "too many calls wait for the service", c.wait(pool, waiting-queueFactor*slots))
 	}
-	wait := c.wait(pool, q.Len())
+	wait := c.wait(pool, waiting)
 	if r.service.Class > 0 && now.Add(wait).After(r.deadline) {
 		return refuse("overload", "the call cannot be answered by its deadline", max(time.Second, wait-r.deadline.Sub(now)))
 	}
@@ -145,9 +145,7 @@
 	for _, w := range r.waiters {
 		delete(c.routes, w.route)
 	}
-	if q := c.ready[r.service.Pool]; q != nil {
-		q.Remove(id)
-	}
+	c.unqueue(r)
 	if r.shard.active[owner]--; r.shard.active[owner] == 0 {
 		delete(r.shard.active, owner)
 	}
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -58,7 +58,7 @@
 	// inquiries holds the questions to endpoints without an answer, by number.
 	inquiries map[uint64]inquiry
 	// ready holds the calls that wait for an endpoint, by pool.
-	ready map[string]*queue.Queue
+	ready map[string]*lanes
 	// dirty marks the pools that may be able to dispatch.
 	dirty   map[string]bool
 	router  *route.Router
@@ -95,7 +95,7 @@
 		flights:   map[uint64]*flight{},
 		commits:   map[uint64]commit{},
 		inquiries: map[uint64]inquiry{},
-		ready:     map[string]*queue.Queue{},
+		ready:     map[string]*lanes{},
 		dirty:     map[string]bool{},
 		router:    route.New(o.Route, random),
 		random:    random,
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -32,7 +32,7 @@
 	if r.operation != nil {
 		return need{money: r.operation.Money}
 	}
-	return need{tokens: int64(r.prompt() + r.output())}
+	return need{tokens: int64(r.longest() + r.output())}
 }
 
 func (r *request) repeatable() bool { return r.operation == nil || r.operation.Idempotent }
@@ -254,9 +254,7 @@
 // settle records a final answer and releases it to the callers once it is
 // safe. What failed and cancelled attempts may have spent counts as spent.
 func (c *Core) settle(now time.Time, r *request, a *answer.Answer) {
-	if q := c.ready[r.service.Pool]; q != nil {
-		q.Remove(r.call.ID())
-	}
+	c.unqueue(r)
 	r.stage = settling
 	c.burn(r)
 	p := r.program.Purse()
@@ -293,7 +291,7 @@
 	if r.operation != nil || r.call.End {
 		return 0
 	}
-	return int64(a.Usage.Prompt + a.Usage.Output + r.output() + headroomTokens)
+	return int64(a.Usage.Prompt + a.Usage.Output + r.output() + len(r.service.Prompt) + headroomTokens)
 }
 
 // headroomTokens is the room for the next call's new messages.
--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/coordination/pace"
@@ -9,9 +11,8 @@
 	"github.com/cowslipstage/cowslipstage/state/answer"
 )
 
-// charsPerToken estimates a prompt's length before the endpoint has counted
-// it; it is low, so that reservations cover the real length.
-const charsPerToken = 3
+// charsPerToken estimates a prompt's length before the endpoint has counted it.
+const charsPerToken = 4
 
 // messageTokens is the length of a message's frame, in tokens.
 const messageTokens = 8
@@ -24,13 +25,27 @@
 	if r.operation != nil {
 		return 1
 	}
+	return r.program.Tokens(r.call.Agent) + r.added()/charsPerToken + r.frames()
+}
+
+// longest is the most tokens that the prompt can have: a token is at least one
+// byte of text, and the conversation so far was counted by the endpoint.
+func (r *request) longest() int {
+	return r.program.Tokens(r.call.Agent) + r.added() + r.frames()
+}
+
+// added is the text that the endpoint has not counted yet, in bytes.
+func (r *request) added() int {
 	n := len(r.service.Prompt) + len(r.text)
 	for _, m := range r.call.Messages {
 		n += len(m.Content)
 	}
-	return r.program.Tokens(r.call.Agent) + n/charsPerToken + messageTokens*(len(r.call.Messages)+1)
+	return n
 }
 
+// frames is the tokens around the messages' texts.
+func (r *request) frames() int { return messageTokens * (len(r.call.Messages) + 2) }
+
 // output is the most tokens that the call may generate.
 func (r *request) output() int {
 	bound := r.service.Output
@@ -43,33 +58,71 @@
 	return bound
 }
 
+// lanes are the calls that wait for one pool. The most urgent class has a
+// queue of its own, since only it may use the reserved slots.
+type lanes struct {
+	// classless is set for the baselines, which know no classes.
+	classless bool
+	urgent *queue.Queue
+	other  *queue.Queue
+}
+
+func (l *lanes) len() int {
+	if l == nil {
+		return 0
+	}
+	return l.urgent.Len() + l.other.Len()
+}
+
+// of returns the queue for a class.
+func (l *lanes) of(class int) *queue.Queue {
+	if class == 0 && !l.classless {
+		return l.urgent
+	}
+	return l.other
+}
+
 // enqueue lets a request wait for an endpoint.
 func (c *Core) enqueue(r *request) {
 	r.stage = ready
 	pool := r.service.Pool
-	q := c.ready[pool]
-	if q == nil {
-		q = queue.New(c.options.Queue)
-		c.ready[pool] = q
+	l := c.ready[pool]
+	if l == nil {
+		l = &lanes{
+			classless: c.options.Queue == queue.Fifo,
+			urgent:    queue.New(c.options.Queue), other: queue.New(c.options.Queue),
+		}
+		c.ready[pool] = l
 	}
 	tokens, _ := r.program.Purse().Spent()
-	q.Push(queue.Item{ID: r.call.ID(), Class: r.service.Class, Attained: tokens, Arrived: r.readied})
+	l.of(r.service.Class).Push(queue.Item{
+		ID: r.call.ID(), Class: r.service.Class, Attained: tokens, Arrived: r.readied,
+	})
 	c.dirty[pool] = true
 }
 
+// unqueue takes a request out of its queue, if it waits in one.
+func (c *Core) unqueue(r *request) {
+	if l := c.ready[r.service.Pool]; l != nil {
+		l.of(r.service.Class).Remove(r.call.ID())
+	}
+}
+
 // schedule dispatches ready calls while endpoints have room.
 func (c *Core) schedule(now time.Time) {
 	for len(c.dirty) > 0 {
-		for pool := range c.dirty {
+		for _, pool := range slices.Sorted(maps.Keys(c.dirty)) {
 			delete(c.dirty, pool)
-			c.drainPool(now, pool)
+			if l := c.ready[pool]; l != nil {
+				c.drainQueue(now, l.urgent)
+				c.drainQueue(now, l.other)
+			}
 		}
 	}
 }
 
-func (c *Core) drainPool(now time.Time, pool string) {
-	q := c.ready[pool]
-	for q != nil {
+func (c *Core) drainQueue(now time.Time, q *queue.Queue) {
+	for {
 		i, ok := q.First()
 		if !ok {
 			return
@@ -139,7 +192,7 @@
 		return true
 	}
 	slots := max(1, int(float64(e.Slots)*c.judge.Share(now, name)))
-	if r.service.Class > 0 {
+	if r.service.Class > 0 && c.options.Queue != queue.Fifo {
 		// A few slots are kept for the most urgent class.
 		slots = max(1, slots-slots/reservedPart)
 	}
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -18,8 +18,8 @@
 	for _, s := range c.ordered() {
 		c.hasten(now, s)
 	}
-	for pool, q := range c.ready {
-		if q.Len() > 0 {
+	for pool, l := range c.ready {
+		if l.len() > 0 {
 			c.dirty[pool] = true
 		}
 	}
