--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -63,8 +63,8 @@
 type lanes struct {
 	// classless is set for the baselines, which know no classes.
 	classless bool
-	urgent *queue.Queue
-	other  *queue.Queue
+	urgent    *queue.Queue
+	other     *queue.Queue
 }
 
 func (l *lanes) len() int {
