Callers: strict requests, tokens, honest outcomes, streams that are noticed when silent

Cause: the edge passed an owner's 'not run' on although an earlier owner may have run the call, joined streamed text in quadratic time, accepted any id, asked no tokens, and a waiting stream gave no sign of life. Change: the edge keeps the owners it has asked and turns a doubtful refusal into 'unknown'; text that differs ends as diverged; a gap is asked for once; ids, numbers and sizes are checked; customers' and operators' tokens; SSE comments and write deadlines; usage, finish_reason and content parts as callers' libraries expect; fetch streams, and finds calls without a program by their key.

--- a/node/control.go
+++ b/node/control.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/transport/edge"
 	"github.com/cowslipstage/cowslipstage/transport/links"
 )
 
@@ -85,7 +86,7 @@
 func (n *Node) reply(a core.Reply) {
 	r := frame.Reply{Stream: a.To.Stream, Offset: a.Offset, Text: a.Text, Final: a.Final, Moved: a.Moved, Touched: a.Touched}
 	if a.To.Node == n.settings.Node.Name {
-		n.edge.Deliver(r)
+		n.edge.Deliver(a.To.Node, r)
 		return
 	}
 	n.send(a.To.Node, frame.TopicReply, r)
@@ -103,20 +104,22 @@
 	return n.links.Publish(topic, m) == nil
 }
 
-// toOwner takes a request to the owner of its program.
-func (n *Node) toOwner(customer, program, stream, topic string, body any) {
+// toOwner takes a request to the owner of its program, and returns the owner
+// that it was sent to.
+func (n *Node) toOwner(customer, program, stream, topic string, body any) edge.Owner {
 	shard := call.Shard(customer, program, n.settings.Shards.Count)
 	n.mu.Lock()
 	o, ok := n.owners[shard]
 	n.mu.Unlock()
+	local := ok && o.node == n.settings.Node.Name
 	switch {
-	case !ok || o.node == "":
-		n.edge.Deliver(frame.Reply{Stream: stream, Moved: true})
-	case o.node == n.settings.Node.Name:
+	case local:
 		n.accept(o.node, body)
-	case !n.send(o.node, topic, body):
-		n.edge.Deliver(frame.Reply{Stream: stream, Moved: true})
+	case !ok || o.node == "" || !n.send(o.node, topic, body):
+		n.edge.Deliver("", frame.Reply{Stream: stream, Moved: true})
+		return edge.Owner{}
 	}
+	return edge.Owner{Node: o.node, Epoch: o.epoch}
 }
 
 // accept turns a node's request into an event.
@@ -147,7 +150,7 @@
 	handle(n, r, frame.TopicAsk, func(from string, b frame.Ask) { n.accept(from, b) })
 	handle(n, r, frame.TopicClose, func(from string, b frame.Close) { n.accept(from, b) })
 	handle(n, r, frame.TopicLeave, func(from string, b frame.Leave) { n.accept(from, b) })
-	handle(n, r, frame.TopicReply, func(_ string, b frame.Reply) { n.edge.Deliver(b) })
+	handle(n, r, frame.TopicReply, func(from string, b frame.Reply) { n.edge.Deliver(from, b) })
 	handle(n, r, frame.TopicGossip, func(_ string, b frame.Gossip) { n.hear(b) })
 	handle(n, r, frame.TopicWant, func(from string, b frame.Want) { n.want(from, b) })
 	handle(n, r, frame.TopicConfig, func(_ string, b frame.Config) { n.learn(b.Data) })
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,15 @@
 	cancel  context.CancelFunc
 }
 
+const (
+	// callerBeat is the time between two signs of life to a waiting caller.
+	callerBeat = 5 * time.Second
+	// callerStall bounds one write to a caller.
+	callerStall = 10 * time.Second
+	// maxHeader bounds a caller's headers in bytes.
+	maxHeader = 64 << 10
+)
+
 // mailboxLength bounds the events that wait for the control goroutine.
 const mailboxLength = 65536
 
@@ -116,6 +125,7 @@
 	n.dialer = dialer.New(n.emit)
 	n.edge = edge.New(edge.Options{
 		Silence: s.Links.Silence / 2, MaxBody: s.Node.Body, Patience: time.Minute,
+		Beat: callerBeat, Stall: callerStall, Config: n.current,
 	}, backend{n}, n.log)
 	return n
 }
@@ -164,7 +174,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "node: listening on %s", addr)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader}
 	n.servers = append(n.servers, s)
 	n.wait.Go(func() { _ = s.Serve(l) })
 	return nil
@@ -220,19 +230,19 @@
 // backend takes the edge's requests to the owners.
 type backend struct{ n *Node }
 
-func (b backend) Submit(s frame.Submit) {
+func (b backend) Submit(s frame.Submit) edge.Owner {
 	if s.Call.Digest == 0 {
 		s.Call.Digest = s.Call.Sum()
 	}
-	b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
+	return b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
 }
 
-func (b backend) Ask(a frame.Ask) {
-	b.n.toOwner(a.Customer, a.Program, a.Stream, frame.TopicAsk, a)
+func (b backend) Ask(a frame.Ask) edge.Owner {
+	return b.n.toOwner(a.Customer, a.Program, a.Stream, frame.TopicAsk, a)
 }
 
-func (b backend) Close(c frame.Close) {
-	b.n.toOwner(c.Customer, c.Program, c.Stream, frame.TopicClose, c)
+func (b backend) Close(c frame.Close) edge.Owner {
+	return b.n.toOwner(c.Customer, c.Program, c.Stream, frame.TopicClose, c)
 }
 
 func (b backend) Leave(stream, customer, program string) {
--- a/protocol/caller/caller.go
+++ b/protocol/caller/caller.go
@@ -3,15 +3,15 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/call"
 )
 
@@ -27,143 +27,201 @@
 	HeaderEnd      = "X-End"
 )
 
+// HeaderOutcome tells a caller the outcome of an answer that is not streamed.
+const HeaderOutcome = "X-Outcome"
+
+// The bounds of what callers send.
+const (
+	// MaxID bounds each id and key in bytes.
+	MaxID = 128
+	// MaxDeadline bounds how long a caller may wait.
+	MaxDeadline = time.Hour
+	// MaxMessages bounds the messages of one call.
+	MaxMessages = 4096
+	// MaxOutput bounds max_tokens.
+	MaxOutput = 1 << 20
+)
+
 // ErrBad means that a request is malformed; its text names the field.
 var ErrBad = errors.New("caller: bad request")
 
 // Chat is a decoded chat-completions request.
 type Chat struct {
-	Model     string         `json:"model"`
-	Messages  []call.Message `json:"messages"`
-	MaxTokens int            `json:"max_tokens"`
-	Stream    bool           `json:"stream"`
+	Model     string
+	Messages  []call.Message
+	MaxTokens int
+	Stream    bool
+	// Program is metadata.program; the header goes before it.
+	Program string
 }
 
-// ParseChat decodes a chat-completions body.
+// ParseChat decodes a chat-completions body. Fields that it does not know are
+// ignored, as callers' libraries send many.
 func ParseChat(data []byte) (*Chat, error) {
-	var c Chat
-	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&c); err != nil {
-		return nil, bad("body: %s", err)
+	var b struct {
+		Model     string    `json:"model"`
+		Messages  []message `json:"messages"`
+		MaxTokens *int      `json:"max_tokens"`
+		// Newer is the newer name of max_tokens.
+		Newer    *int `json:"max_completion_tokens"`
+		N        *int `json:"n"`
+		Stream   bool `json:"stream"`
+		Metadata struct {
+			Program string `json:"program"`
+		} `json:"metadata"`
+	}
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, bad("body: %s", explain(err))
+	}
+	c := &Chat{Model: b.Model, Stream: b.Stream, Program: b.Metadata.Program}
+	for _, bound := range []*int{b.MaxTokens, b.Newer} {
+		if bound == nil {
+			continue
+		}
+		if *bound < 1 || *bound > MaxOutput {
+			return nil, bad("max_tokens: must be from 1 to %d", MaxOutput)
+		}
+		c.MaxTokens = *bound
 	}
 	switch {
-	case c.Model == "":
-		return nil, bad("model: must name a service")
-	case len(c.Messages) == 0:
-		return nil, bad("messages: must not be empty")
-	case c.MaxTokens < 0:
-		return nil, bad("max_tokens: must not be negative")
-	}
-	return &c, nil
+	case !printable(b.Model):
+		return nil, bad("model: must name a service in up to %d printable characters", MaxID)
+	case len(b.Messages) == 0 || len(b.Messages) > MaxMessages:
+		return nil, bad("messages: must be from 1 to %d", MaxMessages)
+	case b.N != nil && *b.N != 1:
+		return nil, bad("n: only 1 answer is given")
+	}
+	for i, m := range b.Messages {
+		text, err := m.text()
+		if err != nil {
+			return nil, bad("messages[%d].%s", i, err)
+		}
+		c.Messages = append(c.Messages, call.Message{Role: m.Role, Content: text})
+	}
+	return c, nil
+}
+
+// message is a message whose content may be text or a list of text parts.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// text joins the parts of a message.
+func (m message) text() (string, error) {
+	switch m.Role {
+	case "system", "user", "assistant", "tool":
+	default:
+		return "", fmt.Errorf("role: must be system, user, assistant or tool")
+	}
+	raw := strings.TrimSpace(string(m.Content))
+	if raw == "" || raw == "null" {
+		return "", nil
+	}
+	var whole string
+	if json.Unmarshal(m.Content, &whole) == nil {
+		return whole, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return "", fmt.Errorf("content: must be text or a list of text parts")
+	}
+	var b strings.Builder
+	for i, p := range parts {
+		if p.Type != "text" {
+			return "", fmt.Errorf("content[%d].type: must be text", i)
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+// explain names the field of a JSON error without the decoder's Go types.
+func explain(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf("%s: a JSON %s is not allowed here", wrong.Field, wrong.Value)
+	}
+	return "not valid JSON: " + err.Error()
 }
 
 func bad(format string, args ...any) error {
-	return errors.Mark(errors.Newf("caller: "+format, args...), ErrBad)
+	return errors.Mark(errors.Newf(format, args...), ErrBad)
+}
+
+// printable tells whether s is an id: printable ASCII without a slash.
+func printable(s string) bool {
+	return s != "" && path(s) && !strings.Contains(s, "/")
 }
 
-// Fill sets what a request's headers say about a call.
+// path tells whether s is printable ASCII of up to MaxID bytes.
+func path(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return len(s) <= MaxID
+}
+
+// CheckID returns an error unless an id is well formed; name is for the error.
+func CheckID(name, id string) error {
+	if !printable(id) {
+		return bad("%s: must be 1 to %d printable characters without space or slash", name, MaxID)
+	}
+	return nil
+}
+
+// Fill sets what the headers say about a call; ids that callers may leave out
+// stay empty.
 func Fill(c *call.Call, h http.Header, now time.Time) error {
 	c.Received = now
-	c.Customer = h.Get(HeaderCustomer)
-	c.Program = h.Get(HeaderProgram)
-	c.Agent = h.Get(HeaderAgent)
-	c.Key = h.Get(HeaderKey)
-	c.End = h.Get(HeaderEnd) == "true"
+	c.Agent, c.Key = h.Get(HeaderAgent), h.Get(HeaderKey)
+	if p := h.Get(HeaderProgram); p != "" {
+		c.Program = p
+	}
+	for _, id := range []struct{ name, value string }{{HeaderProgram, c.Program}, {HeaderKey, c.Key}} {
+		if id.value == "" {
+			continue
+		}
+		if err := CheckID(id.name, id.value); err != nil {
+			return err
+		}
+	}
+	if !path(c.Agent) {
+		return bad("%s: must be up to %d printable characters without space", HeaderAgent, MaxID)
+	}
+	return fillNumbers(c, h, now)
+}
+
+func fillNumbers(c *call.Call, h http.Header, now time.Time) error {
 	var err error
+	switch v := h.Get(HeaderEnd); v {
+	case "", "false":
+	case "true":
+		c.End = true
+	default:
+		return bad("%s: must be true or false", HeaderEnd)
+	}
 	if v := h.Get(HeaderSeq); v != "" {
-		if c.Seq, err = strconv.ParseUint(v, 10, 63); err != nil {
-			return bad("%s: %q is no number", HeaderSeq, v)
+		if c.Seq, err = strconv.ParseUint(v, 10, 62); err != nil || c.Seq == 0 {
+			return bad("%s: must be a whole number from 1", HeaderSeq)
 		}
 	}
 	if v := h.Get(HeaderTries); v != "" {
 		if c.Tries, err = strconv.Atoi(v); err != nil || c.Tries < 1 {
-			return bad("%s: %q is no number from 1", HeaderTries, v)
+			return bad("%s: must be a whole number from 1", HeaderTries)
 		}
 	}
 	if v := h.Get(HeaderDeadline); v != "" {
-		ms, err := strconv.Atoi(v)
-		if err != nil || ms < 1 {
-			return bad("%s: %q is no number of milliseconds", HeaderDeadline, v)
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms < 1 || ms > MaxDeadline.Milliseconds() {
+			return bad("%s: must be from 1 to %d milliseconds", HeaderDeadline, MaxDeadline.Milliseconds())
 		}
 		c.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	return nil
 }
-
-// Status maps an answer to the HTTP status that callers get.
-func Status(a *answer.Answer) int {
-	switch {
-	case a.Outcome == answer.Done && a.Status != 0:
-		return a.Status
-	case a.Outcome == answer.Done:
-		return http.StatusOK
-	case a.Outcome == answer.Unknown:
-		return http.StatusBadGateway
-	}
-	switch a.Reason {
-	case "service", "operation", "key":
-		return http.StatusNotFound
-	case "budget", "turns":
-		return http.StatusPaymentRequired
-	case "ended", "order":
-		return http.StatusConflict
-	case "limit":
-		return http.StatusTooManyRequests
-	case "bad":
-		return http.StatusBadRequest
-	}
-	return http.StatusServiceUnavailable
-}
-
-// Problem encodes an answer that is not Done, in the one shape of errors.
-func Problem(a *answer.Answer, key string) []byte {
-	type problem struct {
-		Outcome    answer.Outcome `json:"outcome"`
-		Reason     string         `json:"reason"`
-		Message    string         `json:"message"`
-		Key        string         `json:"key"`
-		RetryAfter int64          `json:"retry_after_ms,omitempty"`
-	}
-	data, _ := json.Marshal(struct {
-		Error problem `json:"error"`
-	}{problem{a.Outcome, a.Reason, a.Detail, key, a.RetryAfter.Milliseconds()}})
-	return data
-}
-
-// Piece encodes one event of a streamed answer.
-func Piece(key, model, text string) []byte {
-	type delta struct {
-		Content string `json:"content"`
-	}
-	type choice struct {
-		Index int   `json:"index"`
-		Delta delta `json:"delta"`
-	}
-	data, _ := json.Marshal(struct {
-		ID      string   `json:"id"`
-		Object  string   `json:"object"`
-		Model   string   `json:"model"`
-		Choices []choice `json:"choices"`
-	}{key, "chat.completion.chunk", model, []choice{{Delta: delta{text}}}})
-	return data
-}
-
-// Whole encodes a complete answer to a model call.
-func Whole(key, model string, a *answer.Answer) []byte {
-	type choice struct {
-		Index   int          `json:"index"`
-		Message call.Message `json:"message"`
-		Finish  string       `json:"finish_reason"`
-	}
-	data, _ := json.Marshal(struct {
-		ID      string         `json:"id"`
-		Object  string         `json:"object"`
-		Model   string         `json:"model"`
-		Outcome answer.Outcome `json:"outcome"`
-		Choices []choice       `json:"choices"`
-		Usage   answer.Usage   `json:"usage"`
-	}{
-		key, "chat.completion", model, a.Outcome,
-		[]choice{{Message: call.Message{Role: "assistant", Content: a.Text}, Finish: "stop"}},
-		a.Usage,
-	})
-	return data
-}
--- /dev/null
+++ b/protocol/caller/reply.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+)
+
+// statuses maps the reasons of refusals to HTTP statuses; any other is 503.
+var statuses = map[string]int{
+	"service":   http.StatusNotFound,
+	"operation": http.StatusNotFound,
+	"key":       http.StatusNotFound,
+	"budget":    http.StatusPaymentRequired,
+	"turns":     http.StatusPaymentRequired,
+	"ended":     http.StatusConflict,
+	"order":     http.StatusConflict,
+	"mismatch":  http.StatusUnprocessableEntity,
+	"limit":     http.StatusTooManyRequests,
+	"token":     http.StatusUnauthorized,
+	"customer":  http.StatusForbidden,
+	"size":      http.StatusRequestEntityTooLarge,
+	"bad":       http.StatusBadRequest,
+}
+
+// Status maps an answer to the HTTP status that callers get.
+func Status(a *answer.Answer) int {
+	switch {
+	case a.Outcome == answer.Done && a.Status != 0:
+		return a.Status
+	case a.Outcome == answer.Done:
+		return http.StatusOK
+	case a.Outcome == answer.Unknown:
+		return http.StatusBadGateway
+	}
+	if s := statuses[a.Reason]; s != 0 {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Problem encodes an answer that is not Done, in the one shape of errors.
+func Problem(a *answer.Answer, key string) []byte {
+	type problem struct {
+		Outcome    answer.Outcome `json:"outcome"`
+		Reason     string         `json:"reason"`
+		Message    string         `json:"message"`
+		Key        string         `json:"key"`
+		RetryAfter int64          `json:"retry_after_ms,omitempty"`
+	}
+	data, _ := json.Marshal(struct {
+		Error problem `json:"error"`
+	}{problem{a.Outcome, a.Reason, a.Detail, key, a.RetryAfter.Milliseconds()}})
+	return data
+}
+
+// usage is the usual shape of token counts, with ours beside it.
+type usage struct {
+	answer.Usage
+	Total   int `json:"total_tokens"`
+	Details struct {
+		Cached int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func counts(u answer.Usage) usage {
+	c := usage{Usage: u, Total: u.Prompt + u.Output}
+	c.Details.Cached = u.Cached
+	return c
+}
+
+// finish returns why an answer of at most bound tokens ended; 0 is no bound.
+func finish(u answer.Usage, bound int) string {
+	if bound > 0 && u.Output >= bound {
+		return "length"
+	}
+	return "stop"
+}
+
+// Piece encodes one event of a streamed answer.
+func Piece(key, model, text string, created int64) []byte {
+	type delta struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index  int     `json:"index"`
+		Delta  delta   `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	}
+	data, _ := json.Marshal(struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+	}{key, "chat.completion.chunk", created, model, []choice{{Delta: delta{"assistant", text}}}})
+	return data
+}
+
+// Whole encodes a complete answer to a model call of at most bound tokens. As
+// the last event of a stream it repeats the whole text in "message", so that a
+// caller can tell that nothing is missing.
+func Whole(key, model string, a *answer.Answer, bound int, created int64, stream bool) []byte {
+	type choice struct {
+		Index   int          `json:"index"`
+		Delta   *struct{}    `json:"delta,omitempty"`
+		Message call.Message `json:"message"`
+		Finish  string       `json:"finish_reason"`
+	}
+	c := choice{Message: call.Message{Role: "assistant", Content: a.Text}, Finish: finish(a.Usage, bound)}
+	object := "chat.completion"
+	if stream {
+		object, c.Delta = "chat.completion.chunk", &struct{}{}
+	}
+	data, _ := json.Marshal(struct {
+		ID      string         `json:"id"`
+		Object  string         `json:"object"`
+		Created int64          `json:"created"`
+		Model   string         `json:"model"`
+		Outcome answer.Outcome `json:"outcome"`
+		Choices []choice       `json:"choices"`
+		Usage   usage          `json:"usage"`
+	}{key, object, created, model, a.Outcome, []choice{c}, counts(a.Usage)})
+	return data
+}
--- /dev/null
+++ b/transport/edge/auth.go
@@ -0,0 +1,92 @@
+package edge
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/protocol/caller"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/config"
+)
+
+// bearer returns the SHA-256 in hex of a request's bearer token, or "".
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// equal compares two digests in constant time.
+func equal(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
+// customer returns who calls: the customer in the header, whose token must be
+// shown if there is one, or else the customer whose token is shown.
+func (e *Edge) customer(r *http.Request) (string, *answer.Answer) {
+	name, digest := r.Header.Get(caller.HeaderCustomer), bearer(r)
+	c := e.config()
+	if name == "" {
+		name = owner(c, digest)
+	}
+	if err := caller.CheckID(caller.HeaderCustomer, name); err != nil {
+		if digest != "" {
+			return "", notRun("token", "the bearer token belongs to no customer")
+		}
+		return "", malformed(err)
+	}
+	if len(c.Customers) == 0 {
+		return name, nil
+	}
+	declared := c.Customers[name]
+	switch {
+	case declared == nil:
+		return "", notRun("customer", "no customer is named "+name)
+	case declared.Token != "" && !equal(declared.Token, digest):
+		return "", notRun("token", "the customer's bearer token is needed")
+	}
+	return name, nil
+}
+
+// owner returns the customer whose token has this digest, or "".
+func owner(c *config.Config, digest string) string {
+	found := ""
+	for name, x := range c.Customers {
+		if digest != "" && x.Token != "" && equal(x.Token, digest) && (found == "" || name < found) {
+			found = name
+		}
+	}
+	return found
+}
+
+func (e *Edge) config() *config.Config {
+	if e.options.Config == nil {
+		return config.New()
+	}
+	return e.options.Config()
+}
+
+// Operators lets only operators through; without any declared it lets all.
+func (e *Edge) Operators(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, digest := e.config(), bearer(r)
+		allowed := len(c.Operators) == 0
+		for _, o := range c.Operators {
+			allowed = equal(o.Token, digest) || allowed
+		}
+		if !allowed {
+			e.refuse(w, "", notRun("token", "an operator's bearer token is needed"))
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(e.options.Stall))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func bytesText(n int64) string { return strconv.FormatInt(n, 10) + " bytes" }
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -2,13 +2,12 @@
 package edge
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -16,15 +15,24 @@
 	"github.com/cowslipstage/cowslipstage/protocol/caller"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/burn"
 	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/config"
 )
 
-// Backend takes the edge's requests to the owner of their program.
+// Owner is a node at one epoch of a shard; the zero Owner is none.
+type Owner struct {
+	Node  string
+	Epoch uint64
+}
+
+// Backend takes the edge's requests to the owner of their program. The owner
+// that a request was sent to is returned, or none if nothing was sent.
 type Backend interface {
 	// Submit sends a call to its owner; sending it again attaches to it.
-	Submit(s frame.Submit)
-	Ask(a frame.Ask)
-	Close(c frame.Close)
+	Submit(s frame.Submit) Owner
+	Ask(a frame.Ask) Owner
+	Close(c frame.Close) Owner
 	Leave(stream, customer, program string)
 }
 
@@ -36,6 +44,17 @@
 	MaxBody int64
 	// Patience bounds a request without a deadline of its own.
 	Patience time.Duration
+	// Beat is the time between two comments to a streaming caller who waits.
+	Beat time.Duration
+	// Stall bounds one write to a caller.
+	Stall time.Duration
+	// Config returns the configuration in force.
+	Config func() *config.Config
+	// Admit refuses a call that is over a limit by an answer, or returns what
+	// to do when the call is over.
+	Admit func(now time.Time, k *call.Call) (done func(), refusal *answer.Answer)
+	// Observe hears of each finished call.
+	Observe func(burn.Sample)
 }
 
 // Edge serves callers. It is an http.Handler, safe for concurrent use.
@@ -47,12 +66,18 @@
 
 	mu sync.Mutex
 	// streams holds the requests that wait for replies, by stream id.
-	streams map[string]chan frame.Reply
+	streams map[string]chan reply
+}
+
+// reply is a frame with the node that it came from.
+type reply struct {
+	frame.Reply
+	from string
 }
 
 // New returns an edge before the given backend.
 func New(o Options, b Backend, log zerolog.Logger) *Edge {
-	e := &Edge{options: o, backend: b, log: log, streams: map[string]chan frame.Reply{}}
+	e := &Edge{options: o, backend: b, log: log, streams: map[string]chan reply{}}
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.chat)
 	r.Post("/v1/services/{service}/{operation}", e.plain)
@@ -65,8 +90,8 @@
 // ServeHTTP answers one caller.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
-// Deliver hands a reply to the request that waits for it.
-func (e *Edge) Deliver(r frame.Reply) {
+// Deliver hands a node's reply to the request that waits for it.
+func (e *Edge) Deliver(from string, r frame.Reply) {
 	e.mu.Lock()
 	stream := e.streams[r.Stream]
 	e.mu.Unlock()
@@ -74,7 +99,7 @@
 		return
 	}
 	select {
-	case stream <- r:
+	case stream <- reply{r, from}:
 	default:
 		// The request asks again for what it misses.
 	}
@@ -90,9 +115,9 @@
 // streamLength bounds the replies that wait for one request.
 const streamLength = 256
 
-func (e *Edge) open() (string, chan frame.Reply) {
+func (e *Edge) open() (string, chan reply) {
 	id := uuid.NewString()
-	c := make(chan frame.Reply, streamLength)
+	c := make(chan reply, streamLength)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.streams[id] = c
@@ -106,40 +131,58 @@
 }
 
 func (e *Edge) chat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody))
-	if err != nil {
-		e.problem(w, "", &answer.Answer{Outcome: answer.NotRun, Reason: "bad", Detail: err.Error()})
+	k := &call.Call{Kind: call.Chat}
+	body, refusal := e.receive(w, r, k)
+	if refusal != nil {
+		e.refuse(w, k.Key, refusal)
 		return
 	}
 	chat, err := caller.ParseChat(body)
-	k := &call.Call{Kind: call.Chat}
 	if err == nil {
-		k.Service, k.Messages, k.MaxTokens = chat.Model, chat.Messages, chat.MaxTokens
+		k.Service, k.Messages, k.MaxTokens, k.Program = chat.Model, chat.Messages, chat.MaxTokens, chat.Program
 		err = caller.Fill(k, r.Header, time.Now())
 	}
 	if err != nil {
-		e.problem(w, "", &answer.Answer{Outcome: answer.NotRun, Reason: "bad", Detail: err.Error()})
+		e.refuse(w, k.Key, malformed(err))
 		return
 	}
 	e.run(w, r, k, chat.Stream)
 }
 
 func (e *Edge) plain(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody))
-	k := &call.Call{
-		Kind: call.Plain, Service: chi.URLParam(r, "service"),
-		Operation: chi.URLParam(r, "operation"), Body: body,
-	}
-	if err == nil {
-		err = caller.Fill(k, r.Header, time.Now())
+	k := &call.Call{Kind: call.Plain, Service: chi.URLParam(r, "service"), Operation: chi.URLParam(r, "operation")}
+	body, refusal := e.receive(w, r, k)
+	if refusal != nil {
+		e.refuse(w, k.Key, refusal)
+		return
 	}
-	if err != nil {
-		e.problem(w, "", &answer.Answer{Outcome: answer.NotRun, Reason: "bad", Detail: err.Error()})
+	k.Body = body
+	if err := caller.Fill(k, r.Header, time.Now()); err != nil {
+		e.refuse(w, k.Key, malformed(err))
 		return
 	}
 	e.run(w, r, k, false)
 }
 
+// receive finds out who calls, and reads the body.
+func (e *Edge) receive(w http.ResponseWriter, r *http.Request, k *call.Call) ([]byte, *answer.Answer) {
+	var refusal *answer.Answer
+	if k.Customer, refusal = e.customer(r); refusal != nil {
+		return nil, refusal
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.options.Patience))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, notRun("size", "the body is larger than "+bytesText(large.Limit))
+	case err != nil:
+		return nil, notRun("bad", "the body did not arrive whole")
+	}
+	return body, nil
+}
+
 // run submits a call and passes its answer on.
 func (e *Edge) run(w http.ResponseWriter, r *http.Request, k *call.Call, stream bool) {
 	if k.Key == "" {
@@ -152,167 +195,110 @@
 	}
 	w.Header().Set(caller.HeaderProgram, k.Program)
 	w.Header().Set(caller.HeaderKey, k.Key)
-	id, replies := e.open()
-	defer e.shut(id)
-	p := &printer{w: w, key: k.Key, model: k.Service, stream: stream}
-	a := e.follow(r.Context(), replies, p, k.Deadline, func() {
-		e.backend.Submit(frame.Submit{Call: k, Stream: id, Partial: p.text})
-	})
-	if a == nil {
-		e.backend.Leave(id, k.Customer, k.Program)
+	done, refusal := e.admit(k)
+	if refusal != nil {
+		e.refuse(w, k.Key, refusal)
+		e.observe(k, refusal, nil)
 		return
 	}
+	defer done()
+	p := e.printer(w, k.Key, stream)
+	p.model, p.bound = k.Service, k.MaxTokens
+	a := e.follow(r.Context(), p, k.Deadline, subject{
+		ask: func(id string) Owner {
+			return e.backend.Submit(frame.Submit{Call: k, Stream: id, Partial: string(p.text)})
+		},
+		leave: func(id string) { e.backend.Leave(id, k.Customer, k.Program) },
+	})
+	e.observe(k, a, p)
 	p.finish(a)
 }
 
-// follow asks for an answer, and asks again whenever its replies stop, until
-// the answer is complete. It returns nil when the caller has gone.
-func (e *Edge) follow(ctx context.Context, replies chan frame.Reply, p *printer, deadline time.Time, ask func()) *answer.Answer {
-	if deadline.IsZero() {
-		deadline = time.Now().Add(e.options.Patience)
-	}
-	// The owner answers at the deadline; the edge speaks for a lost owner after it.
-	end := time.NewTimer(time.Until(deadline) + 2*e.options.Silence)
-	defer end.Stop()
-	again := time.NewTimer(e.options.Silence)
-	defer again.Stop()
-	ask()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-end.C:
-			return &answer.Answer{
-				Outcome: answer.Unknown, Reason: "owner", RetryAfter: time.Second,
-				Detail: "the program's owner gave no answer; ask again with the same key",
-			}
-		case <-again.C:
-			ask()
-			again.Reset(e.options.Silence)
-		case r := <-replies:
-			if r.Moved {
-				again.Reset(movedPause)
-				continue
-			}
-			if !p.take(r) {
-				ask()
-			}
-			if r.Final != nil && p.whole(r.Final) {
-				return r.Final
-			}
-			again.Reset(e.options.Silence)
-		}
+func (e *Edge) admit(k *call.Call) (func(), *answer.Answer) {
+	if e.options.Admit == nil {
+		return func() {}, nil
 	}
+	return e.options.Admit(k.Received, k)
 }
 
-// movedPause lets the news of a shard's move arrive before the edge asks again.
-const movedPause = 50 * time.Millisecond
+// observe reports a finished call; a is nil when its caller has gone.
+func (e *Edge) observe(k *call.Call, a *answer.Answer, p *printer) {
+	if e.options.Observe == nil {
+		return
+	}
+	s := burn.Sample{
+		Customer: k.Customer, Service: k.Service, Program: k.Program, Key: k.Key,
+		Reason: "left", Began: k.Received, Whole: time.Since(k.Received),
+	}
+	if a != nil {
+		s.Outcome, s.Reason, s.Tokens = a.Outcome, a.Reason, a.Usage.Output
+	}
+	if p != nil {
+		s.First, s.Gap = p.timing(k.Received)
+	}
+	e.options.Observe(s)
+}
 
+// fetch gives the answer of an earlier call, or follows it while it runs.
 func (e *Edge) fetch(w http.ResponseWriter, r *http.Request) {
-	id, replies := e.open()
-	defer e.shut(id)
 	key := chi.URLParam(r, "key")
-	customer, program := r.Header.Get(caller.HeaderCustomer), r.Header.Get(caller.HeaderProgram)
-	p := &printer{w: w, key: key}
-	a := e.follow(r.Context(), replies, p, time.Time{}, func() {
-		e.backend.Ask(frame.Ask{Customer: customer, Program: program, Key: key, Stream: id, Partial: p.text})
-	})
-	if a == nil {
-		e.backend.Leave(id, customer, program)
+	customer, refusal := e.customer(r)
+	program := r.Header.Get(caller.HeaderProgram)
+	if program == "" {
+		// Calls without a program are programs of their own, named for their key.
+		program = key
+	}
+	err := errors.CombineErrors(caller.CheckID("key", key), caller.CheckID(caller.HeaderProgram, program))
+	if refusal == nil && err != nil {
+		refusal = malformed(err)
+	}
+	if refusal != nil {
+		e.refuse(w, key, refusal)
 		return
 	}
+	w.Header().Set(caller.HeaderProgram, program)
+	p := e.printer(w, key, r.URL.Query().Get("stream") == "true")
+	a := e.follow(r.Context(), p, time.Time{}, subject{
+		ask: func(id string) Owner {
+			return e.backend.Ask(frame.Ask{Customer: customer, Program: program, Key: key, Stream: id, Partial: string(p.text)})
+		},
+		leave: func(id string) { e.backend.Leave(id, customer, program) },
+		reads: true,
+	})
 	p.finish(a)
 }
 
+// end ends a program.
 func (e *Edge) end(w http.ResponseWriter, r *http.Request) {
-	id, replies := e.open()
-	defer e.shut(id)
 	program := chi.URLParam(r, "program")
-	p := &printer{w: w}
-	a := e.follow(r.Context(), replies, p, time.Time{}, func() {
-		e.backend.Close(frame.Close{Customer: r.Header.Get(caller.HeaderCustomer), Program: program, Stream: id})
-	})
-	if a != nil {
-		p.finish(a)
-	}
-}
-
-func (e *Edge) problem(w http.ResponseWriter, key string, a *answer.Answer) {
-	p := &printer{w: w, key: key}
-	p.finish(a)
-}
-
-// printer writes one answer to a caller.
-type printer struct {
-	w      http.ResponseWriter
-	key    string
-	model  string
-	stream bool
-	begun  bool
-	// text is what was received; a streaming caller has been sent all of it.
-	text string
-}
-
-// take adds a reply's text, and returns false if there is a gap before it.
-func (p *printer) take(r frame.Reply) bool {
-	if r.Offset > len(p.text) {
-		return false
-	}
-	if r.Offset+len(r.Text) <= len(p.text) {
-		return true
+	customer, refusal := e.customer(r)
+	if err := caller.CheckID("program", program); refusal == nil && err != nil {
+		refusal = malformed(err)
 	}
-	fresh := r.Text[len(p.text)-r.Offset:]
-	p.text += fresh
-	if p.stream {
-		p.event(caller.Piece(p.key, p.model, fresh))
+	if refusal != nil {
+		e.refuse(w, "", refusal)
+		return
 	}
-	return true
-}
-
-// whole tells whether all the text of a final answer is here.
-func (p *printer) whole(a *answer.Answer) bool {
-	return a.Outcome != answer.Done || len(p.text) >= len(a.Text)
+	p := e.printer(w, "", false)
+	a := e.follow(r.Context(), p, time.Time{}, subject{
+		ask: func(id string) Owner {
+			return e.backend.Close(frame.Close{Customer: customer, Program: program, Stream: id})
+		},
+		leave: func(string) {},
+	})
+	p.finish(a)
 }
 
-func (p *printer) event(data []byte) {
-	if !p.begun {
-		p.begun = true
-		p.w.Header().Set("Content-Type", "text/event-stream")
-	}
-	_, _ = p.w.Write([]byte("data: " + string(data) + "\n\n"))
-	_ = http.NewResponseController(p.w).Flush()
+func (e *Edge) printer(w http.ResponseWriter, key string, stream bool) *printer {
+	return &printer{w: w, key: key, stream: stream, stall: e.options.Stall, created: time.Now().Unix()}
 }
 
-func (p *printer) finish(a *answer.Answer) {
-	if p.stream && (p.begun || a.Outcome == answer.Done) {
-		p.finishStream(a)
-		return
-	}
-	h := p.w.Header()
-	h.Set("Content-Type", "application/json")
-	if a.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(a.RetryAfter.Seconds()+0.999)))
-	}
-	h.Set("X-Outcome", string(a.Outcome))
-	p.w.WriteHeader(caller.Status(a))
-	_, _ = p.w.Write(p.body(a))
+func (e *Edge) refuse(w http.ResponseWriter, key string, a *answer.Answer) {
+	e.printer(w, key, false).finish(a)
 }
 
-func (p *printer) body(a *answer.Answer) []byte {
-	switch {
-	case a.Outcome != answer.Done:
-		return caller.Problem(a, p.key)
-	case a.Status != 0:
-		return a.Body
-	}
-	return caller.Whole(p.key, p.model, a)
+func notRun(reason, detail string) *answer.Answer {
+	return &answer.Answer{Outcome: answer.NotRun, Reason: reason, Detail: detail}
 }
 
-func (p *printer) finishStream(a *answer.Answer) {
-	if a.Outcome != answer.Done {
-		p.event(caller.Problem(a, p.key))
-		return
-	}
-	p.event(caller.Whole(p.key, p.model, a))
-	_, _ = p.w.Write([]byte("data: [DONE]\n\n"))
-}
+func malformed(err error) *answer.Answer { return notRun("bad", err.Error()) }
