--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -325,4 +326,25 @@
 		r.submit(chat("a", 0))
 		Expect(r.dispatches).To(HaveLen(1))
 	})
+
+	It("proves by a journal write that it still owns the shard once its lease may have lapsed", func() {
+		r.submit(chat("a", 0))
+		r.finish(0, "hi")
+		r.commit()
+		r.step(core.Renewed{Until: r.now.Add(time.Second)})
+		k := chat("b", 0)
+		k.Customer = "c"
+		r.step(core.Submitted{Call: &k})
+		Expect(r.dispatches).To(HaveLen(2))
+		r.finish(1, "ho")
+		r.commit()
+		r.now = r.now.Add(2 * time.Second)
+		l := chat("d", 0)
+		l.Customer = "c"
+		r.step(core.Submitted{Call: &l})
+		Expect(r.dispatches).To(HaveLen(2))
+		r.step(core.Committed{Ref: r.commits[0].Ref, Err: errors.New("deposed")})
+		Expect(r.dispatches).To(HaveLen(2))
+		Expect(r.replies[len(r.replies)-1].Moved).To(BeTrue())
+	})
 })
