Endpoints: surely-not-run, whole answers only, cache events and listings

A connection that was merely got counted as written, a stream that went silent waited for its whole timeout, and doubled or crossed parts of a stream were taken as text. Nobody read the engines' cache events or listings.

Change: connections count their own writes and are sealed when an attempt fails, so that 'not run' is said only when no byte was or will be written; a dispatch past its time is stopped at the write; calls with an effect get a connection of their own. Events and listings reach the core.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -70,12 +70,8 @@
 	retries *retry.Budget
 	// firsts learns the time to the first token per prompt token, by pool;
 	// wholes the time that a call holds its slot, by pool.
-	firsts map[string]*pace.Pace
-	wholes map[string]*pace.Pace
-	// orders holds the order under way of each engine; demand the dispatches
-	// of each model, with a half-life of a minute.
-	orders  map[string]order
-	demand  map[string]float64
+	firsts  map[string]*pace.Pace
+	wholes  map[string]*pace.Pace
 	leaving map[string]bool
 	serial  uint64
 	drained bool
@@ -110,8 +106,6 @@
 		retries:   retry.New(time.Time{}),
 		firsts:    map[string]*pace.Pace{},
 		wholes:    map[string]*pace.Pace{},
-		orders:    map[string]order{},
-		demand:    map[string]float64{},
 		leaving:   map[string]bool{},
 	}
 }
@@ -144,8 +138,6 @@
 		c.committed(now, e)
 	case Started, Piece, Finished, Failed:
 		c.applyFlight(now, event)
-	case Ordered:
-		c.orderEnded(now, e)
 	case Told:
 		c.told(now, e)
 	case Reported, Cached, Held, Released, Listed, Shared:
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,6 @@
 	store    *store.Client
 	links    *links.Links
 	edge     *edge.Edge
-	gate     *gate
 	dialer   *dialer.Dialer
 	core     *core.Core
 	metrics  *metrics.Set
@@ -115,7 +114,6 @@
 		taking:   map[int]bool{},
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
-		gate:     newGate(),
 	}
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
@@ -124,10 +122,10 @@
 	n.links = links.New(links.Options{
 		Node: s.Node.Name, Secret: s.Links.Secret, Ping: s.Links.Ping, Silence: s.Links.Silence,
 	}, n.log)
-	n.dialer = dialer.New(n.emit)
+	n.dialer = dialer.New(dialer.Options{Quiet: s.Policy.Quiet}, n.emit)
 	n.edge = edge.New(edge.Options{
 		Silence: s.Links.Silence / 2, MaxBody: s.Node.Body, Patience: time.Minute,
-		Beat: callerBeat, Stall: callerStall, Config: n.current, Admit: n.admit,
+		Beat: callerBeat, Stall: callerStall, Config: n.current,
 	}, backend{n}, n.log)
 	return n
 }
@@ -146,7 +144,7 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list,
+		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list, n.follow,
 	} {
 		n.wait.Go(func() { f(working) })
 	}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -68,6 +68,10 @@
 	Seed  uint64 `ini:"seed"`
 	// Load is the time between two reads of an endpoint's load.
 	Load time.Duration `ini:"load"`
+	// List is the time between two reads of an engine's list of held programs.
+	List time.Duration `ini:"list"`
+	// Quiet is how long an engine's stream may give nothing after its first part.
+	Quiet time.Duration `ini:"quiet"`
 }
 
 // Shards sets how programs are divided.
@@ -84,7 +88,7 @@
 		Store:  Store{Timeout: 2 * time.Second, Lease: 3 * time.Second},
 		Hosts:  Hosts{Poll: time.Second},
 		Links:  Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
-		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond},
+		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second},
 		Shards: Shards{Count: 16, Owners: 16},
 	}
 }
--- a/setup/table.go
+++ b/setup/table.go
@@ -79,6 +79,8 @@
 		}}, Doc: "Choice of the endpoint."},
 		{Name: "seed", Type: schema.Count{Max: math.MaxInt64}, Doc: "Seed of the random choices."},
 		{Name: "load", Type: span, Doc: "Time between two reads of an endpoint's load."},
+		{Name: "list", Type: span, Doc: "Time between two reads of an engine's list of the programs it holds memory for."},
+		{Name: "quiet", Type: span, Doc: "How long an engine's stream may give nothing after its first part."},
 	}}
 }
 
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -189,18 +190,24 @@
 	c.blocks.Remove(b.hash)
 }
 
-// release drops what only this program holds.
-func (c *cache) release(now time.Time, program string) {
+// release drops what only this program holds, or only these agents of it.
+func (c *cache) release(now time.Time, program string, agents []string) {
 	c.count(now)
-	for _, t := range c.talks[program] {
+	for name, t := range c.talks[program] {
+		if len(agents) > 0 && !slices.Contains(agents, name) {
+			continue
+		}
 		for b := range t.blocks {
 			c.disown(t, b)
 		}
 		clear(t.blocks)
 		t.chain = nil
 		c.dirty[t] = true
+		delete(c.talks[program], name)
+	}
+	if len(c.talks[program]) == 0 {
+		delete(c.talks, program)
 	}
-	delete(c.talks, program)
 }
 
 func (c *cache) disown(t *talk, b *block) {
--- a/standin/engine/event.go
+++ b/standin/engine/event.go
@@ -56,9 +56,7 @@
 	for {
 		events, next, changed := s.since(time.Now(), since)
 		if len(events) > 0 {
-			reply(w, struct {
-				Events []Event `json:"events"`
-			}{events})
+			s.tell(w, events)
 			return
 		}
 		var due <-chan time.Time
@@ -69,9 +67,7 @@
 		case <-changed:
 		case <-due:
 		case <-end.C:
-			reply(w, struct {
-				Events []Event `json:"events"`
-			}{[]Event{}})
+			s.tell(w, []Event{})
 			return
 		case <-r.Context().Done():
 			return
@@ -97,3 +93,15 @@
 	}
 	return events, 0, s.changed
 }
+
+// tell answers with events and the newest serial number, by which a reader
+// notices that the engine began anew.
+func (s *Server) tell(w http.ResponseWriter, events []Event) {
+	s.mu.Lock()
+	serial := s.serial
+	s.mu.Unlock()
+	reply(w, struct {
+		Serial uint64  `json:"serial"`
+		Events []Event `json:"events"`
+	}{serial, events})
+}
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -14,12 +14,14 @@
 	// Kind is "release", "cancel", "load", "unload", "role", "export" or "import".
 	Kind    string `json:"kind"`
 	Program string `json:"program"`
-	Epoch   uint64 `json:"epoch"`
-	Key     string `json:"key"`
-	Role    string `json:"role"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter"`
-	Version string `json:"version"`
+	// Agents limits a release to some conversations; nil means all.
+	Agents  []string `json:"agents"`
+	Epoch   uint64   `json:"epoch"`
+	Key     string   `json:"key"`
+	Role    string   `json:"role"`
+	Model   string   `json:"model"`
+	Adapter string   `json:"adapter"`
+	Version string   `json:"version"`
 	// Talks are what an export gave.
 	Talks []exported `json:"talks"`
 }
@@ -44,7 +46,7 @@
 	}
 	switch q.Kind {
 	case "release":
-		s.release(time.Now(), q.Program)
+		s.release(time.Now(), q.Program, q.Agents)
 	case "cancel":
 		s.cancelKey(time.Now(), q.Program, q.Key)
 	case "load":
@@ -79,10 +81,10 @@
 	return s.fence(q.Program, q.Epoch)
 }
 
-func (s *Server) release(now time.Time, program string) {
+func (s *Server) release(now time.Time, program string, agents []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cache.release(now, program)
+	s.cache.release(now, program, agents)
 	s.publish(now)
 }
 
--- /dev/null
+++ b/transport/dialer/dialer_test.go
@@ -0,0 +1,326 @@
+package dialer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/standin/engine"
+	"github.com/cowslipstage/cowslipstage/standin/fault"
+	"github.com/cowslipstage/cowslipstage/standin/speech"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/transport/dialer"
+)
+
+func TestDialer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dialer")
+}
+
+// run performs a dispatch and returns its last event.
+func run(o dialer.Options, a core.Dispatch) core.Event {
+	var last core.Event
+	d := dialer.New(o, func(e core.Event) { last = e })
+	d.Run(context.Background(), a)
+	return last
+}
+
+func chat(addr string) core.Dispatch {
+	return core.Dispatch{
+		Flight: 7, Target: &config.Endpoint{Addr: addr}, Service: &config.Service{Model: "m"},
+		Call: &call.Call{
+			Key: "k", Customer: "c", Program: "p", Kind: call.Chat,
+			Messages: []call.Message{{Role: "user", Content: "hello " + speech.Mark(5)}},
+		},
+		MaxTokens: 64, Timeout: 10 * time.Second, Repeatable: true,
+	}
+}
+
+func plain(addr string, repeatable bool, body string) core.Dispatch {
+	return core.Dispatch{
+		Flight: 7, Target: &config.Endpoint{Addr: addr}, Service: &config.Service{},
+		Call:    &call.Call{Key: "k", Customer: "c", Program: "p", Kind: call.Plain, Operation: "order", Body: []byte(body)},
+		Timeout: 10 * time.Second, Repeatable: repeatable,
+	}
+}
+
+// serve answers every request with a handler on loopback.
+func serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	DeferCleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func text(body string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+}
+
+const (
+	first = "data: {\"id\":\"k\",\"offset\":0,\"choices\":[{\"delta\":{\"content\":\"one\"}}]}\n\n"
+	next  = "data: {\"id\":\"k\",\"offset\":3,\"choices\":[{\"delta\":{\"content\":\" two\"}}]}\n\n"
+	usage = "data: {\"id\":\"k\",\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2}}\n\n"
+	end   = "data: [DONE]\n\n"
+)
+
+var _ = Describe("a kept connection that died", func() {
+	// The listener answers the first request of a connection. It reads the
+	// second one, which counts as a run, and closes without an answer.
+	var addr string
+	var runs atomic.Int32
+	BeforeEach(func() {
+		runs.Store(0)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		addr = l.Addr().String()
+		go accept(l, &runs)
+	})
+
+	DescribeTable("never leads to two runs or a false word that nothing ran",
+		func(repeatable bool, body string) {
+			var last core.Event
+			d := dialer.New(dialer.Options{}, func(e core.Event) { last = e })
+			d.Run(context.Background(), plain(addr, true, body))
+			Expect(last).To(BeAssignableToTypeOf(core.Finished{}))
+			Expect(runs.Load()).To(BeEquivalentTo(1))
+			d.Run(context.Background(), plain(addr, repeatable, body))
+			Expect(runs.Load()).To(BeEquivalentTo(2))
+			if repeatable {
+				Expect(last).To(Equal(core.Failed{Flight: 7, Reason: "connection"}))
+				return
+			}
+			// A call with an effect gets a connection of its own.
+			Expect(last).To(BeAssignableToTypeOf(core.Finished{}))
+		},
+		Entry("repeatable", true, `{"a":1}`),
+		Entry("repeatable without a body", true, ""),
+		Entry("with an effect", false, `{"a":1}`),
+		Entry("with an effect, without a body", false, ""),
+	)
+})
+
+// accept plays the listener that dies at each connection's second request.
+func accept(l net.Listener, runs *atomic.Int32) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			for n := 1; n <= 2; n++ {
+				if readRequest(c) != nil {
+					return
+				}
+				runs.Add(1)
+				if n == 1 {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+				}
+			}
+		}()
+	}
+}
+
+// readRequest reads a request's head and body, however it marks its length.
+func readRequest(c net.Conn) error {
+	data, b := "", make([]byte, 4096)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return err
+		}
+		data += string(b[:n])
+		head, body, ok := strings.Cut(data, "\r\n\r\n")
+		switch {
+		case !ok:
+		case strings.Contains(head, "chunked") && !strings.HasSuffix(body, "0\r\n\r\n"):
+		case strings.Contains(head, "Content-Length: 7") && len(body) < 7:
+		default:
+			return nil
+		}
+	}
+}
+
+var _ = Describe("a call that was not written", func() {
+	It("is known not to have run when nobody listens", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		Expect(run(dialer.Options{}, plain(l.Addr().String(), false, "{}"))).
+			To(Equal(core.Failed{Flight: 7, Untouched: true, Reason: "connect"}))
+	})
+
+	It("is not written after its time", func() {
+		var seen atomic.Int32
+		addr := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+		a := plain(addr, false, "{}")
+		a.Until = time.Now().Add(-time.Millisecond)
+		Expect(run(dialer.Options{}, a)).To(Equal(core.Failed{Flight: 7, Untouched: true, Reason: "late"}))
+		Expect(seen.Load()).To(BeZero())
+	})
+})
+
+var _ = Describe("an endpoint's refusal", func() {
+	DescribeTable("means that nothing ran", func(status int, reason string) {
+		addr := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(status)
+		}))
+		want := core.Failed{Flight: 7, Untouched: true, Reason: reason, RetryAfter: 3 * time.Second}
+		Expect(run(dialer.Options{}, plain(addr, false, "{}"))).To(Equal(want))
+		Expect(run(dialer.Options{}, chat(addr))).To(Equal(want))
+	},
+		Entry("leaving", http.StatusServiceUnavailable, "refused"),
+		Entry("busy", http.StatusTooManyRequests, "refused"),
+		Entry("an old fencing number", http.StatusConflict, "fenced"),
+	)
+})
+
+var _ = Describe("a plain answer", func() {
+	DescribeTable("that may not be whole is a failure", func(head, body, reason string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+body)
+			_ = c.Close()
+		}()
+		Expect(run(dialer.Options{Size: 64}, plain(l.Addr().String(), false, ""))).
+			To(Equal(core.Failed{Flight: 7, Reason: reason}))
+	},
+		Entry("cut before its length", "Content-Length: 9\r\n", `{"a":`, "cut"),
+		Entry("cut between chunks", "Transfer-Encoding: chunked\r\n", "5\r\n{\"a\":\r\n", "cut"),
+		Entry("without a length", "Connection: close\r\n", `{"a":1}`, "cut"),
+		Entry("that is no JSON", "Content-Length: 5\r\n", "oops!", "garbage"),
+		Entry("that is too long", "Content-Length: 100\r\n", strings.Repeat("1", 100), "cut"),
+	)
+
+	It("is not followed to another place", func() {
+		other := serve(text("{}"))
+		addr := serve(http.RedirectHandler("http://"+other+"/v1/order", http.StatusTemporaryRedirect))
+		last := run(dialer.Options{}, plain(addr, false, "{}"))
+		Expect(last).To(HaveField("Status", http.StatusTemporaryRedirect))
+	})
+})
+
+var _ = Describe("a streamed answer", func() {
+	DescribeTable("is whole only with its usage and end mark", func(body, reason string) {
+		last := run(dialer.Options{Size: 64}, chat(serve(text(body))))
+		if reason != "" {
+			Expect(last).To(Equal(core.Failed{Flight: 7, Reason: reason}))
+			return
+		}
+		Expect(last).To(HaveField("Text", "one two"))
+		Expect(last).To(HaveField("Usage.Output", 2))
+	},
+		Entry("whole", first+next+usage+end, ""),
+		Entry("with parts sent twice", first+first+next+first+next+usage+end, ""),
+		Entry("without its end mark", first+next+usage, "cut"),
+		Entry("without its usage", first+next+end, "garbage"),
+		Entry("with a part missing", next+usage+end, "cut"),
+		Entry("with a part of another call", first+strings.ReplaceAll(next, "\"k\"", "\"x\"")+usage+end, "mixed"),
+		Entry("with bytes that are no event", first+"\x00\xff\n\n", "garbage"),
+		Entry("with an event that is no JSON", first+"data: {{\n\n", "garbage"),
+		Entry("that is too long", first+strings.ReplaceAll(next, "two", strings.Repeat("x", 64)), "size"),
+		Entry("that is empty", usage+end, "garbage"),
+	)
+
+	It("fails when it goes silent half-way", func() {
+		addr := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, first)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		Expect(run(dialer.Options{Quiet: 50 * time.Millisecond}, chat(addr))).
+			To(Equal(core.Failed{Flight: 7, Reason: "silent"}))
+	})
+
+	It("ends when its dispatch is aborted", func() {
+		ended := make(chan core.Event, 1)
+		var d *dialer.Dialer
+		gone := make(chan struct{})
+		addr := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, first)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			close(gone)
+		}))
+		d = dialer.New(dialer.Options{}, func(e core.Event) {
+			switch e.(type) {
+			case core.Piece:
+				d.Abort(7)
+			case core.Failed:
+				ended <- e
+			}
+		})
+		d.Run(context.Background(), chat(addr))
+		Eventually(ended).Should(Receive(Equal(core.Failed{Flight: 7, Reason: "cut"})))
+		Eventually(gone).Should(BeClosed())
+	})
+
+	DescribeTable("from a faulty engine", func(p fault.Plan, reason string) {
+		e := engine.New(engine.Options{Decode: time.Millisecond})
+		e.Fault().Set(p)
+		last := run(dialer.Options{}, chat(serve(e)))
+		if reason == "" {
+			Expect(last).To(HaveField("Text", speech.Answer(chat("").Call.Messages, 5)))
+			return
+		}
+		Expect(last).To(HaveField("Reason", reason))
+		Expect(last).To(HaveField("Untouched", false))
+	},
+		Entry("that sends all twice", fault.Plan{Twice: true}, ""),
+		Entry("that sends late", fault.Plan{Delay: 2}, ""),
+		Entry("that sends garbage", fault.Plan{Garbage: true}, "garbage"),
+		Entry("that cuts", fault.Plan{Cut: 200}, "cut"),
+	)
+})
+
+var _ = Describe("an engine's news", func() {
+	It("brings cache events and the list of what is held", func(ctx SpecContext) {
+		e := engine.New(engine.Options{Decode: time.Millisecond})
+		addr := serve(e)
+		events := make(chan core.Event, 100)
+		d := dialer.New(dialer.Options{}, func(e core.Event) { events <- e })
+		a := chat(addr)
+		a.Call.Messages[0].Content = strings.Repeat("word ", 100) + speech.Mark(3)
+		d.Run(ctx, a)
+		following, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go d.Follow(following, "e1", addr)
+		Eventually(events).Should(Receive(And(
+			BeAssignableToTypeOf(core.Cached{}), HaveField("Program", "p"), HaveField("Tokens", BeNumerically(">", 90)),
+		)))
+		Expect(d.List(ctx, "e1", addr)).To(Succeed())
+		Eventually(events).Should(Receive(Equal(core.Held{Endpoint: "e1", Programs: []string{"c/p"}})))
+		d.Release(ctx, core.Release{Endpoint: "e1", Target: a.Target, Customer: "c", Program: "p"})
+		Eventually(events).Should(Receive(Equal(core.Released{Endpoint: "e1", Customer: "c", Program: "p"})))
+		Expect(e.Held()).To(BeEmpty())
+	})
+
+	It("is an error when an endpoint answers garbage", func(ctx SpecContext) {
+		addr := serve(text("\x00"))
+		d := dialer.New(dialer.Options{}, func(core.Event) {})
+		_, err := d.Load(ctx, addr)
+		Expect(errors.Is(err, dialer.ErrEndpoint)).To(BeTrue())
+		Expect(fmt.Sprint(err)).To(ContainSubstring("/load"))
+	})
+})
--- /dev/null
+++ b/transport/dialer/send.go
@@ -0,0 +1,181 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/state/call"
+)
+
+// onceBody hides a body's type from the client library, which would otherwise
+// send a request again by itself when it has an idempotency key and its body
+// is empty or can be rewound.
+type onceBody struct{ io.Reader }
+
+// Close does nothing; the body is in memory.
+func (onceBody) Close() error { return nil }
+
+// send writes one request. When it fails, untouched tells that surely nothing
+// of it was written, and that nothing will be.
+func (d *Dialer) send(ctx context.Context, a core.Dispatch, path string, body []byte) (response *http.Response, untouched bool, reason string) {
+	t := &attempt{until: a.Until, wires: map[*wire]int{}}
+	if t.late() {
+		return nil, true, "late"
+	}
+	address := "http://" + a.Target.Addr + path
+	request, err := http.NewRequestWithContext(t.trace(ctx), http.MethodPost, address, onceBody{bytes.NewReader(body)})
+	if err != nil {
+		return nil, true, "request"
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Idempotency-Key", a.Call.Key)
+	request.Header.Set("X-Program", a.Call.Owner())
+	request.Header.Set("X-Epoch", strconv.FormatUint(a.Epoch, 10))
+	c := d.single
+	if a.Repeatable {
+		c = d.pooled
+	}
+	response, err = c.Do(request)
+	switch {
+	case err == nil:
+		return response, false, ""
+	case !t.untouched():
+		return nil, false, "connection"
+	case t.late():
+		return nil, true, "late"
+	}
+	return nil, true, "connect"
+}
+
+// refusal tells whether an endpoint's status says that it did not take a call.
+func refusal(status int) (string, bool) {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return "refused", true
+	case http.StatusConflict:
+		return "fenced", true
+	}
+	return "", false
+}
+
+// maxRetryAfter bounds what an endpoint may ask for.
+const maxRetryAfter = time.Minute
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
+// refused reports an endpoint that did not take a call, and tells whether it was so.
+func (d *Dialer) refused(a core.Dispatch, r *http.Response) bool {
+	reason, ok := refusal(r.StatusCode)
+	if ok {
+		d.emit(core.Failed{Flight: a.Flight, Untouched: true, Reason: reason, RetryAfter: retryAfter(r.Header)})
+	}
+	return ok
+}
+
+func (d *Dialer) plain(ctx context.Context, a core.Dispatch) {
+	response, untouched, reason := d.send(ctx, a, "/v1/"+a.Call.Operation, a.Call.Body)
+	if reason != "" {
+		d.fail(a, untouched, reason)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if d.refused(a, response) {
+		return
+	}
+	body, err := d.whole(response)
+	switch {
+	case err != nil:
+		d.fail(a, false, "cut")
+	case response.StatusCode >= http.StatusInternalServerError && a.Repeatable:
+		d.fail(a, false, "status")
+	case response.StatusCode == http.StatusOK && !json.Valid(body):
+		d.fail(a, false, "garbage")
+	default:
+		d.emit(core.Finished{Flight: a.Flight, Body: body, Status: response.StatusCode})
+	}
+}
+
+// whole reads a body whose length the endpoint has marked; a body that ends
+// with its connection may have been cut.
+func (d *Dialer) whole(r *http.Response) ([]byte, error) {
+	chunked := len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+	if r.ContentLength < 0 && !chunked {
+		return nil, errors.Mark(errors.New("dialer: the answer's length is not marked"), ErrEndpoint)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, d.options.Size+1))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "dialer: body"), ErrEndpoint)
+	}
+	if int64(len(body)) > d.options.Size {
+		return nil, errors.Mark(errors.Newf("dialer: the answer is longer than %d bytes", d.options.Size), ErrEndpoint)
+	}
+	return body, nil
+}
+
+func (d *Dialer) chat(ctx context.Context, cancel context.CancelFunc, a core.Dispatch) {
+	body, err := json.Marshal(chatBody(a))
+	if err != nil {
+		d.fail(a, true, "encoding")
+		return
+	}
+	response, untouched, reason := d.send(ctx, a, "/v1/chat/completions", body)
+	if reason != "" {
+		d.fail(a, untouched, reason)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if d.refused(a, response) {
+		return
+	}
+	if response.StatusCode != http.StatusOK {
+		d.fail(a, false, "status")
+		return
+	}
+	s := newStream(a, d.options, cancel)
+	defer s.stop()
+	if err := s.read(response.Body, d.emit); err != nil {
+		d.fail(a, false, s.reason())
+		return
+	}
+	d.emit(core.Finished{Flight: a.Flight, Text: s.text, Usage: s.usage})
+}
+
+func chatBody(a core.Dispatch) any {
+	var messages []call.Message
+	if a.Service.Prompt != "" {
+		messages = append(messages, call.Message{Role: "system", Content: a.Service.Prompt})
+	}
+	messages = append(messages, a.History...)
+	messages = append(messages, a.Call.Messages...)
+	return struct {
+		Model     string         `json:"model"`
+		Adapter   string         `json:"adapter,omitempty"`
+		Version   string         `json:"version,omitempty"`
+		Messages  []call.Message `json:"messages"`
+		MaxTokens int            `json:"max_tokens"`
+		Stream    bool           `json:"stream"`
+		Priority  int            `json:"priority"`
+		Partial   string         `json:"partial,omitempty"`
+		Program   string         `json:"program"`
+		Agent     string         `json:"agent"`
+		Key       string         `json:"key"`
+	}{
+		a.Service.Model, a.Service.Adapter, a.Service.Version, messages, a.MaxTokens, true, a.Priority, a.Partial,
+		a.Call.Owner(), a.Call.Agent, a.Call.Key,
+	}
+}
--- /dev/null
+++ b/transport/dialer/stream.go
@@ -0,0 +1,177 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+)
+
+// The ways in which a stream breaks; each is the reason of a Failed.
+var (
+	errCut     = errors.New("cut")
+	errGarbage = errors.New("garbage")
+	errMixed   = errors.New("mixed")
+	errSize    = errors.New("size")
+)
+
+// stream reads one streamed answer.
+type stream struct {
+	dispatch core.Dispatch
+	options  Options
+	cancel   context.CancelFunc
+	// text begins with the dispatch's partial text; it only grows.
+	text  string
+	usage answer.Usage
+	// counted tells that the endpoint has sent the answer's usage.
+	counted bool
+	quiet   *time.Timer
+	silent  atomic.Bool
+	err     error
+}
+
+func newStream(a core.Dispatch, o Options, cancel context.CancelFunc) *stream {
+	return &stream{dispatch: a, options: o, cancel: cancel, text: a.Partial}
+}
+
+// watch begins the wait for the next part anew.
+func (s *stream) watch() {
+	switch {
+	case s.options.Quiet <= 0:
+	case s.quiet != nil:
+		s.quiet.Reset(s.options.Quiet)
+	default:
+		s.quiet = time.AfterFunc(s.options.Quiet, func() {
+			s.silent.Store(true)
+			s.cancel()
+		})
+	}
+}
+
+func (s *stream) stop() {
+	if s.quiet != nil {
+		s.quiet.Stop()
+	}
+}
+
+// reason is a short word for why the stream broke.
+func (s *stream) reason() string {
+	if s.silent.Load() {
+		return "silent"
+	}
+	for _, e := range []error{errGarbage, errMixed, errSize} {
+		if errors.Is(s.err, e) {
+			return e.Error()
+		}
+	}
+	return errCut.Error()
+}
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// read takes the stream's events; the answer is whole only with its usage and
+// its end mark.
+func (s *stream) read(body io.Reader, emit func(core.Event)) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxEvent)
+	lines.Split(wholeLines)
+	for lines.Scan() {
+		s.watch()
+		line := lines.Text()
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case line == "" || strings.HasPrefix(line, ":"):
+			continue
+		case !ok:
+			return s.broken(errGarbage, "dialer: a line that is no event")
+		case data == "[DONE]":
+			return s.end()
+		}
+		if err := s.take(data, emit); err != nil {
+			return err
+		}
+	}
+	return s.broken(errCut, "dialer: the stream ended without its end mark")
+}
+
+// wholeLines splits into lines and leaves out a last one that was cut.
+func wholeLines(data []byte, atEOF bool) (int, []byte, error) {
+	if atEOF && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
+func (s *stream) broken(kind error, text string) error {
+	s.err = errors.Mark(errors.Mark(errors.New(text), kind), ErrEndpoint)
+	return s.err
+}
+
+func (s *stream) end() error {
+	if !s.counted || len(s.text) == 0 {
+		return s.broken(errGarbage, "dialer: an end mark without an answer")
+	}
+	return nil
+}
+
+// chunk is one event of a stream.
+type chunk struct {
+	// ID is the call's key, where the endpoint sends it.
+	ID string `json:"id"`
+	// Offset is the position of the text in bytes, where the endpoint sends it.
+	Offset  *int `json:"offset"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *answer.Usage `json:"usage"`
+}
+
+func (s *stream) take(data string, emit func(core.Event)) error {
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return s.broken(errGarbage, "dialer: an event that is no JSON")
+	}
+	if c.ID != "" && c.ID != s.dispatch.Call.Key {
+		return s.broken(errMixed, "dialer: an event of another call")
+	}
+	if u := c.Usage; u != nil {
+		s.usage, s.counted = *u, true
+	}
+	for _, x := range c.Choices {
+		if err := s.add(c.Offset, x.Delta.Content, emit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// add appends a part of the text; a part that came before is left out.
+func (s *stream) add(offset *int, text string, emit func(core.Event)) error {
+	if offset != nil {
+		switch {
+		case *offset > len(s.text):
+			return s.broken(errCut, "dialer: a part of the text is missing")
+		case *offset+len(text) <= len(s.text):
+			return nil
+		}
+		text = text[len(s.text)-*offset:]
+	}
+	if int64(len(s.text)+len(text)) > s.options.Size {
+		return s.broken(errSize, "dialer: the answer is too long")
+	}
+	emit(core.Piece{Flight: s.dispatch.Flight, Offset: len(s.text), Text: text})
+	s.text += text
+	return nil
+}
