--- a/coordination/core/action.go
+++ b/coordination/core/action.go
@@ -41,6 +41,18 @@
 // Abort cancels an attempt whose answer is no longer wanted.
 type Abort struct{ Flight uint64 }
 
+// Order tells an engine to change; the answer is an Ordered event.
+type Order struct {
+	Endpoint string
+	Target   *config.Endpoint
+	// Kind is "load", "unload" or "role".
+	Kind string
+	// Model is "model/adapter/version".
+	Model string
+	Role  string
+	Epoch uint64
+}
+
 // Inquire asks an endpoint what became of a call with an effect; the answer is
 // a Told event, also when the endpoint cannot be reached.
 type Inquire struct {
@@ -92,6 +104,7 @@
 
 func (Dispatch) action() {}
 func (Abort) action()    {}
+func (Order) action()    {}
 func (Inquire) action()  {}
 func (Append) action()   {}
 func (Reply) action()    {}
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -70,8 +70,12 @@
 	retries *retry.Budget
 	// firsts learns the time to the first token per prompt token, by pool;
 	// wholes the time that a call holds its slot, by pool.
-	firsts  map[string]*pace.Pace
-	wholes  map[string]*pace.Pace
+	firsts map[string]*pace.Pace
+	wholes map[string]*pace.Pace
+	// orders holds the order under way of each engine; demand the dispatches
+	// of each model, with a half-life of a minute.
+	orders  map[string]order
+	demand  map[string]float64
 	leaving map[string]bool
 	serial  uint64
 	drained bool
@@ -106,6 +110,8 @@
 		retries:   retry.New(time.Time{}),
 		firsts:    map[string]*pace.Pace{},
 		wholes:    map[string]*pace.Pace{},
+		orders:    map[string]order{},
+		demand:    map[string]float64{},
 		leaving:   map[string]bool{},
 	}
 }
@@ -138,6 +144,8 @@
 		c.committed(now, e)
 	case Started, Piece, Finished, Failed:
 		c.applyFlight(now, event)
+	case Ordered:
+		c.orderEnded(now, e)
 	case Told:
 		c.told(now, e)
 	case Reported, Cached, Held, Released, Listed, Shared:
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -14,6 +15,7 @@
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/state/load"
 	"github.com/cowslipstage/cowslipstage/state/record"
 )
 
@@ -35,6 +37,7 @@
 	releases   []core.Release
 	yields     []core.Yield
 	inquiries  []core.Inquire
+	orders     []core.Order
 }
 
 func declared() *config.Config {
@@ -83,6 +86,8 @@
 			r.releases = append(r.releases, a)
 		case core.Yield:
 			r.yields = append(r.yields, a)
+		case core.Order:
+			r.orders = append(r.orders, a)
 		case core.Inquire:
 			r.inquiries = append(r.inquiries, a)
 		}
@@ -297,4 +302,49 @@
 		r.step(core.Ticked{})
 		Expect(r.releases).To(HaveLen(4))
 	})
+
+	It("loads a new version everywhere before the old one leaves, one engine at a time", func() {
+		d := declared()
+		d.Revision = 2
+		d.Services["chat"].Model, d.Services["chat"].Version = "m", "2"
+		r.step(core.Configured{Config: d})
+		for i := range 3 {
+			r.step(core.Reported{Endpoint: fmt.Sprint("engine-", i), Report: load.Report{Models: []string{"m//1"}, Taken: r.now}})
+		}
+		r.now = r.now.Add(time.Minute)
+		r.step(core.Ticked{})
+		for i := 0; i < len(r.orders); i++ {
+			r.step(core.Ordered{Endpoint: r.orders[i].Endpoint})
+		}
+		var kinds []string
+		for _, o := range r.orders {
+			kinds = append(kinds, o.Kind+" "+o.Model)
+			Expect(o.Epoch).To(BeEquivalentTo(1))
+		}
+		Expect(kinds).To(ConsistOf("load m//2", "load m//2", "load m//2", "unload m//1", "unload m//1", "unload m//1"))
+		Expect(kinds[0]).To(Equal("load m//2"))
+		r.submit(chat("a", 0))
+		Expect(r.dispatches).To(HaveLen(1))
+	})
+
+	It("proves by a journal write that it still owns the shard once its lease may have lapsed", func() {
+		r.submit(chat("a", 0))
+		r.finish(0, "hi")
+		r.commit()
+		r.step(core.Renewed{Until: r.now.Add(time.Second)})
+		k := chat("b", 0)
+		k.Customer = "c"
+		r.step(core.Submitted{Call: &k})
+		Expect(r.dispatches).To(HaveLen(2))
+		r.finish(1, "ho")
+		r.commit()
+		r.now = r.now.Add(2 * time.Second)
+		l := chat("d", 0)
+		l.Customer = "c"
+		r.step(core.Submitted{Call: &l})
+		Expect(r.dispatches).To(HaveLen(2))
+		r.step(core.Committed{Ref: r.commits[0].Ref, Err: errors.New("deposed")})
+		Expect(r.dispatches).To(HaveLen(2))
+		Expect(r.replies[len(r.replies)-1].Moved).To(BeTrue())
+	})
 })
--- a/coordination/core/event.go
+++ b/coordination/core/event.go
@@ -117,6 +117,12 @@
 	Body   []byte
 }
 
+// Ordered says that an order to an engine has ended, well or not.
+type Ordered struct {
+	Endpoint string
+	Err      error
+}
+
 // Reported is an endpoint's load, late as it is.
 type Reported struct {
 	Endpoint string
@@ -185,6 +191,7 @@
 func (Finished) event()    {}
 func (Failed) event()      {}
 func (Told) event()        {}
+func (Ordered) event()     {}
 func (Reported) event()    {}
 func (Cached) event()      {}
 func (Held) event()        {}
--- /dev/null
+++ b/coordination/core/order.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowslipstage/cowslipstage/coordination/place"
+	"github.com/cowslipstage/cowslipstage/state/config"
+)
+
+// order is one order to an engine without a confirmation.
+type order struct {
+	// since is when it was given; it is given again after orderTimeout.
+	since time.Time
+	pool  string
+	Order
+}
+
+// orderTimeout is how long an order may take before it is given again.
+const orderTimeout = 5 * time.Minute
+
+// keeper returns the shard whose owner gives an endpoint its orders; the
+// shard's epoch is the orders' fencing number.
+func (c *Core) keeper(endpoint string) *shard {
+	return c.shards[int(xxhash.Sum64String(endpoint)%uint64(c.options.Shards))]
+}
+
+// manage gives engines the orders that bring them to the declared state: one
+// at a time for each engine, and one load at a time for each pool, since the
+// weight store is shared.
+func (c *Core) manage(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(c.config.Endpoints)) {
+		e := c.config.Endpoints[name]
+		s := c.keeper(name)
+		if e.Kind != "engine" || s == nil || s.leaving || !c.loads.Reported(name) {
+			continue
+		}
+		if o, ok := c.orders[name]; ok && now.Sub(o.since) < orderTimeout {
+			continue
+		}
+		c.manageEngine(now, s, name, e)
+	}
+}
+
+func (c *Core) manageEngine(now time.Time, s *shard, name string, e *config.Endpoint) {
+	if e.Role != "" && c.loads.Role(name) != e.Role {
+		c.order(now, s, name, Order{Kind: "role", Role: e.Role})
+		return
+	}
+	plan := place.Next(place.Wanted(c.config, e.Pool, c.demand), c.loads.Models(name))
+	switch {
+	case plan.Load != "" && !c.loading(now, e.Pool):
+		c.order(now, s, name, Order{Kind: "load", Model: plan.Load})
+	case plan.Unload != "":
+		c.order(now, s, name, Order{Kind: "unload", Model: plan.Unload})
+	}
+}
+
+// loading tells whether an engine of the pool reads the weight store.
+func (c *Core) loading(now time.Time, pool string) bool {
+	for _, o := range c.orders {
+		if o.Kind == "load" && o.pool == pool && now.Sub(o.since) < orderTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) order(now time.Time, s *shard, name string, o Order) {
+	target := c.config.Endpoints[name]
+	c.orders[name] = order{since: now, pool: target.Pool, Order: o}
+	o.Endpoint, o.Target, o.Epoch = name, target, s.epoch
+	c.do(o)
+}
+
+// orderEnded takes the end of an order. What failed is ordered again later.
+func (c *Core) orderEnded(now time.Time, e Ordered) {
+	o, ok := c.orders[e.Endpoint]
+	if !ok {
+		return
+	}
+	delete(c.orders, e.Endpoint)
+	if e.Err != nil {
+		return
+	}
+	c.loads.Change(e.Endpoint, o.Kind, o.Model, o.Role)
+	c.touchPool(e.Endpoint)
+	c.manage(now)
+}
--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/coordination/pace"
+	"github.com/cowslipstage/cowslipstage/coordination/place"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
 	"github.com/cowslipstage/cowslipstage/coordination/route"
 	"github.com/cowslipstage/cowslipstage/state/answer"
@@ -135,6 +136,7 @@
 		q.Remove(i.ID)
 		c.retries.Call()
 		if r.operation == nil {
+			c.demand[place.Name(r.service)]++
 			c.hedger.Call()
 		}
 		c.launch(now, r, endpoint, cost)
@@ -154,7 +156,7 @@
 	names := c.candidates(r)
 	choices := make([]route.Choice, 0, len(names))
 	for _, name := range names {
-		if name == not || !c.admits(now, r, name) {
+		if name == not || !c.admits(now, r, name) || !c.loaded(r, name) {
 			continue
 		}
 		choices = append(choices, c.choice(now, r, name))
@@ -199,6 +201,16 @@
 	return c.loads.Calls(now, name) < slots
 }
 
+// loaded tells whether the endpoint has the call's model, or does not say what
+// it has.
+func (c *Core) loaded(r *request, name string) bool {
+	if r.operation != nil || r.service.Model == "" {
+		return true
+	}
+	models := c.loads.Models(name)
+	return len(models) == 0 || slices.Contains(models, place.Name(r.service))
+}
+
 // reservedPart is which part of an endpoint's slots only class 0 may use.
 const reservedPart = 8
 
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -87,6 +87,10 @@
 	c.launch(now, r, endpoint, cost)
 }
 
+// demandDecay is what remains of a model's demand after a second; a half-life
+// of a minute.
+const demandDecay = 0.9885
+
 // clean runs the slow housekeeping: idle programs, releases, old refusals.
 func (c *Core) clean(now time.Time) {
 	for to, f := range c.refused {
@@ -94,6 +98,10 @@
 			delete(c.refused, to)
 		}
 	}
+	for n := range c.demand {
+		c.demand[n] *= demandDecay
+	}
+	c.manage(now)
 	for _, s := range c.ordered() {
 		for _, id := range slices.Sorted(maps.Keys(s.programs)) {
 			c.idle(now, s, s.programs[id])
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -25,11 +25,17 @@
 	}
 }
 
-// Valid tells whether the lease surely stands.
-func (l *Lease) Valid(now time.Time) bool {
-	return !l.sent.IsZero() && now.Sub(l.sent) < l.duration-l.duration*margin/100
+// Until returns when the lease may have lapsed; the zero time if it was never renewed.
+func (l *Lease) Until() time.Time {
+	if l.sent.IsZero() {
+		return time.Time{}
+	}
+	return l.sent.Add(l.duration - l.duration*margin/100)
 }
 
+// Valid tells whether the lease surely stands.
+func (l *Lease) Valid(now time.Time) bool { return now.Before(l.Until()) }
+
 // Watch notes the signs of life of other nodes.
 type Watch struct {
 	duration time.Duration
--- /dev/null
+++ b/coordination/limit/limit_test.go
@@ -0,0 +1,148 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipstage/cowslipstage/coordination/limit"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestRateAndRetry(t *testing.T) {
+	g := NewWithT(t)
+	x, b := limit.New(), limit.Bound{Rate: 10, Burst: 2}
+	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Enter(start, "a", b)).To(Equal(limit.Verdict{Reason: "rate", Wait: 100 * time.Millisecond}))
+	g.Expect(x.Enter(start, "b", b).OK).To(BeTrue())
+	g.Expect(x.Enter(start.Add(100*time.Millisecond), "a", b).OK).To(BeTrue())
+}
+
+func TestActive(t *testing.T) {
+	g := NewWithT(t)
+	x, b := limit.New(), limit.Bound{Active: 1}
+	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Enter(start, "a", b).Reason).To(Equal("active"))
+	x.Leave("a")
+	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
+}
+
+func TestNoBound(t *testing.T) {
+	x := limit.New()
+	for range 1000 {
+		NewWithT(t).Expect(x.Enter(start, "a", limit.Bound{}).OK).To(BeTrue())
+	}
+}
+
+func TestUnusedNamesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	x := limit.New()
+	x.Enter(start, "a", limit.Bound{Rate: 0.01})
+	g.Expect(x.Used(start)).To(HaveKey("a"))
+	x.Leave("a")
+	g.Expect(x.Used(start.Add(2 * time.Minute))).To(BeEmpty())
+}
+
+// run offers calls to every node's gate for a while and counts those let in,
+// after the nodes have had time to hear of each other.
+func run(nodes int, offered []float64, b limit.Bound) float64 {
+	const tick, gossip, span, warm = 10 * time.Millisecond, 200 * time.Millisecond, 30 * time.Second, 10 * time.Second
+	gates := make([]*limit.Gate, nodes)
+	due := make([]float64, nodes)
+	for i := range gates {
+		gates[i] = limit.New()
+		gates[i].Size(nodes)
+	}
+	let := 0
+	for at := time.Duration(0); at < span; at += tick {
+		now := start.Add(at)
+		for i, x := range gates {
+			for due[i] += offered[i] * tick.Seconds(); due[i] >= 1; due[i]-- {
+				if !x.Enter(now, "a", b).OK {
+					continue
+				}
+				x.Leave("a")
+				if at >= warm {
+					let++
+				}
+			}
+			if at%gossip == 0 {
+				for j, y := range gates {
+					if i != j {
+						y.Hear(now, fmt.Sprint(i), x.Used(now))
+					}
+				}
+			}
+		}
+	}
+	return float64(let) / (span - warm).Seconds()
+}
+
+func TestBudgetIsShared(t *testing.T) {
+	b := limit.Bound{Rate: 70, Burst: 7}
+	for name, c := range map[string]struct {
+		offered  []float64
+		from, to float64
+	}{
+		"all nodes busy":         {[]float64{50, 50, 50, 50, 50, 50, 50}, 56, 84},
+		"all at one node":        {[]float64{200, 0, 0, 0, 0, 0, 0}, 63, 77},
+		"one busy, others light": {[]float64{200, 5, 5, 5, 5, 5, 5}, 56, 105},
+		"within the bound":       {[]float64{40, 3, 3, 3, 3, 3, 3}, 56, 58.5},
+	} {
+		got := run(7, c.offered, b)
+		t.Logf("%s: %.1f of %g calls a second", name, got, b.Rate)
+		NewWithT(t).Expect(got).To(And(BeNumerically(">=", c.from), BeNumerically("<=", c.to)), name)
+	}
+}
+
+// TestGateProperties checks that whatever the order of calls, one gate alone
+// never exceeds its bounds.
+func TestGateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := limit.Bound{
+			Rate: rapid.Float64Range(0.5, 50).Draw(t, "rate"), Burst: rapid.IntRange(1, 20).Draw(t, "burst"),
+			Active: rapid.IntRange(1, 10).Draw(t, "active"),
+		}
+		x, now, active, let := limit.New(), start, 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			if active > 0 && rapid.Bool().Draw(t, "leave") {
+				x.Leave("a")
+				active--
+				continue
+			}
+			if x.Enter(now, "a", b).OK {
+				active++
+				let++
+			}
+			if active > b.Active || float64(let) > float64(b.Burst)+b.Rate*now.Sub(start).Seconds()+1e-6 {
+				t.Fatalf("%d under way and %d let in after %s", active, let, now.Sub(start))
+			}
+		}
+	})
+}
+
+func TestLate(t *testing.T) {
+	g := NewWithT(t)
+	_, late := limit.Late(start, start.Add(3*time.Second), 8, 4, time.Second)
+	g.Expect(late).To(BeFalse())
+	after, late := limit.Late(start, start.Add(2*time.Second), 8, 4, time.Second)
+	g.Expect(late).To(BeTrue())
+	g.Expect(after).To(Equal(time.Second))
+}
+
+func BenchmarkEnter(b *testing.B) {
+	x := limit.New()
+	x.Size(350)
+	for i := range 350 {
+		x.Hear(start, fmt.Sprint(i), map[string]limit.Use{"a": {Rate: 1}})
+	}
+	for b.Loop() {
+		x.Enter(start, "a", limit.Bound{Rate: 1e9, Burst: 1e9})
+	}
+}
--- /dev/null
+++ b/coordination/place/place.go
@@ -0,0 +1,63 @@
+// Package place (coordination layer) decides which models an engine should
+// have in memory.
+package place
+
+import (
+	"slices"
+
+	"github.com/cowslipstage/cowslipstage/state/config"
+)
+
+// Plan is what one engine should change next; empty names change nothing.
+type Plan struct {
+	// Load is the model to load.
+	Load string
+	// Unload is the model to drop.
+	Unload string
+}
+
+// Name is how engines name a model with its adapter and version.
+func Name(v *config.Service) string { return v.Model + "/" + v.Adapter + "/" + v.Version }
+
+// Wanted returns the models that a pool's services need, the most demanded
+// first. Demand is in calls, by model.
+func Wanted(c *config.Config, pool string, demand map[string]float64) []string {
+	var names []string
+	for _, v := range c.Services {
+		if v.Kind != "model" || v.Pool != pool || v.Model == "" {
+			continue
+		}
+		if n := Name(v); !slices.Contains(names, n) {
+			names = append(names, n)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		switch {
+		case demand[a] != demand[b] && demand[a] > demand[b]:
+			return -1
+		case demand[a] != demand[b]:
+			return 1
+		case a < b:
+			return -1
+		}
+		return 1
+	})
+	return names
+}
+
+// Next returns what an engine that holds some models should change next. A
+// model that nobody wants any more goes only after all wanted ones are there,
+// so that a new version is in place before its predecessor leaves.
+func Next(wanted, held []string) Plan {
+	for _, n := range wanted {
+		if !slices.Contains(held, n) {
+			return Plan{Load: n}
+		}
+	}
+	for _, n := range held {
+		if !slices.Contains(wanted, n) {
+			return Plan{Unload: n}
+		}
+	}
+	return Plan{}
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
@@ -88,7 +89,9 @@
 		}
 		n.mu.Lock()
 		n.lease.Renewed(sent)
+		until := n.lease.Until()
 		n.mu.Unlock()
+		n.emit(core.Renewed{Until: until})
 	})
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -56,6 +56,8 @@
 		n.wait.Go(func() { n.dialer.Run(ctx, a) })
 	case core.Abort:
 		n.dialer.Abort(a.Flight)
+	case core.Order:
+		n.wait.Go(func() { n.dialer.Order(ctx, a) })
 	case core.Inquire:
 		n.wait.Go(func() { n.dialer.Inquire(ctx, a) })
 	case core.Append:
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -20,11 +20,12 @@
 
 // news is what the node tells its peers about itself; freed are shards it gave back.
 func (n *Node) news(freed map[int]uint64) frame.Gossip {
+	used := n.gate.used(time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.settings.Node
 	g := frame.Gossip{
-		Node: s.Name, Centre: s.Centre, Addr: s.Link, Boot: n.boot, Freed: freed,
+		Node: s.Name, Centre: s.Centre, Addr: s.Link, Boot: n.boot, Freed: freed, Used: used,
 		Owned: map[int]uint64{}, Revision: n.config.Revision, Leaving: n.draining,
 	}
 	for shard, o := range n.journals {
@@ -39,6 +40,7 @@
 func (n *Node) hear(g frame.Gossip) {
 	n.links.Connect(g.Node, g.Addr)
 	n.meet(time.Now(), g)
+	n.gate.hear(time.Now(), g.Node, g.Used, 1+len(n.links.Live()))
 	for shard, epoch := range g.Owned {
 		n.see(shard, ownership{node: g.Node, epoch: epoch})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,7 @@
 	store    *store.Client
 	links    *links.Links
 	edge     *edge.Edge
+	gate     *gate
 	dialer   *dialer.Dialer
 	core     *core.Core
 	metrics  *metrics.Set
@@ -114,6 +115,7 @@
 		taking:   map[int]bool{},
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
+		gate:     newGate(),
 	}
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
@@ -125,7 +127,7 @@
 	n.dialer = dialer.New(dialer.Options{Quiet: s.Policy.Quiet}, n.emit)
 	n.edge = edge.New(edge.Options{
 		Silence: s.Links.Silence / 2, MaxBody: s.Node.Body, Patience: time.Minute,
-		Beat: callerBeat, Stall: callerStall, Config: n.current,
+		Beat: callerBeat, Stall: callerStall, Config: n.current, Admit: n.admit,
 	}, backend{n}, n.log)
 	return n
 }
--- a/protocol/caller/reply.go
+++ b/protocol/caller/reply.go
@@ -18,7 +18,6 @@
 	"ended":     http.StatusConflict,
 	"order":     http.StatusConflict,
 	"mismatch":  http.StatusUnprocessableEntity,
-	"limit":     http.StatusTooManyRequests,
 	"token":     http.StatusUnauthorized,
 	"customer":  http.StatusForbidden,
 	"size":      http.StatusRequestEntityTooLarge,
@@ -32,6 +31,8 @@
 		return a.Status
 	case a.Outcome == answer.Done:
 		return http.StatusOK
+	case a.Reason == "limit":
+		return http.StatusTooManyRequests
 	case a.Outcome == answer.Unknown:
 		return http.StatusBadGateway
 	}
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -5,6 +5,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/cowslipstage/cowslipstage/coordination/limit"
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/load"
@@ -102,6 +103,8 @@
 	Boot string `cbor:"9,keyasint,omitempty"`
 	// Freed holds the shards that the node has just given back, with their epochs.
 	Freed map[int]uint64 `cbor:"10,keyasint,omitempty"`
+	// Used holds what the node lets through of bounds that it uses much of.
+	Used map[string]limit.Use `cbor:"11,keyasint,omitempty"`
 }
 
 // Hold asks a standby to keep a journal batch while the store is slow or down.
--- a/protocol/ticket/object.go
+++ b/protocol/ticket/object.go
@@ -93,7 +93,7 @@
 func endpoint(p *schema.Part) *config.Endpoint {
 	return &config.Endpoint{
 		Kind: p.Text("kind"), Pool: p.Text("pool"), Addr: p.Text("addr"), Centre: p.Text("centre"),
-		Fencing: p.Flag("fencing"), Tells: p.Flag("tells"),
+		Fencing: p.Flag("fencing"), Tells: p.Flag("tells"), Role: p.Text("role"),
 		Slots: int(p.Count("slots")), Memory: int(p.Count("memory")),
 	}
 }
--- a/protocol/ticket/render.go
+++ b/protocol/ticket/render.go
@@ -76,7 +76,7 @@
 	case *config.Endpoint:
 		return map[string]string{
 			"kind": o.Kind, "pool": o.Pool, "addr": o.Addr, "centre": o.Centre,
-			"fencing": strconv.FormatBool(o.Fencing), "tells": strconv.FormatBool(o.Tells),
+			"fencing": strconv.FormatBool(o.Fencing), "tells": strconv.FormatBool(o.Tells), "role": o.Role,
 			"slots": count(o.Slots), "memory": count(o.Memory),
 		}
 	case *config.Service:
--- a/protocol/ticket/table.go
+++ b/protocol/ticket/table.go
@@ -88,6 +88,7 @@
 			{Name: "centre", Type: schema.Name{}, Doc: "The data centre."},
 			{Name: "fencing", Type: schema.Flag{}, Default: "false", Doc: "Whether the endpoint refuses old fencing numbers."},
 			{Name: "tells", Type: schema.Flag{}, Default: "false", Doc: "Whether the endpoint can be asked what became of a call, by its key."},
+			{Name: "role", Type: schema.Name{}, Doc: "What an engine is to do, such as prefill; empty leaves it alone."},
 			{Name: "slots", Type: schema.Count{Max: maxCalls}, Default: "0", Doc: "Calls that may run there at once; 0 means no bound."},
 			{Name: "memory", Type: schema.Count{Max: maxTokens}, Default: "0", Doc: "The engine's cache in tokens; 0 means not known."},
 		},
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -113,6 +113,8 @@
 	Fencing bool `cbor:"5,keyasint,omitempty"`
 	// Tells says that the endpoint can be asked for the outcome of a key.
 	Tells bool `cbor:"8,keyasint,omitempty"`
+	// Role is what an engine is to do, such as "prefill"; "" leaves it alone.
+	Role string `cbor:"9,keyasint,omitempty"`
 	// Slots bounds the calls that all nodes together may have running there.
 	Slots int `cbor:"6,keyasint,omitempty"`
 	// Memory is the engine's cache size in tokens.
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -1,7 +1,10 @@
 // Package load (state layer) keeps what is known of each endpoint's load.
 package load
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report is an endpoint's own view of its load. It is late by the engine's lag.
 type Report struct {
@@ -14,6 +17,10 @@
 	Cached int `cbor:"4,keyasint" json:"cached"`
 	// Leaving says that the endpoint refuses new work.
 	Leaving bool `cbor:"5,keyasint" json:"leaving"`
+	// Role is what the engine does at present.
+	Role string `cbor:"7,keyasint,omitempty" json:"role,omitempty"`
+	// Models are the models in the engine's memory, as "model/adapter/version".
+	Models []string `cbor:"8,keyasint,omitempty" json:"models,omitempty"`
 	// Taken is when the endpoint measured itself.
 	Taken time.Time `cbor:"6,keyasint" json:"taken"`
 }
@@ -123,6 +130,30 @@
 	return n
 }
 
+// Reported tells whether the endpoint has ever reported.
+func (b *Board) Reported(name string) bool { return !b.entry(name).report.Taken.IsZero() }
+
+// Models returns the models in the engine's memory; none if it does not say.
+func (b *Board) Models(name string) []string { return b.entry(name).report.Models }
+
+// Change takes over what a confirmed order achieved, ahead of the next report.
+func (b *Board) Change(name, kind, model, role string) {
+	r := &b.entry(name).report
+	switch kind {
+	case "load":
+		if !slices.Contains(r.Models, model) {
+			r.Models = append(slices.Clone(r.Models), model)
+		}
+	case "unload":
+		r.Models = slices.DeleteFunc(slices.Clone(r.Models), func(m string) bool { return m == model })
+	case "role":
+		r.Role = role
+	}
+}
+
+// Role returns what the engine does at present.
+func (b *Board) Role(name string) string { return b.entry(name).report.Role }
+
 // Bar keeps new work away from the endpoint until the given time.
 func (b *Board) Bar(name string, until time.Time) { b.entry(name).barred = until }
 
--- a/transport/dialer/order.go
+++ b/transport/dialer/order.go
@@ -4,186 +4,50 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"maps"
 	"net/http"
-	"net/url"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
-	"github.com/cowslipstage/cowslipstage/state/load"
 )
 
-// inquiryTimeout bounds a question about an outcome.
-const inquiryTimeout = 2 * time.Second
+// orderTimeout bounds an order; loading a model takes its time.
+const orderTimeout = 5 * time.Minute
 
-// Inquire asks an endpoint for the outcome of a call, and reports Told.
-func (d *Dialer) Inquire(ctx context.Context, q core.Inquire) {
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-	defer cancel()
-	told := core.Told{Inquiry: q.Inquiry}
-	if status, body, err := d.outcome(ctx, q); err == nil {
-		told.Found, told.Status, told.Body = true, status, body
-	}
-	d.emit(told)
-}
-
-func (d *Dialer) outcome(ctx context.Context, q core.Inquire) (int, []byte, error) {
-	address := "http://" + q.Target.Addr + "/v1/outcome/" + url.PathEscape(q.Call.Key)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "dialer: request")
-	}
-	request.Header.Set("X-Program", q.Call.Owner())
-	response, err := d.pooled.Do(request)
-	if err != nil {
-		return 0, nil, errors.Mark(errors.Wrap(err, "dialer: outcome"), ErrEndpoint)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return 0, nil, errors.Mark(errors.Newf("dialer: outcome: status %d", response.StatusCode), ErrEndpoint)
-	}
-	body, err := d.whole(response)
-	if err == nil && !json.Valid(body) {
-		err = errors.Mark(errors.New("dialer: outcome: no JSON"), ErrEndpoint)
-	}
-	return response.StatusCode, body, err
-}
-
-// orderTimeout bounds an order.
-const orderTimeout = 5 * time.Second
-
-// Release asks an engine to drop a program's memory, and reports Released when
-// the engine confirms that it holds nothing for the program any more.
-func (d *Dialer) Release(ctx context.Context, r core.Release) {
+// Order gives an engine an order, and reports its end.
+func (d *Dialer) Order(ctx context.Context, o core.Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	body, _ := json.Marshal(struct {
-		Kind    string   `json:"kind"`
-		Program string   `json:"program"`
-		Agents  []string `json:"agents,omitempty"`
-		Epoch   uint64   `json:"epoch"`
-	}{"release", r.Customer + "/" + r.Program, r.Agents, r.Epoch})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Target.Addr+"/orders", bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	response, err := d.pooled.Do(request)
+	d.emit(core.Ordered{Endpoint: o.Endpoint, Err: d.order(ctx, o)})
+}
+
+func (d *Dialer) order(ctx context.Context, o core.Order) error {
+	model, rest, _ := strings.Cut(o.Model, "/")
+	adapter, version, _ := strings.Cut(rest, "/")
+	body, err := json.Marshal(struct {
+		Kind    string `json:"kind"`
+		Epoch   uint64 `json:"epoch"`
+		Role    string `json:"role,omitempty"`
+		Model   string `json:"model,omitempty"`
+		Adapter string `json:"adapter,omitempty"`
+		Version string `json:"version,omitempty"`
+	}{o.Kind, o.Epoch, o.Role, model, adapter, version})
 	if err != nil {
-		return
-	}
-	_ = response.Body.Close()
-	if response.StatusCode == http.StatusOK && len(r.Agents) == 0 {
-		d.emit(core.Released{Endpoint: r.Endpoint, Customer: r.Customer, Program: r.Program})
+		return errors.Wrap(err, "dialer: encoding")
 	}
-}
-
-// Load fetches an endpoint's load.
-func (d *Dialer) Load(ctx context.Context, addr string) (load.Report, error) {
-	var report load.Report
-	err := d.get(ctx, addr, "/load", &report)
-	return report, err
-}
-
-// get reads a JSON answer into body.
-func (d *Dialer) get(ctx context.Context, addr, path string, body any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Target.Addr+"/orders", bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "dialer: request")
 	}
 	response, err := d.pooled.Do(request)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "dialer: GET %s", path), ErrEndpoint)
+		return errors.Mark(errors.Wrap(err, "dialer: order"), ErrEndpoint)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := d.whole(response)
-	if err != nil {
-		return err
-	}
 	if response.StatusCode != http.StatusOK {
-		return errors.Mark(errors.Newf("dialer: GET %s: status %d", path, response.StatusCode), ErrEndpoint)
-	}
-	if err := json.Unmarshal(data, body); err != nil {
-		return errors.Mark(errors.Wrapf(err, "dialer: GET %s", path), ErrEndpoint)
-	}
-	return nil
-}
-
-// List fetches the programs that an engine holds memory for, and reports Held.
-func (d *Dialer) List(ctx context.Context, endpoint, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	var held map[string]int
-	if err := d.get(ctx, addr, "/cache", &held); err != nil {
-		return err
+		return errors.Mark(errors.Newf("dialer: order %s: status %d", o.Kind, response.StatusCode), ErrEndpoint)
 	}
-	d.emit(core.Held{Endpoint: endpoint, Programs: slices.Sorted(maps.Keys(held))})
 	return nil
 }
-
-// eventBody is one cache event of an engine.
-type eventBody struct {
-	Serial  uint64 `json:"serial"`
-	Program string `json:"program"`
-	Agent   string `json:"agent"`
-	Tokens  int    `json:"tokens"`
-}
-
-const (
-	// followTimeout bounds one wait for cache events.
-	followTimeout = 15 * time.Second
-	// maxFollowPause bounds the pause after a failed wait.
-	maxFollowPause = 5 * time.Second
-)
-
-// Follow reports an engine's cache events as Cached until ctx ends.
-func (d *Dialer) Follow(ctx context.Context, endpoint, addr string) {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.MaxInterval = maxFollowPause
-	for since := uint64(0); ctx.Err() == nil; {
-		next, err := d.follow(ctx, endpoint, addr, since)
-		if err == nil {
-			since = next
-			pauses.Reset()
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pauses.NextBackOff()):
-		}
-	}
-}
-
-// follow waits for the events after a serial number and returns the last one's.
-func (d *Dialer) follow(ctx context.Context, endpoint, addr string, since uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
-	defer cancel()
-	var news struct {
-		Serial uint64      `json:"serial"`
-		Events []eventBody `json:"events"`
-	}
-	if err := d.get(ctx, addr, "/events?since="+strconv.FormatUint(since, 10), &news); err != nil {
-		return since, err
-	}
-	if news.Serial < since {
-		// The engine began anew and counts from one again.
-		return 0, nil
-	}
-	for _, e := range news.Events {
-		customer, program, ok := strings.Cut(e.Program, "/")
-		if !ok {
-			continue
-		}
-		d.emit(core.Cached{
-			Endpoint: endpoint, Serial: e.Serial, Customer: customer, Program: program,
-			Agent: e.Agent, Tokens: e.Tokens,
-		})
-		since = max(since, e.Serial)
-	}
-	return since, nil
-}
--- a/transport/edge/auth.go
+++ b/transport/edge/auth.go
@@ -41,7 +41,10 @@
 		}
 		return "", malformed(err)
 	}
-	if len(c.Customers) == 0 {
+	switch {
+	case e.options.Config != nil && c.Revision == 0:
+		return "", starting()
+	case len(c.Customers) == 0:
 		return name, nil
 	}
 	declared := c.Customers[name]
@@ -54,6 +57,14 @@
 	return name, nil
 }
 
+// starting refuses callers of a node that can't know yet who they are.
+func starting() *answer.Answer {
+	return &answer.Answer{
+		Outcome: answer.Unknown, Reason: "starting", RetryAfter: time.Second,
+		Detail: "the node has no configuration yet; this attempt did not run, an earlier one may have",
+	}
+}
+
 // owner returns the customer whose token has this digest, or "".
 func owner(c *config.Config, digest string) string {
 	found := ""
@@ -76,7 +87,7 @@
 func (e *Edge) Operators(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, digest := e.config(), bearer(r)
-		allowed := len(c.Operators) == 0
+		allowed := len(c.Operators) == 0 && (e.options.Config == nil || c.Revision > 0)
 		for _, o := range c.Operators {
 			allowed = equal(o.Token, digest) || allowed
 		}
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -186,7 +186,8 @@
 // run submits a call and passes its answer on.
 func (e *Edge) run(w http.ResponseWriter, r *http.Request, k *call.Call, stream bool) {
 	if k.Key == "" {
-		k.Key = uuid.NewString()
+		// Nobody can have sent a key before that is made up here.
+		k.Key, k.Tries = uuid.NewString(), 1
 	}
 	if k.Program == "" {
 		// A retry with the same key must reach the same program.
@@ -197,6 +198,7 @@
 	w.Header().Set(caller.HeaderKey, k.Key)
 	done, refusal := e.admit(k)
 	if refusal != nil {
+		refusal = doubt(k, refusal)
 		e.refuse(w, k.Key, refusal)
 		e.observe(k, refusal, nil)
 		return
@@ -221,6 +223,18 @@
 	return e.options.Admit(k.Received, k)
 }
 
+// doubt turns the edge's own refusal into "unknown" where an earlier attempt
+// with the key may have run the call.
+func doubt(k *call.Call, a *answer.Answer) *answer.Answer {
+	if k.Tries == 1 {
+		return a
+	}
+	unsure := *a
+	unsure.Outcome = answer.Unknown
+	unsure.Detail += "; this attempt did not run, an earlier one with the key may have"
+	return &unsure
+}
+
 // observe reports a finished call; a is nil when its caller has gone.
 func (e *Edge) observe(k *call.Call, a *answer.Answer, p *printer) {
 	if e.options.Observe == nil {
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/burn"
+	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/config"
 	"github.com/cowslipstage/cowslipstage/transport/edge"
 )
@@ -341,6 +342,7 @@
 func TestTokens(t *testing.T) {
 	g := NewWithT(t)
 	c := config.New()
+	c.Revision = 1
 	c.Customers["acme"] = &config.Customer{Token: digest("s3cret")}
 	c.Customers["open"] = &config.Customer{}
 	c.Operators["ana"] = &config.Operator{Token: digest("op")}
@@ -388,3 +390,29 @@
 	g.Expect(s.Tokens).To(Equal(2))
 	g.Expect(s.First).To(BeNumerically("<=", s.Whole))
 }
+
+func TestNodeWithoutConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	s, url := serve(t, func(o *edge.Options) { o.Config = config.New }, says(ownerA, done("hello")))
+	response, body := chat(t, url, "")
+	g.Expect(response.Header.Get("Retry-After")).To(Equal("1"))
+	g.Expect(body).To(And(ContainSubstring(`"reason":"starting"`), ContainSubstring(`"outcome":"unknown"`)))
+	g.Expect(s.submits).To(BeEmpty())
+}
+
+func TestLimitIsHonest(t *testing.T) {
+	over := &answer.Answer{Outcome: answer.NotRun, Reason: "limit", RetryAfter: 100 * time.Millisecond}
+	for _, c := range []struct{ key, tries, outcome string }{
+		{"", "", "notrun"}, {"k1", "1", "notrun"}, {"k1", "2", "unknown"}, {"k1", "", "unknown"},
+	} {
+		g := NewWithT(t)
+		s, url := serve(t, func(o *edge.Options) {
+			o.Admit = func(time.Time, *call.Call) (func(), *answer.Answer) { return nil, over }
+		}, says(ownerA, done("hello")))
+		response, body := chat(t, url, "", "Idempotency-Key", c.key, "X-Tries", c.tries)
+		g.Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+		g.Expect(response.Header.Get("Retry-After")).To(Equal("1"))
+		g.Expect(body).To(ContainSubstring(`"outcome":"` + c.outcome + `"`))
+		g.Expect(s.submits).To(BeEmpty())
+	}
+}
