Look only at the calls that time can affect

Cause: every tick sorted all calls under way and read a percentile for each. Change: the tick filters first and sorts what is due; the hedger keeps its percentile.

--- a/coordination/core/place_test.go
+++ b/coordination/core/place_test.go
@@ -64,3 +64,28 @@
 		}
 	}
 }
+
+// BenchmarkTick measures the time-driven work with calls under way.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{250, 1000, 4000, 16000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := benchCore(400)
+			now := time.Unix(2000, 0)
+			for i := range n {
+				k := &call.Call{
+					Key: fmt.Sprint(i), Customer: "c", Program: fmt.Sprint("p", i), Kind: call.Chat, Service: "chat",
+					Messages: []call.Message{{Role: "user", Content: "Hello"}},
+				}
+				for _, a := range c.Step(now, core.Submitted{Call: k}) {
+					if a, ok := a.(core.Append); ok {
+						c.Step(now, core.Committed{Ref: a.Ref})
+					}
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Step(now, core.Ticked{})
+			}
+		})
+	}
+}
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -12,7 +12,7 @@
 
 // tick does what time alone brings about.
 func (c *Core) tick(now time.Time) {
-	for _, r := range c.waiting() {
+	for _, r := range c.due(now) {
 		c.expire(now, r)
 	}
 	for _, s := range c.ordered() {
@@ -32,11 +32,14 @@
 // cleanInterval is how often the slow housekeeping runs.
 const cleanInterval = time.Second
 
-// waiting returns the requests by id, so that runs can be repeated.
-func (c *Core) waiting() []*request {
-	all := make([]*request, 0, len(c.requests))
+// due returns the requests that time may have an effect on, by id, so that
+// runs can be repeated.
+func (c *Core) due(now time.Time) []*request {
+	var all []*request
 	for _, r := range c.requests {
-		all = append(all, r)
+		if !now.Before(r.deadline) || !r.alone.IsZero() || c.late(now, r) {
+			all = append(all, r)
+		}
 	}
 	slices.SortFunc(all, func(a, b *request) int { return compareStrings(a.call.ID(), b.call.ID()) })
 	return all
@@ -70,15 +73,10 @@
 
 // hedge sends a model call that is late to begin to a second endpoint.
 func (c *Core) hedge(now time.Time, r *request) {
-	if r.operation != nil || r.hedged || r.winner != nil || len(r.flights) != 1 || r.shard.leaving {
-		return
-	}
-	f := r.flights[0]
-	after, ok := c.hedger.After(c.first(r.service.Pool).Expect(f.cost))
-	if !ok || f.sent.IsZero() || now.Sub(f.sent) < after {
+	if !c.late(now, r) {
 		return
 	}
-	endpoint, cost := c.place(now, r, f.endpoint)
+	endpoint, cost := c.place(now, r, r.flights[0].endpoint)
 	n := r.worst()
 	if endpoint == "" || !r.program.Purse().Fits(n.tokens, n.money) || !c.hedger.Take() {
 		return
@@ -91,6 +89,16 @@
 // of a minute.
 const demandDecay = 0.9885
 
+// late tells whether a model call's only attempt is late to begin.
+func (c *Core) late(now time.Time, r *request) bool {
+	if r.operation != nil || r.hedged || r.winner != nil || len(r.flights) != 1 || r.shard.leaving {
+		return false
+	}
+	f := r.flights[0]
+	after, ok := c.hedger.After(c.first(r.service.Pool).Expect(f.cost))
+	return ok && !f.sent.IsZero() && now.Sub(f.sent) >= after
+}
+
 // clean runs the slow housekeeping: idle programs, releases, old refusals.
 func (c *Core) clean(now time.Time) {
 	for to, f := range c.refused {
--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -11,10 +11,11 @@
 // Hedger learns how long endpoints take to begin an answer, and allows a
 // bounded share of calls to be sent twice.
 type Hedger struct {
-	// current and former hold ratios of observed to expected times, in
-	// thousandths; former is the finished half window.
+	// current holds ratios of observed to expected times, in thousandths.
 	current *hdrhistogram.Histogram
-	former  *hdrhistogram.Histogram
+	// late is the ratio of the last whole window that a call must exceed; 0
+	// until the first window is full.
+	late float64
 	// level is the hedges allowed now, between 0 and ceiling.
 	level float64
 	on    bool
@@ -29,7 +30,7 @@
 	quantile = 95.0
 	// margin multiplies the quantile.
 	margin = 1.5
-	// window is the observations of half a window; fewer allow no hedge.
+	// window is the observations of one window; fewer allow no hedge.
 	window = 200
 	// floor is the shortest wait before a hedge.
 	floor = 150 * time.Millisecond
@@ -39,7 +40,7 @@
 
 // New returns a hedger; off never hedges.
 func New(on bool) *Hedger {
-	return &Hedger{current: histogram(), former: histogram(), on: on}
+	return &Hedger{current: histogram(), on: on}
 }
 
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRatio, 2) }
@@ -52,18 +53,18 @@
 	ratio := int64(float64(took) / float64(max(expected, time.Millisecond)) * 1000)
 	_ = h.current.RecordValue(min(max(ratio, 1), maxRatio))
 	if h.current.TotalCount() >= window {
-		h.former, h.current = h.current, histogram()
+		h.late = float64(h.current.ValueAtPercentile(quantile)) / 1000 * margin
+		h.current = histogram()
 	}
 }
 
 // After returns how long a call with the expected time may take before it is
 // hedged, and false while too little is known.
 func (h *Hedger) After(expected time.Duration) (time.Duration, bool) {
-	if !h.on || h.former.TotalCount() == 0 {
+	if !h.on || h.late == 0 {
 		return 0, false
 	}
-	ratio := float64(h.former.ValueAtPercentile(quantile)) / 1000 * margin
-	return max(floor, time.Duration(float64(expected)*ratio)), true
+	return max(floor, time.Duration(float64(expected)*h.late)), true
 }
 
 // Take tells whether a hedge is allowed, and takes it.
