--- a/coordination/commit/commit.go
+++ b/coordination/commit/commit.go
@@ -142,6 +142,9 @@
 	return due
 }
 
+// Slow tells whether standbys were asked to hold a batch that still waits.
+func (w *Writer) Slow() bool { return len(w.pending) > 0 && !w.pending[0].sent.IsZero() }
+
 // Below returns the lowest number that the store may lack.
 func (w *Writer) Below() uint64 {
 	if len(w.pending) == 0 {
--- a/node/claims.go
+++ b/node/claims.go
@@ -47,7 +47,8 @@
 		s.Name: {Name: s.Name, Centre: s.Centre, Boot: n.boot, Leaving: n.draining},
 	}
 	for name, h := range n.known {
-		if name != s.Name && (h.leased || !n.signs.Silent(now, name)) {
+		leased := h.leased && now.Sub(n.polled) < n.settings.Store.Lease
+		if name != s.Name && (leased || !n.signs.Silent(now, name)) {
 			all[name] = h.Host
 		}
 	}
@@ -133,16 +134,20 @@
 	random := rand.New(rand.NewPCG(n.settings.Policy.Seed, n.settings.Policy.Seed))
 	ticker := time.NewTicker(claimTick)
 	defer ticker.Stop()
-	var next time.Time
+	var next, choose time.Time
 	for {
 		now := time.Now()
 		if n.candidate(now) && (!now.Before(next) || n.orphaned(now)) {
 			if err := n.balance(ctx); err != nil {
 				n.log.Warn().Err(err).Msg("claims not read; trying again")
 			}
-			next = now.Add(n.settings.Store.Lease/3 + below(random, n.settings.Store.Lease/12))
+			next = time.Now().Add(n.settings.Store.Lease/3 + below(random, n.settings.Store.Lease/12))
 		}
 		n.setReady()
+		if !now.Before(choose) {
+			n.chooseStandbys(now)
+			choose = now.Add(n.settings.Store.Lease / 3)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -216,6 +221,7 @@
 		return err
 	}
 	n.mu.Lock()
+	n.polled = time.Now()
 	for name, h := range n.known {
 		h.leased = false
 		n.known[name] = h
--- a/node/control.go
+++ b/node/control.go
@@ -155,6 +155,10 @@
 	handle(n, r, frame.TopicReply, func(from string, b frame.Reply) { n.edge.Deliver(from, b) })
 	handle(n, r, frame.TopicGossip, func(_ string, b frame.Gossip) { n.hear(b) })
 	handle(n, r, frame.TopicWant, func(from string, b frame.Want) { n.want(from, b) })
+	handle(n, r, frame.TopicHold, n.keep)
+	handle(n, r, frame.TopicHeld, n.held)
+	handle(n, r, frame.TopicSeal, n.seal)
+	handle(n, r, frame.TopicSealed, n.sealed)
 	handle(n, r, frame.TopicConfig, func(_ string, b frame.Config) { n.learn(b.Data) })
 	n.router = r
 	n.wait.Go(func() { _ = r.Run(ctx) })
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -43,6 +43,7 @@
 	n.gate.hear(time.Now(), g.Node, g.Used, 1+len(n.links.Live()))
 	for shard, epoch := range g.Owned {
 		n.see(shard, ownership{node: g.Node, epoch: epoch})
+		n.supersede(shard, epoch)
 	}
 	for shard, epoch := range g.Freed {
 		n.see(shard, ownership{epoch: epoch})
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,9 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
 	"github.com/cowslipstage/cowslipstage/coordination/lease"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
 	"github.com/cowslipstage/cowslipstage/coordination/route"
@@ -64,10 +66,18 @@
 	draining bool
 	// known are the hosts heard of.
 	known map[string]seen
+	// polled is when the leases were last read from the store.
+	polled time.Time
 	// signs judges by their messages which hosts are alive.
 	signs *lease.Watch
 	// lease is the node's own lease in the store.
 	lease *lease.Lease
+	// opening holds the journals that are being opened.
+	opening map[int]*jrnl.Journal
+	// holding guards logs.
+	holding sync.Mutex
+	// logs holds what this node keeps for the owners of other shards.
+	logs map[int]*hold.Log
 	// taking marks shards that are being opened.
 	taking map[int]bool
 }
@@ -82,7 +92,9 @@
 type opened struct {
 	journal *jrnl.Journal
 	epoch   uint64
-	cancel  context.CancelFunc
+	// standbys are those last asked for.
+	standbys []claim.Standby
+	cancel   context.CancelFunc
 }
 
 const (
@@ -113,6 +125,8 @@
 		signs:    lease.NewWatch(time.Now(), s.Store.Lease),
 		lease:    lease.New(s.Store.Lease),
 		taking:   map[int]bool{},
+		opening:  map[int]*jrnl.Journal{},
+		logs:     map[int]*hold.Log{},
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
 		gate:     newGate(),
--- a/node/shards.go
+++ b/node/shards.go
@@ -10,6 +10,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/state/snap"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
@@ -22,6 +23,9 @@
 		n.mu.Unlock()
 	}()
 	c := claim.Claim{Node: n.settings.Node.Name, Epoch: old.Epoch + 1, Standbys: old.Standbys}
+	if len(c.Standbys) == 0 {
+		c.Standbys = claim.Choose(shard, c.Node, nil, n.hosts(time.Now()))
+	}
 	if err := n.open(ctx, shard, c, version); err != nil && ctx.Err() == nil {
 		n.log.Warn().Err(err).Int("shard", shard).Uint64("epoch", c.Epoch).Msg("shard not taken")
 	}
@@ -39,13 +43,26 @@
 	if _, err := n.putClaim(ctx, shard, c, version); err != nil {
 		return err
 	}
-	j, records, err := jrnl.Open(ctx, n.store, shard, c.Epoch)
+	s := n.settings
+	j := jrnl.New(jrnl.Options{
+		Store: n.store, Peers: peers{n}, Shard: shard, Epoch: c.Epoch, Standbys: c.Standbys,
+		Delay: s.Store.Delay, Bound: s.Store.Bound, Abandon: s.Store.Abandon,
+		Retention: snap.Retention{Answers: s.Shards.Answers, Keys: s.Shards.Keys},
+		Metrics:   n.metrics, Log: n.log,
+	})
+	n.mu.Lock()
+	n.opening[shard] = j
+	n.mu.Unlock()
+	records, err := j.Open(ctx)
+	n.mu.Lock()
+	delete(n.opening, shard)
+	n.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	running, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
-	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, cancel: cancel}
+	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, standbys: c.Standbys, cancel: cancel}
 	n.mu.Unlock()
 	n.wait.Go(func() {
 		j.Run(running)
@@ -54,6 +71,7 @@
 	})
 	n.emit(core.Acquired{Shard: shard, Epoch: c.Epoch, Records: records})
 	n.see(shard, ownership{node: c.Node, epoch: c.Epoch})
+	n.send("", frame.TopicGossip, n.news(nil))
 	n.log.Info().Int("shard", shard).Uint64("epoch", c.Epoch).Int("records", len(records)).Msg("shard taken")
 	return nil
 }
@@ -86,6 +104,7 @@
 	if o == nil || o.epoch != y.Epoch {
 		return
 	}
+	o.journal.Flush(ctx)
 	for ctx.Err() == nil {
 		err := n.unclaim(ctx, y)
 		if err == nil || errors.Is(err, store.ErrConflict) {
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -111,11 +111,14 @@
 type Hold struct {
 	Shard int    `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
-	// Number is the batch's place in the shard's journal.
+	// Number is the batch's place in the shard's journal; 0 with Below alone.
 	Number uint64 `cbor:"3,keyasint"`
-	Data   []byte `cbor:"4,keyasint,omitempty"`
+	// Data is the encoded batch.
+	Data []byte `cbor:"4,keyasint,omitempty"`
 	// Below lets the standby drop batches with lower numbers.
 	Below uint64 `cbor:"5,keyasint,omitempty"`
+	// Boot is the memory that is asked.
+	Boot string `cbor:"6,keyasint"`
 }
 
 // Held answers a Hold.
@@ -125,19 +128,34 @@
 	Number uint64 `cbor:"3,keyasint"`
 	// Sealed is the epoch that the standby accepts now, when it is higher than the Hold's.
 	Sealed uint64 `cbor:"4,keyasint,omitempty"`
+	// Boot is the memory that holds the batch.
+	Boot string `cbor:"5,keyasint"`
 }
 
 // Seal asks a standby to accept no older epoch any more, and to hand over what it holds.
 type Seal struct {
 	Shard int    `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
+	// Boot is the memory that is asked.
+	Boot string `cbor:"3,keyasint"`
+	// After asks for the batches with higher numbers.
+	After uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Sealed answers a Seal.
 type Sealed struct {
-	Shard   int               `cbor:"1,keyasint"`
-	Epoch   uint64            `cbor:"2,keyasint"`
-	Batches map[uint64][]byte `cbor:"3,keyasint,omitempty"`
+	Shard int    `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Batches are encoded, in the order of their numbers.
+	Batches [][]byte `cbor:"3,keyasint,omitempty"`
+	// Boot is the memory that was asked.
+	Boot string `cbor:"4,keyasint"`
+	// More says that the standby holds later batches too.
+	More bool `cbor:"5,keyasint,omitempty"`
+	// Gone says that the standby no longer has the memory that was asked.
+	Gone bool `cbor:"6,keyasint,omitempty"`
+	// Newer is the later epoch that sealed the standby, if any.
+	Newer uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Want asks a peer for its configuration.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -44,6 +44,12 @@
 	Timeout time.Duration `ini:"timeout"`
 	// Lease is how long a node without renewal keeps its claims.
 	Lease time.Duration `ini:"lease"`
+	// Delay is how long the store may take to record a batch before standbys are asked.
+	Delay time.Duration `ini:"delay"`
+	// Bound is how many bytes of one shard may wait for the store.
+	Bound int `ini:"bound"`
+	// Abandon is how long a new owner waits for a standby without a sign of life.
+	Abandon time.Duration `ini:"abandon"`
 }
 
 // Hosts says where the platform's host list is.
@@ -79,17 +85,26 @@
 	Count int `ini:"count"`
 	// Owners bounds the nodes that own shards, and so the store's load; 0 means no bound.
 	Owners int `ini:"owners"`
+	// Answers is how long an ended program's answers can be fetched by key.
+	Answers time.Duration `ini:"answers"`
+	// Keys is how long the keys of non-idempotent calls are remembered.
+	Keys time.Duration `ini:"keys"`
+	// Standby is how many bytes the node keeps for other owners.
+	Standby int `ini:"standby"`
 }
 
 // Default returns the settings that a file need not give.
 func Default() Settings {
 	return Settings{
-		Node:   Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", Body: 8 << 20, Grace: time.Minute},
-		Store:  Store{Timeout: 2 * time.Second, Lease: 3 * time.Second},
+		Node: Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", Body: 8 << 20, Grace: time.Minute},
+		Store: Store{
+			Timeout: 2 * time.Second, Lease: 3 * time.Second,
+			Delay: 50 * time.Millisecond, Bound: 32 << 20, Abandon: 10 * time.Second,
+		},
 		Hosts:  Hosts{Poll: time.Second},
 		Links:  Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
 		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second},
-		Shards: Shards{Count: 16, Owners: 16},
+		Shards: Shards{Count: 16, Owners: 16, Answers: time.Hour, Keys: 24 * time.Hour, Standby: 64 << 20},
 	}
 }
 
--- a/setup/table.go
+++ b/setup/table.go
@@ -52,6 +52,9 @@
 		{Name: "addr", Type: schema.Address{}, Required: true, Doc: "Where the service listens."},
 		{Name: "timeout", Type: span, Doc: "Bound of one call to the service."},
 		{Name: "lease", Type: span, Doc: "How long a node that doesn't renew keeps its claims."},
+		{Name: "delay", Type: span, Doc: "How long the service may take to record a batch before standbys are asked."},
+		{Name: "bound", Type: schema.Count{Min: 1 << 20, Max: 1 << 30}, Doc: "Bytes of one shard that may wait for the service."},
+		{Name: "abandon", Type: span, Doc: "How long a new owner waits for a standby without a sign of life."},
 	}}
 }
 
@@ -88,6 +91,9 @@
 	return schema.Section{Kind: "shards", Doc: "How programs are divided between nodes; equal on all nodes.", Keys: []schema.Key{
 		{Name: "count", Type: schema.Count{Min: 1, Max: maxShard}, Doc: "Number of shards."},
 		{Name: "owners", Type: schema.Count{Max: maxShard}, Doc: "Bound of the nodes that own shards, and so of the store's load; 0 means no bound."},
+		{Name: "answers", Type: span, Doc: "How long an ended program's answers can be fetched by key."},
+		{Name: "keys", Type: span, Doc: "How long the keys of an ended program's non-idempotent calls are remembered."},
+		{Name: "standby", Type: schema.Count{Min: 1 << 20, Max: 1 << 30}, Doc: "Bytes that the node keeps for the owners of other shards."},
 	}}
 }
 
--- /dev/null
+++ b/state/record/codec.go
@@ -0,0 +1,38 @@
+package record
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrBad means that bytes are no sequence of records.
+var ErrBad = errors.New("record: not a sequence of records")
+
+// Encode returns records as a CBOR sequence: sequences can be joined.
+func Encode(records []Record) ([]byte, error) {
+	var data []byte
+	for i := range records {
+		one, err := cbor.Marshal(&records[i])
+		if err != nil {
+			return nil, errors.Wrap(err, "record: encoding")
+		}
+		data = append(data, one...)
+	}
+	return data, nil
+}
+
+// Decode returns the records of a CBOR sequence; the error is ErrBad for
+// malformed bytes.
+func Decode(data []byte) ([]Record, error) {
+	var records []Record
+	for len(data) > 0 {
+		var r Record
+		rest, err := cbor.UnmarshalFirst(data, &r)
+		if err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "record: decoding"), ErrBad)
+		}
+		records = append(records, r)
+		data = rest
+	}
+	return records, nil
+}
--- a/state/record/record.go
+++ b/state/record/record.go
@@ -74,6 +74,8 @@
 	Lost  int64 `cbor:"7,keyasint,omitempty"`
 	// Again says that the key may be tried again.
 	Again bool `cbor:"8,keyasint,omitempty"`
+	// Once marks a call that had an Intent, when a snapshot has dropped the Intent.
+	Once bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Ended closes a program; its engine memory is to be released.
@@ -90,3 +92,25 @@
 	Customer string `cbor:"1,keyasint"`
 	Program  string `cbor:"2,keyasint"`
 }
+
+// Owner returns the program that the record is about, as "customer/program";
+// "" for records about the whole shard.
+func (r *Record) Owner() string {
+	switch {
+	case r.Opened != nil:
+		return r.Opened.Customer + "/" + r.Opened.Program
+	case r.Grant != nil:
+		return r.Grant.Customer + "/" + r.Grant.Program
+	case r.Intent != nil:
+		return r.Intent.Call.Owner()
+	case r.Turn != nil:
+		return r.Turn.Call.Owner()
+	case r.Ended != nil:
+		return r.Ended.Customer + "/" + r.Ended.Program
+	case r.Swept != nil:
+		return r.Swept.Customer + "/" + r.Swept.Program
+	case r.Forfeit != nil:
+		return r.Forfeit.Customer + "/" + r.Forfeit.Program
+	}
+	return ""
+}
--- a/transport/jrnl/jrnl.go
+++ b/transport/jrnl/jrnl.go
@@ -1,186 +1,203 @@
 // Package jrnl (transport layer) writes the shards' journals to the platform's
-// key-value service, one numbered batch after the other.
+// key-value service, and to standby nodes while the service is slow or down.
 //
-// Every batch is created under its own number, never overwritten. A successor
-// seals the journal by creating a batch of its own epoch; the predecessor's
-// next append then finds its number taken and learns that it lost the shard.
+// The journal is a ring of slots in the store. Every write is a compare-and-swap
+// on a slot's version, and versions only rise: whoever was overtaken, by however
+// much, finds a version that it does not know and learns that it lost the shard.
 package jrnl
 
 import (
-	"bytes"
 	"context"
-	"fmt"
+	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/coordination/commit"
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/record"
+	"github.com/cowslipstage/cowslipstage/state/snap"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
-// ErrDeposed means that a later epoch has sealed the journal.
-var ErrDeposed = errors.New("jrnl: another epoch owns the shard")
+// The errors of the journal.
+var (
+	// ErrDeposed means that a later epoch has sealed the journal.
+	ErrDeposed = errors.New("jrnl: another epoch owns the shard")
+	// ErrUnreadable means that the store holds bytes that are no journal.
+	ErrUnreadable = errors.New("jrnl: unreadable")
+)
+
+// Peers reach the standby nodes. Messages may be lost.
+type Peers interface {
+	Hold(to claim.Standby, h frame.Hold)
+	Seal(to claim.Standby, s frame.Seal)
+	// Alive tells whether the standby's node shows a sign of life.
+	Alive(s claim.Standby) bool
+	// Rename writes the shard's standbys to its claim, if the epoch still owns it.
+	Rename(ctx context.Context, shard int, epoch uint64, standbys []claim.Standby) error
+}
 
-// batch is one value in the store.
-type batch struct {
-	Epoch   uint64          `cbor:"1,keyasint"`
-	Records []record.Record `cbor:"2,keyasint,omitempty"`
+// Options are what a journal works with.
+type Options struct {
+	Store *store.Client
+	Peers Peers
+	Shard int
+	Epoch uint64
+	// Standbys are those that the claim names.
+	Standbys []claim.Standby
+	// Delay is how long the store may take before the standbys are asked.
+	Delay time.Duration
+	// Bound is how many bytes may wait for the store.
+	Bound int
+	// Abandon is how long a standby that shows no sign of life is waited for.
+	Abandon   time.Duration
+	Retention snap.Retention
+	Metrics   *metrics.Set
+	Log       zerolog.Logger
 }
 
 // Journal is one shard's journal under one epoch.
 type Journal struct {
-	store *store.Client
-	shard int
-	epoch uint64
-	// number is the next free batch; only the writing goroutine uses it.
-	number uint64
-	queue  chan entry
+	options Options
+	// closed ends when Run has returned.
+	closed chan struct{}
+	// sealed carries the standbys' answers to Open.
+	sealed chan sealed
+	held   chan held
+	wanted chan []claim.Standby
+	// stored and renamed carry the ends of the writes in flight.
+	stored  chan result
+	renamed chan renamed
+	cut     chan snapshot
+
+	// What follows belongs to Open and then to Run alone.
+	writer *commit.Writer
+	ring   ring
+	// waiting are the appends whose batches are not safe yet, in order.
+	waiting []waiter
+	// writing, renaming and cutting tell what is in flight.
+	writing  bool
+	renaming bool
+	cutting  bool
+	standbys []claim.Standby
+	next     []claim.Standby
+	tail     tail
+	past     past
+
+	mu sync.Mutex
+	// queue are the appends that wait for a batch.
+	queue []entry
+	ended bool
+	more  chan struct{}
+	// idle are closed once the store has everything.
+	idle []chan struct{}
 }
 
 type entry struct {
-	records []record.Record
-	done    func(error)
-}
-
-// queueLength bounds the appends that wait for one writer.
-const queueLength = 4096
-
-// Open seals a shard's journal for epoch and returns it with all its records.
-// The caller runs Run.
-func Open(ctx context.Context, s *store.Client, shard int, epoch uint64) (*Journal, []record.Record, error) {
-	j := &Journal{store: s, shard: shard, epoch: epoch, number: 1, queue: make(chan entry, queueLength)}
-	var records []record.Record
-	for {
-		found, err := j.load(ctx)
-		if err != nil {
-			return nil, nil, err
-		}
-		records = append(records, found...)
-		err = j.create(ctx, &batch{Epoch: epoch})
-		if err == nil {
-			return j, records, nil
-		}
-		if !errors.Is(err, store.ErrConflict) {
-			return nil, nil, err
-		}
-	}
+	data []byte
+	done func(error)
 }
 
-func prefix(shard int) string { return fmt.Sprintf("journal/%04d/", shard) }
-
-func key(shard int, number uint64) string { return fmt.Sprintf("%s%016d", prefix(shard), number) }
-
-// load reads the batches from j.number on.
-func (j *Journal) load(ctx context.Context) ([]record.Record, error) {
-	var records []record.Record
-	for {
-		pairs, err := j.store.List(ctx, prefix(j.shard), key(j.shard, j.number-1), 0)
-		if err != nil || len(pairs) == 0 {
-			return records, err
-		}
-		for _, p := range pairs {
-			var b batch
-			if err := cbor.Unmarshal(p.Value, &b); err != nil {
-				return nil, errors.Wrapf(err, "jrnl: batch %s", p.Key)
-			}
-			if b.Epoch > j.epoch {
-				return nil, errors.Mark(errors.Newf("jrnl: epoch %d is past", j.epoch), ErrDeposed)
-			}
-			records = append(records, b.Records...)
-			j.number++
-		}
-	}
+type waiter struct {
+	number uint64
+	done   func(error)
 }
 
-// create writes the next batch. A lost answer is resolved by reading back.
-func (j *Journal) create(ctx context.Context, b *batch) error {
-	data, err := cbor.Marshal(b)
-	if err != nil {
-		return errors.Wrap(err, "jrnl: encoding")
-	}
-	k := key(j.shard, j.number)
-	_, err = j.store.Put(ctx, k, data, 0, "")
-	if errors.Is(err, store.ErrConflict) {
-		err = j.compare(ctx, k, data)
-	}
-	if err != nil {
-		return err
-	}
-	j.number++
-	return nil
+type held struct {
+	from claim.Standby
+	body frame.Held
 }
 
-// compare tells whether the taken key holds our own bytes.
-func (j *Journal) compare(ctx context.Context, k string, data []byte) error {
-	p, err := j.store.Get(ctx, k)
-	if err != nil {
-		return err
-	}
-	if bytes.Equal(p.Value, data) {
-		return nil
+type sealed struct {
+	from claim.Standby
+	body frame.Sealed
+}
+
+type result struct {
+	slot  uint64
+	group []hold.Batch
+	err   error
+}
+
+type renamed struct {
+	standbys []claim.Standby
+	err      error
+}
+
+// New returns a journal that is to be opened, once.
+func New(o Options) *Journal {
+	return &Journal{
+		options: o, closed: make(chan struct{}), standbys: o.Standbys,
+		sealed: make(chan sealed, 64), held: make(chan held, 1024), wanted: make(chan []claim.Standby, 1),
+		stored: make(chan result, 1), renamed: make(chan renamed, 1), cut: make(chan snapshot, 1),
+		more: make(chan struct{}, 1),
 	}
-	return errors.Mark(errors.Newf("jrnl: %s is taken", k), store.ErrConflict)
 }
 
 // Append queues records; done is called once they are safe, or with ErrDeposed.
+// It never blocks.
 func (j *Journal) Append(records []record.Record, done func(error)) {
-	j.queue <- entry{records: records, done: done}
-}
-
-// Run writes queued records, all that wait in one batch, until ctx ends or the
-// shard is lost.
-func (j *Journal) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-j.queue:
-			if !j.flush(ctx, j.gather(e)) {
-				return
-			}
-		}
+	data, err := record.Encode(records)
+	if err != nil {
+		go done(err)
+		return
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended {
+		go done(errors.Mark(errors.New("jrnl: closed"), ErrDeposed))
+		return
+	}
+	j.queue = append(j.queue, entry{data: data, done: done})
+	j.poke()
 }
 
-// maxBatch bounds the records of one batch.
-const maxBatch = 256
+func (j *Journal) poke() {
+	select {
+	case j.more <- struct{}{}:
+	default:
+	}
+}
 
-func (j *Journal) gather(first entry) []entry {
-	all := []entry{first}
-	for len(all) < maxBatch {
-		select {
-		case e := <-j.queue:
-			all = append(all, e)
-		default:
-			return all
-		}
+// Flush waits until the store has everything, the journal ends, or ctx does.
+func (j *Journal) Flush(ctx context.Context) {
+	done := make(chan struct{})
+	j.mu.Lock()
+	j.idle = append(j.idle, done)
+	j.poke()
+	j.mu.Unlock()
+	select {
+	case <-done:
+	case <-j.closed:
+	case <-ctx.Done():
 	}
-	return all
 }
 
-func (j *Journal) flush(ctx context.Context, all []entry) bool {
-	b := &batch{Epoch: j.epoch}
-	for _, e := range all {
-		b.Records = append(b.Records, e.records...)
+// Held takes a standby's acknowledgement; one too many is dropped and comes again.
+func (j *Journal) Held(from claim.Standby, h frame.Held) {
+	select {
+	case j.held <- held{from, h}:
+	default:
 	}
-	_, err := backoff.Retry(ctx, func() (struct{}, error) {
-		err := j.create(ctx, b)
-		if errors.Is(err, store.ErrConflict) {
-			return struct{}{}, backoff.Permanent(errors.Mark(err, ErrDeposed))
-		}
-		return struct{}{}, err
-	}, backoff.WithBackOff(retries()), backoff.WithMaxElapsedTime(0))
-	for _, e := range all {
-		e.done(err)
+}
+
+// Sealed takes a standby's answer to a seal; one too many is dropped and comes again.
+func (j *Journal) Sealed(from claim.Standby, s frame.Sealed) {
+	select {
+	case j.sealed <- sealed{from, s}:
+	default:
 	}
-	return err == nil
 }
 
-func retries() backoff.BackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 20 * time.Millisecond
-	b.MaxInterval = time.Second
-	return b
+// Replace asks for other standbys.
+func (j *Journal) Replace(standbys []claim.Standby) {
+	select {
+	case j.wanted <- standbys:
+	case <-j.closed:
+	}
 }
--- /dev/null
+++ b/transport/jrnl/jrnl_test.go
@@ -0,0 +1,332 @@
+package jrnl_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/standin/keyval"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/state/record"
+	"github.com/cowslipstage/cowslipstage/state/snap"
+	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/store"
+)
+
+func TestJrnl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "jrnl")
+}
+
+// standbys are nodes in memory; messages reach them at once.
+type standbys struct {
+	mu   sync.Mutex
+	logs map[claim.Standby]*hold.Log
+	// dead standbys get nothing; gone ones have restarted.
+	dead, gone map[claim.Standby]bool
+	journals   []*jrnl.Journal
+}
+
+func three() []claim.Standby {
+	return []claim.Standby{{Node: "x", Boot: "1"}, {Node: "y", Boot: "1"}, {Node: "z", Boot: "1"}}
+}
+
+func newStandbys() *standbys {
+	s := &standbys{logs: map[claim.Standby]*hold.Log{}, dead: map[claim.Standby]bool{}, gone: map[claim.Standby]bool{}}
+	for _, t := range three() {
+		s.logs[t] = hold.New()
+	}
+	return s
+}
+
+func (s *standbys) Hold(to claim.Standby, h frame.Hold) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead[to] || s.gone[to] {
+		return
+	}
+	b := hold.Batch{Number: h.Number, Epoch: h.Epoch}
+	if len(h.Data) > 0 {
+		Expect(cbor.Unmarshal(h.Data, &b)).To(Succeed())
+	}
+	reply := frame.Held{Shard: h.Shard, Epoch: h.Epoch, Number: h.Number, Boot: to.Boot}
+	if !s.logs[to].Hold(b, h.Below) {
+		reply.Sealed = s.logs[to].Sealed()
+	}
+	for _, j := range s.journals {
+		j.Held(to, reply)
+	}
+}
+
+func (s *standbys) Seal(to claim.Standby, q frame.Seal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead[to] {
+		return
+	}
+	reply := frame.Sealed{Shard: q.Shard, Epoch: q.Epoch, Boot: to.Boot, Gone: s.gone[to]}
+	if !s.logs[to].Seal(q.Epoch) {
+		reply.Newer = s.logs[to].Sealed()
+	}
+	var batches []hold.Batch
+	batches, reply.More = s.logs[to].After(q.After, 1)
+	for _, b := range batches {
+		data, err := cbor.Marshal(b)
+		Expect(err).NotTo(HaveOccurred())
+		reply.Batches = append(reply.Batches, data)
+	}
+	for _, j := range s.journals {
+		j.Sealed(to, reply)
+	}
+}
+
+func (s *standbys) Alive(t claim.Standby) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.dead[t]
+}
+
+func (s *standbys) Rename(context.Context, int, uint64, []claim.Standby) error { return nil }
+
+// be matches errors marked with target.
+func be(target error) types.GomegaMatcher {
+	return WithTransform(func(err error) bool { return errors.Is(err, target) }, BeTrue())
+}
+
+// fixture is one shard with its store and standbys.
+type fixture struct {
+	keyval   *keyval.Server
+	store    *store.Client
+	standbys *standbys
+	ctx      context.Context
+}
+
+func newFixture(ctx context.Context) *fixture {
+	k := keyval.New()
+	server := httptest.NewServer(k)
+	DeferCleanup(server.Close)
+	return &fixture{
+		keyval: k, standbys: newStandbys(), ctx: ctx,
+		store: store.New(strings.TrimPrefix(server.URL, "http://"), time.Second),
+	}
+}
+
+func (f *fixture) options(epoch uint64) jrnl.Options {
+	return jrnl.Options{
+		Store: f.store, Peers: f.standbys, Shard: 3, Epoch: epoch, Standbys: three(),
+		Delay: 20 * time.Millisecond, Bound: 1 << 20, Abandon: 50 * time.Millisecond,
+		Retention: snap.Retention{Answers: time.Hour, Keys: 24 * time.Hour}, Log: zerolog.Nop(),
+	}
+}
+
+func (f *fixture) create(epoch uint64) *jrnl.Journal {
+	j := jrnl.New(f.options(epoch))
+	f.standbys.mu.Lock()
+	f.standbys.journals = append(f.standbys.journals, j)
+	f.standbys.mu.Unlock()
+	return j
+}
+
+// open opens and runs a journal; stop ends its owner.
+func (f *fixture) open(epoch uint64) (j *jrnl.Journal, records []record.Record, stop func()) {
+	j = f.create(epoch)
+	records, err := j.Open(f.ctx)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(f.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		j.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	DeferCleanup(stop)
+	return j, records, stop
+}
+
+func turn(program, key, text string) []record.Record {
+	return []record.Record{{Turn: &record.Turn{
+		Call:   &call.Call{Key: key, Customer: "c", Program: program, Kind: call.Chat},
+		Answer: &answer.Answer{Outcome: answer.Done, Text: text},
+	}}}
+}
+
+// append writes one turn and waits for its end.
+func appendTurn(j *jrnl.Journal, key string) error {
+	end := make(chan error, 1)
+	j.Append(turn("p", key, "text of "+key), func(err error) { end <- err })
+	return <-end
+}
+
+func keys(records []record.Record) []string {
+	var all []string
+	for _, r := range records {
+		if r.Turn != nil {
+			all = append(all, r.Turn.Call.Key)
+		}
+	}
+	return all
+}
+
+func numbered(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprintf("k%d", i))
+	}
+	return all
+}
+
+var _ = Describe("a journal", func() {
+	var f *fixture
+	BeforeEach(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		DeferCleanup(cancel)
+		f = newFixture(ctx)
+	})
+
+	It("counts a write whose answer was lost, once", func() {
+		j, _, stop := f.open(1)
+		f.standbys.dead = map[claim.Standby]bool{three()[0]: true, three()[1]: true, three()[2]: true}
+		for _, k := range numbered(4) {
+			f.keyval.SetFault(keyval.Fault{Lose: 1})
+			Expect(appendTurn(j, k)).To(Succeed())
+		}
+		stop()
+		f.standbys.dead = nil
+		_, records, _ := f.open(2)
+		Expect(keys(records)).To(Equal(numbered(4)))
+	})
+
+	It("goes on through an outage of the store, and hands over what only standbys held", func() {
+		j, _, stop := f.open(1)
+		Expect(appendTurn(j, "k0")).To(Succeed())
+		f.keyval.SetFault(keyval.Fault{Down: true})
+		Expect(appendTurn(j, "k1")).To(Succeed())
+		Expect(appendTurn(j, "k2")).To(Succeed())
+		stop()
+		f.standbys.mu.Lock()
+		f.standbys.dead[three()[0]] = true
+		f.standbys.mu.Unlock()
+		f.keyval.SetFault(keyval.Fault{})
+		_, records, _ := f.open(2)
+		Expect(keys(records)).To(Equal(numbered(3)))
+	})
+
+	It("writes what standbys held once the store is back, and lets them drop it", func() {
+		j, _, stop := f.open(1)
+		f.keyval.SetFault(keyval.Fault{Down: true})
+		for _, k := range numbered(20) {
+			Expect(appendTurn(j, k)).To(Succeed())
+		}
+		f.keyval.SetFault(keyval.Fault{})
+		j.Flush(f.ctx)
+		stop()
+		for _, l := range f.standbys.logs {
+			Expect(l.Size()).To(BeZero())
+		}
+		for _, s := range three() {
+			f.standbys.gone[s] = true
+		}
+		_, records, _ := f.open(2)
+		Expect(keys(records)).To(Equal(numbered(20)))
+	})
+
+	It("acknowledges nothing that neither store nor standbys have", func() {
+		j, _, stop := f.open(1)
+		f.keyval.SetFault(keyval.Fault{Down: true})
+		f.standbys.mu.Lock()
+		f.standbys.dead[three()[0]], f.standbys.dead[three()[1]] = true, true
+		f.standbys.mu.Unlock()
+		end := make(chan error, 1)
+		j.Append(turn("p", "k0", "x"), func(err error) { end <- err })
+		tries := func() int { return f.keyval.Counts()["put"] + f.keyval.Counts()["get"] }
+		before := tries()
+		Eventually(tries).WithContext(f.ctx).Should(BeNumerically(">", before+3))
+		Expect(end).NotTo(Receive())
+		stop()
+		Expect(<-end).To(be(jrnl.ErrDeposed))
+	})
+
+	It("refuses the late append of an owner that was overtaken by whole laps", func() {
+		old, _, _ := f.open(1)
+		Expect(appendTurn(old, "k0")).To(Succeed())
+		young, _, stop := f.open(2)
+		for i := range 1200 {
+			Expect(appendTurn(young, fmt.Sprintf("y%d", i))).To(Succeed())
+		}
+		Expect(appendTurn(old, "late")).To(be(jrnl.ErrDeposed))
+		stop()
+		_, records, _ := f.open(3)
+		Expect(keys(records)).To(HaveLen(1201))
+		Expect(keys(records)).NotTo(ContainElement("late"))
+	})
+
+	It("refuses an owner that standbys know to be deposed", func() {
+		old, _, _ := f.open(1)
+		f.keyval.SetFault(keyval.Fault{Down: true})
+		Expect(f.standbys.logs[three()[0]].Seal(2)).To(BeTrue())
+		Expect(appendTurn(old, "late")).To(be(jrnl.ErrDeposed))
+	})
+
+	It("lets one of two racing owners through", func() {
+		var wait sync.WaitGroup
+		errs := make([]error, 2)
+		for i := range errs {
+			j := f.create(uint64(i + 1))
+			wait.Go(func() { _, errs[i] = j.Open(f.ctx) })
+		}
+		wait.Wait()
+		Expect(errs[1]).NotTo(HaveOccurred(), "the later epoch always gets through")
+	})
+
+	It("names the slot that it cannot read", func() {
+		j, _, stop := f.open(1)
+		Expect(appendTurn(j, "k0")).To(Succeed())
+		stop()
+		p, err := f.store.Get(f.ctx, "journal/0003/0002")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.store.Put(f.ctx, p.Key, p.Value[:len(p.Value)-3], p.Version, "")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.create(2).Open(f.ctx)
+		Expect(err).To(be(jrnl.ErrUnreadable))
+		Expect(err).To(MatchError(ContainSubstring("journal/0003/0002")))
+	})
+
+	It("keeps records that are larger than the store's values", func() {
+		j, _, stop := f.open(1)
+		end := make(chan error, 1)
+		text := strings.Repeat("a long conversation ", 100_000)
+		j.Append(turn("p", "k0", text), func(err error) { end <- err })
+		Expect(<-end).To(Succeed())
+		stop()
+		_, records, _ := f.open(2)
+		Expect(keys(records)).To(Equal(numbered(1)))
+		Expect(records[0].Turn.Answer.Text).To(Equal(text))
+	})
+
+	It("gives up standbys that are gone for good, and goes on", func() {
+		j, _, stop := f.open(1)
+		Expect(appendTurn(j, "k0")).To(Succeed())
+		stop()
+		f.standbys.gone[three()[0]], f.standbys.dead[three()[1]], f.standbys.dead[three()[2]] = true, true, true
+		_, records, _ := f.open(2)
+		Expect(keys(records)).To(Equal(numbered(1)))
+	})
+})
