Service-level burn and traces of programs, on each node and merged

Cause: nobody could see how services meet their objectives, or follow a call from node to node. Change: state/burn counts calls against their services' objectives over four windows with alerts for fast and slow burn, in bounded memory; report merges nodes and prints text, JSON or one page with plots; state/trace keeps a node's latest events; trace merges them. Metrics by service.

--- a/node/control.go
+++ b/node/control.go
@@ -50,6 +50,7 @@
 
 // perform starts an action; it must not block the control goroutine.
 func (n *Node) perform(ctx context.Context, action core.Action) {
+	n.noteAction(time.Now(), action)
 	switch a := action.(type) {
 	case core.Dispatch:
 		n.metrics.GetOrCreateCounter("dispatches_total").Inc()
@@ -128,6 +129,7 @@
 func (n *Node) accept(from string, body any) {
 	switch b := body.(type) {
 	case frame.Submit:
+		n.noteCall(time.Now(), b.Call, "receive", "from "+from)
 		n.emit(core.Submitted{Call: b.Call, From: core.Route{Node: from, Stream: b.Stream}, Partial: b.Partial})
 	case frame.Ask:
 		n.emit(core.Asked{
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,7 @@
 	links    *links.Links
 	edge     *edge.Edge
 	gate     *gate
+	observer *observer
 	dialer   *dialer.Dialer
 	core     *core.Core
 	metrics  *metrics.Set
@@ -130,6 +132,7 @@
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
 		gate:     newGate(),
+		observer: newObserver(s.Node.Name),
 	}
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
@@ -142,6 +145,7 @@
 	n.edge = edge.New(edge.Options{
 		Silence: s.Links.Silence / 2, MaxBody: s.Node.Body, Patience: time.Minute,
 		Beat: callerBeat, Stall: callerStall, Config: n.current, Admit: n.admit,
+		Observe: n.observe,
 	}, backend{n}, n.log)
 	return n
 }
@@ -160,7 +164,7 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list, n.follow,
+		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list, n.follow, n.alert,
 	} {
 		n.wait.Go(func() { f(working) })
 	}
@@ -176,6 +180,8 @@
 	public.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	public.Get("/readyz", n.readyz)
 	public.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	public.With(n.edge.Operators).Get("/v1/report", n.getReport)
+	public.With(n.edge.Operators).Get("/v1/trace/{key}", n.getTrace)
 	public.Mount("/", n.edge)
 	private := chi.NewRouter()
 	private.Handle("/link", n.links)
@@ -250,7 +256,10 @@
 	if s.Call.Digest == 0 {
 		s.Call.Digest = s.Call.Sum()
 	}
-	return b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
+	at := time.Now()
+	o := b.n.toOwner(s.Call.Customer, s.Call.Program, s.Stream, frame.TopicSubmit, s)
+	b.n.noteCall(at, s.Call, "submit", fmt.Sprintf("to %s, epoch %d", o.Node, o.Epoch))
+	return o
 }
 
 func (b backend) Ask(a frame.Ask) edge.Owner {
--- /dev/null
+++ b/state/burn/burn.go
@@ -0,0 +1,119 @@
+// Package burn (state layer) keeps how calls meet their services' objectives,
+// and how fast each objective's budget of misses burns.
+package burn
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/config"
+)
+
+// Sample is one finished call as its caller saw it.
+type Sample struct {
+	Customer string
+	Service  string
+	Program  string
+	Key      string
+	// Outcome is empty when the caller left before the answer.
+	Outcome answer.Outcome
+	Reason  string
+	// Began is when the edge took the call; Whole is the time to the complete answer.
+	Began time.Time
+	Whole time.Duration
+	// First is the time to the first piece of text; 0 if there was none.
+	First time.Duration
+	// Gap is the mean time between two pieces of text; 0 with fewer than two.
+	Gap time.Duration
+	// Tokens are the generated tokens.
+	Tokens int
+}
+
+// ours are the reasons for which a call that did not run missed its objective;
+// for any other the caller has the cause.
+var ours = map[string]bool{"busy": true, "owner": true, "late": true, "deadline": true, "starting": true}
+
+// Counts tells whether a sample says anything of the objective.
+func (s Sample) Counts() bool {
+	switch s.Outcome {
+	case answer.Done, answer.Unknown:
+		return s.Reason != "limit"
+	case answer.NotRun:
+		return ours[s.Reason]
+	}
+	return false
+}
+
+// Misses tells whether a sample that counts missed the objective.
+func (s Sample) Misses(objective time.Duration) bool {
+	return s.Outcome != answer.Done || s.Whole > objective
+}
+
+// pair names one customer of one service.
+type pair struct{ customer, service string }
+
+// Book holds the samples of one node. One goroutine at a time may use it.
+type Book struct {
+	node string
+	// series has at most maxSeries entries; further customers share one for
+	// each service.
+	series map[pair]*series
+	// latency has one histogram for each service.
+	latency map[string]*hdrhistogram.Histogram
+}
+
+const (
+	// maxSeries bounds the pairs of customer and service.
+	maxSeries = 16384
+	// maxServices bounds the histograms.
+	maxServices = 256
+	// maxLatency is the longest latency that is told apart.
+	maxLatency = time.Hour
+	// digits is the histograms' precision in decimal digits.
+	digits = 2
+	// Others is the customer that stands for those beyond the bound.
+	Others = "(others)"
+)
+
+// New returns an empty book of a node.
+func New(node string) *Book {
+	return &Book{node: node, series: map[pair]*series{}, latency: map[string]*hdrhistogram.Histogram{}}
+}
+
+// Add books a finished call of a service.
+func (b *Book) Add(now time.Time, s Sample, v *config.Service) {
+	if v == nil || !s.Counts() {
+		return
+	}
+	b.record(s)
+	if v.Objective == 0 {
+		return
+	}
+	p := pair{s.Customer, s.Service}
+	x := b.series[p]
+	if x == nil {
+		if len(b.series) >= maxSeries {
+			p.customer = Others
+		}
+		if x = b.series[p]; x == nil {
+			x = newSeries()
+			b.series[p] = x
+		}
+	}
+	x.objective, x.target = v.Objective, v.Target
+	x.add(now, s)
+}
+
+func (b *Book) record(s Sample) {
+	h := b.latency[s.Service]
+	if h == nil {
+		if len(b.latency) >= maxServices {
+			return
+		}
+		h = hdrhistogram.New(1, maxLatency.Milliseconds(), digits)
+		b.latency[s.Service] = h
+	}
+	_ = h.RecordValue(min(max(s.Whole.Milliseconds(), 1), maxLatency.Milliseconds()))
+}
