Copy a conversation's cache between engines where that beats computing it

Cause: a conversation that moves, because its engine is full, computes its whole prompt anew. Change: the placement counts the cost of a copy from the engine that has the longest prefix, learned from earlier copies against the observed time per prompt token; the dispatch copies first. Settings hedge, copy, release and weight; release is off only for comparisons. Result: builds on the export and import of the stand-in engines; not measured yet.

--- a/coordination/core/action.go
+++ b/coordination/core/action.go
@@ -22,6 +22,9 @@
 	Target   *config.Endpoint
 	// History is the agent's conversation before the call.
 	History []call.Message
+	// Source is the engine to copy the conversation's cache from before the
+	// call is sent; nil copies nothing.
+	Source *config.Endpoint
 	// Epoch is the fencing number.
 	Epoch uint64
 	// Priority is higher for more urgent calls.
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -26,6 +26,11 @@
 	Route  route.Policy
 	// Hedge lets late model calls be sent to a second endpoint.
 	Hedge bool
+	// Copy lets the cache of a conversation be copied between engines.
+	Copy bool
+	// Keep leaves the memory of ended programs to the engines. It is for
+	// comparisons with schedulers that do so.
+	Keep bool
 	// Weight is the operator's weight of wasted cache against latency, from 0 to 1.
 	Weight float64
 	// Seed fixes the random choices.
@@ -72,6 +77,8 @@
 	// wholes the time that a call holds its slot, by pool.
 	firsts map[string]*pace.Pace
 	wholes map[string]*pace.Pace
+	// copies learns the time to copy a cached token between engines, by pool.
+	copies map[string]*pace.Pace
 	// orders holds the order under way of each engine; demand the dispatches
 	// of each model, with a half-life of a minute.
 	orders  map[string]order
@@ -110,6 +117,7 @@
 		retries:   retry.New(time.Time{}),
 		firsts:    map[string]*pace.Pace{},
 		wholes:    map[string]*pace.Pace{},
+		copies:    map[string]*pace.Pace{},
 		orders:    map[string]order{},
 		demand:    map[string]float64{},
 		leaving:   map[string]bool{},
@@ -142,7 +150,7 @@
 		c.closeProgram(now, e)
 	case Committed:
 		c.committed(now, e)
-	case Started, Piece, Finished, Failed:
+	case Started, Copied, Piece, Finished, Failed:
 		c.applyFlight(now, event)
 	case Ordered:
 		c.orderEnded(now, e)
@@ -168,6 +176,8 @@
 
 func (c *Core) applyFlight(now time.Time, event Event) {
 	switch e := event.(type) {
+	case Copied:
+		c.copied(e)
 	case Piece:
 		c.piece(now, e)
 	case Finished:
--- a/coordination/core/event.go
+++ b/coordination/core/event.go
@@ -77,6 +77,14 @@
 // Started says that an endpoint accepted a dispatch.
 type Started struct{ Flight uint64 }
 
+// Copied says how long the copy of a conversation's cache took; the dispatch
+// goes on whether it succeeded or not.
+type Copied struct {
+	Flight uint64
+	Took   time.Duration
+	Err    error
+}
+
 // Piece is generated text.
 type Piece struct {
 	Flight uint64
@@ -187,6 +195,7 @@
 func (Closed) event()      {}
 func (Committed) event()   {}
 func (Started) event()     {}
+func (Copied) event()      {}
 func (Piece) event()       {}
 func (Finished) event()    {}
 func (Failed) event()      {}
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -11,14 +11,13 @@
 
 // flight is one dispatch without an end.
 type flight struct {
-	id       uint64
-	request  *request
-	endpoint string
+	id      uint64
+	request *request
 	// reserved is held in the program's purse until the flight ends.
 	reserved need
 	sent     time.Time
-	// cost is the work before the first token, in prompt tokens.
-	cost int
+	// site is where the attempt goes.
+	site
 	// base is the length of the text that the attempt continues, in bytes.
 	base int
 	// begun is set by the first text.
@@ -39,19 +38,19 @@
 
 // launch reserves the worst case, journals what a successor must know first,
 // and dispatches.
-func (c *Core) launch(now time.Time, r *request, endpoint string, cost int) {
+func (c *Core) launch(now time.Time, r *request, at site) {
 	p := r.program.Purse()
 	n := r.worst()
 	if !p.Fits(n.tokens, n.money) {
 		c.giveUp(now, r, "budget", "the call could exceed the program's budget", 0)
 		return
 	}
-	records := c.before(now, r, endpoint, n)
+	records := c.before(now, r, at.endpoint, n)
 	p.Reserve(n.tokens, n.money)
-	f := &flight{id: c.next(), request: r, endpoint: endpoint, reserved: n, cost: cost}
+	f := &flight{id: c.next(), request: r, site: at, reserved: n}
 	r.flights = append(r.flights, f)
-	r.program.Place(endpoint)
-	c.loads.Send(now, endpoint, f.id, r.prompt())
+	r.program.Place(at.endpoint)
+	c.loads.Send(now, at.endpoint, f.id, at.missing)
 	if len(records) == 0 {
 		c.dispatch(now, f)
 		return
@@ -59,7 +58,7 @@
 	if r.stage < writing {
 		r.stage = writing
 	}
-	c.journal(r.shard, records, func(at time.Time) { c.dispatch(at, f) })
+	c.journal(r.shard, records, func(then time.Time) { c.dispatch(then, f) })
 }
 
 // before returns what must be in the journal before an attempt.
@@ -102,7 +101,7 @@
 		Flight: f.id, Call: c.fresh(r), Service: r.service,
 		Endpoint: f.endpoint, Target: c.config.Endpoints[f.endpoint],
 		History: r.program.History(r.call.Agent), Epoch: r.shard.epoch,
-		Priority: -r.service.Class, MaxTokens: r.output(), Partial: string(r.text),
+		Source: c.config.Endpoints[f.source], Priority: -r.service.Class, MaxTokens: r.output(), Partial: string(r.text),
 		Until: r.deadline, Timeout: r.patience(now), Repeatable: r.repeatable(),
 	})
 }
--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -129,8 +129,8 @@
 			return
 		}
 		r := c.requests[i.ID]
-		endpoint, cost := c.place(now, r, "")
-		if endpoint == "" {
+		at, ok := c.place(now, r, "")
+		if !ok {
 			return
 		}
 		q.Remove(i.ID)
@@ -139,7 +139,7 @@
 			c.demand[place.Name(r.service)]++
 			c.hedger.Call()
 		}
-		c.launch(now, r, endpoint, cost)
+		c.launch(now, r, at)
 	}
 }
 
@@ -150,24 +150,44 @@
 	sampled = 24
 )
 
-// place chooses an endpoint with room, other than not, and returns the work
-// before the first token there, in prompt tokens.
-func (c *Core) place(now time.Time, r *request, not string) (string, int) {
+// site is where an attempt goes.
+type site struct {
+	endpoint string
+	// missing is the part of the prompt that the endpoint must compute, in tokens.
+	missing int
+	// cost is the work before the first token, in prompt tokens.
+	cost int
+	// source is the endpoint to copy the conversation's cache from; "" copies nothing.
+	source string
+	// saved is how many tokens the copy saves.
+	saved int
+}
+
+// place chooses an endpoint with room, other than not.
+func (c *Core) place(now time.Time, r *request, not string) (site, bool) {
 	names := c.candidates(r)
 	choices := make([]route.Choice, 0, len(names))
+	holder, held := c.holder(r)
 	for _, name := range names {
 		if name == not || !c.admits(now, r, name) || !c.loaded(r, name) {
 			continue
 		}
-		choices = append(choices, c.choice(now, r, name))
+		o := c.choice(now, r, name)
+		o.Remote, o.Copy = held, c.copyCost(r, held-o.Cached)
+		choices = append(choices, o)
 	}
 	n := route.Need{Owner: r.call.Queue(), Prompt: r.prompt(), Output: r.output(), Weight: c.options.Weight}
 	i := c.router.Pick(n, choices)
 	if i < 0 {
-		return "", 0
+		return site{}, false
 	}
 	o := choices[i]
-	return o.Name, o.Pending + max(0, n.Prompt-o.Cached) + (o.Calls+1)*route.CallTokens
+	at := site{endpoint: o.Name, missing: route.Missing(n, o)}
+	if route.Copies(n, o) {
+		at.source, at.saved = holder, held-o.Cached
+	}
+	at.cost = o.Pending + at.missing + (o.Calls+1)*route.CallTokens
+	return at, true
 }
 
 // candidates returns the endpoints worth a look: all of a small pool; of a
@@ -239,7 +259,7 @@
 			continue
 		}
 		c.index.Forget(conversation, name)
-		if e := c.config.Endpoints[name]; e != nil {
+		if e := c.config.Endpoints[name]; e != nil && !c.options.Keep {
 			c.do(Release{
 				Endpoint: name, Target: e, Customer: r.call.Customer, Program: r.call.Program,
 				Agents: []string{r.call.Agent}, Epoch: r.shard.epoch,
--- a/coordination/core/sweep.go
+++ b/coordination/core/sweep.go
@@ -73,6 +73,9 @@
 	c.router.Forget(owner)
 	w := &sweep{program: p, pending: map[string]bool{}, pause: firstSweep}
 	for _, name := range p.Places() {
+		if c.options.Keep {
+			break
+		}
 		if e := c.config.Endpoints[name]; e != nil && e.Kind == "engine" {
 			w.pending[name] = true
 		}
@@ -140,7 +143,7 @@
 // earlier owner may have been lost.
 func (c *Core) held(e Held) {
 	target := c.config.Endpoints[e.Endpoint]
-	if target == nil {
+	if target == nil || c.options.Keep {
 		return
 	}
 	for _, owner := range e.Programs {
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -76,13 +76,13 @@
 	if !c.late(now, r) {
 		return
 	}
-	endpoint, cost := c.place(now, r, r.flights[0].endpoint)
+	at, ok := c.place(now, r, r.flights[0].endpoint)
 	n := r.worst()
-	if endpoint == "" || !r.program.Purse().Fits(n.tokens, n.money) || !c.hedger.Take() {
+	if !ok || !r.program.Purse().Fits(n.tokens, n.money) || !c.hedger.Take() {
 		return
 	}
 	r.hedged = true
-	c.launch(now, r, endpoint, cost)
+	c.launch(now, r, at)
 }
 
 // demandDecay is what remains of a model's demand after a second; a half-life
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -29,6 +29,11 @@
 	Pending int
 	// Cached is the length of the call's prefix in the endpoint's cache, in tokens.
 	Cached int
+	// Remote is the length of the longest prefix that another endpoint has, and
+	// Copy the cost of copying what is missing of it, in prompt tokens; 0 when
+	// it cannot be copied.
+	Remote int
+	Copy   int
 }
 
 // Need describes the call.
@@ -108,9 +113,22 @@
 // CallTokens is the cost of one more call at an endpoint, in prefill tokens.
 const CallTokens = 200
 
+// Missing is the work to get the whole prompt into the cache, in prompt tokens.
+func Missing(n Need, c Choice) int {
+	if Copies(n, c) {
+		return max(0, n.Prompt-c.Remote) + c.Copy
+	}
+	return max(0, n.Prompt-c.Cached)
+}
+
+// Copies tells whether copying the prefix from elsewhere beats computing it.
+func Copies(n Need, c Choice) bool {
+	return c.Copy > 0 && c.Cached+c.Copy < min(c.Remote, n.Prompt)
+}
+
 // finish is the work before the call ends at an endpoint, in prefill tokens. A
 // prompt computed anew also displaces what others have cached.
 func finish(n Need, c Choice) int {
-	missing := max(0, n.Prompt-c.Cached)
+	missing := Missing(n, c)
 	return c.Pending + missing + int(n.Weight*float64(missing)) + c.Calls*CallTokens
 }
--- a/node/node.go
+++ b/node/node.go
@@ -137,6 +137,7 @@
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
+		Hedge: s.Policy.Hedge, Copy: s.Policy.Copy, Keep: !s.Policy.Release, Weight: s.Policy.Weight,
 	})
 	n.links = links.New(links.Options{
 		Node: s.Node.Name, Secret: s.Links.Secret, Ping: s.Links.Ping, Silence: s.Links.Silence,
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -72,6 +72,15 @@
 	Queue string `ini:"queue"`
 	Route string `ini:"route"`
 	Seed  uint64 `ini:"seed"`
+	// Hedge sends model calls that are late to begin to a second engine.
+	Hedge bool `ini:"hedge"`
+	// Copy copies a conversation's cache between engines where that beats computing it.
+	Copy bool `ini:"copy"`
+	// Release tells engines what no live program will use. It is off for
+	// comparisons with schedulers that do not.
+	Release bool `ini:"release"`
+	// Weight is the weight of wasted cache against latency, from 0 to 1.
+	Weight float64 `ini:"weight"`
 	// Load is the time between two reads of an endpoint's load.
 	Load time.Duration `ini:"load"`
 	// List is the time between two reads of an engine's list of held programs.
@@ -101,9 +110,12 @@
 			Timeout: 2 * time.Second, Lease: 3 * time.Second,
 			Delay: 50 * time.Millisecond, Bound: 32 << 20, Abandon: 10 * time.Second,
 		},
-		Hosts:  Hosts{Poll: time.Second},
-		Links:  Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
-		Policy: Policy{Queue: "attained", Route: "finish", Seed: 1, Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second},
+		Hosts: Hosts{Poll: time.Second},
+		Links: Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
+		Policy: Policy{
+			Queue: "attained", Route: "finish", Seed: 1, Hedge: true, Copy: true, Release: true,
+			Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second,
+		},
 		Shards: Shards{Count: 16, Owners: 16, Answers: time.Hour, Keys: 24 * time.Hour, Standby: 64 << 20},
 	}
 }
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/standin/weight"
@@ -14,7 +15,7 @@
 	// Kind is "release", "cancel", "load", "unload", "role", "export" or "import".
 	Kind    string `json:"kind"`
 	Program string `json:"program"`
-	// Agents limits a release to some conversations; nil means all.
+	// Agents limits a release or an export to some conversations; nil means all.
 	Agents  []string `json:"agents"`
 	Epoch   uint64   `json:"epoch"`
 	Key     string   `json:"key"`
@@ -61,7 +62,7 @@
 	case "export":
 		reply(w, struct {
 			Talks []exported `json:"talks"`
-		}{s.export(q.Program)})
+		}{s.export(q.Program, q.Agents)})
 		return
 	case "import":
 		s.take(r.Context(), &q)
@@ -139,12 +140,15 @@
 	s.note(time.Now())
 }
 
-// export lists what is cached for a program.
-func (s *Server) export(program string) []exported {
+// export lists what is cached for a program, or for some of its agents.
+func (s *Server) export(program string, agents []string) []exported {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := []exported{}
 	for _, t := range s.cache.talks[program] {
+		if len(agents) > 0 && !slices.Contains(agents, t.agent) {
+			continue
+		}
 		e := exported{Agent: t.agent, Chain: t.chain[:s.cache.length(t)/s.options.Block]}
 		for _, h := range e.Chain {
 			if b, ok := s.cache.blocks.Peek(h); !ok || !b.shared {
--- a/transport/dialer/query.go
+++ b/transport/dialer/query.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -63,22 +62,13 @@
 func (d *Dialer) Release(ctx context.Context, r core.Release) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	body, _ := json.Marshal(struct {
+	_, err := d.postOrder(ctx, r.Target.Addr, struct {
 		Kind    string   `json:"kind"`
 		Program string   `json:"program"`
 		Agents  []string `json:"agents,omitempty"`
 		Epoch   uint64   `json:"epoch"`
 	}{"release", r.Customer + "/" + r.Program, r.Agents, r.Epoch})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Target.Addr+"/orders", bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	response, err := d.pooled.Do(request)
-	if err != nil {
-		return
-	}
-	_ = response.Body.Close()
-	if response.StatusCode == http.StatusOK && len(r.Agents) == 0 {
+	if err == nil && len(r.Agents) == 0 {
 		d.emit(core.Released{Endpoint: r.Endpoint, Customer: r.Customer, Program: r.Program})
 	}
 }
--- a/transport/dialer/send.go
+++ b/transport/dialer/send.go
@@ -133,6 +133,9 @@
 		d.fail(a, true, "encoding")
 		return
 	}
+	if a.Source != nil {
+		d.copyCache(ctx, a)
+	}
 	response, untouched, reason := d.send(ctx, a, "/v1/chat/completions", body)
 	if reason != "" {
 		d.fail(a, untouched, reason)
