Planned stop: an answer counts until it is written; patience follows the service

A caller without a deadline was given up after a minute although the service's timeout was longer. A silent caller's connection was probed for minutes. Change: requests count until their handler returns; the stop shuts servers down in order, and asks callers to come back on another connection; the edge waits for the service's timeout; TCP keep-alive gives up after 20 s. Measured: TestRequestCountsUntilItsAnswerIsWritten and TestPatienceFollowsTheService fail with the old counting and the old deadline, and pass now.

--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,12 @@
 	callerBeat = 5 * time.Second
 	// callerStall bounds one write to a caller.
 	callerStall = 10 * time.Second
+	// keepAlive is the time between two probes of a silent caller's connection,
+	// which is given up after keepAliveCount of them.
+	keepAlive      = 5 * time.Second
+	keepAliveCount = 3
+	// flushTimeout bounds the time in which a stopping node's last answers leave.
+	flushTimeout = 5 * time.Second
 	// maxHeader bounds a caller's headers in bytes.
 	maxHeader = 64 << 10
 )
@@ -178,6 +184,7 @@
 
 func (n *Node) listen() error {
 	public := chi.NewRouter()
+	public.Use(n.parting)
 	public.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	public.Get("/readyz", n.readyz)
 	public.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
@@ -193,7 +200,10 @@
 }
 
 func (n *Node) serve(addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
+	}}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "node: listening on %s", addr)
 	}
@@ -203,6 +213,20 @@
 	return nil
 }
 
+// parting asks the callers of a node that is about to stop to come back on
+// another connection, so that none is in use when the node closes.
+func (n *Node) parting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.mu.Lock()
+		draining := n.draining
+		n.mu.Unlock()
+		if draining {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -242,7 +266,11 @@
 }
 
 func (n *Node) close() {
+	// What a handler has written may still be on its way out.
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
 	for _, s := range n.servers {
+		_ = s.Shutdown(ctx)
 		_ = s.Close()
 	}
 	_ = n.router.Close()
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +65,9 @@
 	log     zerolog.Logger
 	mux     http.Handler
 
+	// serving counts the requests whose answers are not wholly written.
+	serving atomic.Int64
+
 	mu sync.Mutex
 	// streams holds the requests that wait for replies, by stream id.
 	streams map[string]chan reply
@@ -88,7 +92,11 @@
 }
 
 // ServeHTTP answers one caller.
-func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.serving.Add(1)
+	defer e.serving.Add(-1)
+	e.mux.ServeHTTP(w, r)
+}
 
 // Deliver hands a node's reply to the request that waits for it.
 func (e *Edge) Deliver(from string, r frame.Reply) {
@@ -105,12 +113,9 @@
 	}
 }
 
-// Waiting returns how many requests wait for replies.
-func (e *Edge) Waiting() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.streams)
-}
+// Waiting returns how many requests are being served; each counts until its
+// answer is written.
+func (e *Edge) Waiting() int { return int(e.serving.Load()) }
 
 // streamLength bounds the replies that wait for one request.
 const streamLength = 256
@@ -206,7 +211,7 @@
 	defer done()
 	p := e.printer(w, k.Key, stream)
 	p.model, p.bound = k.Service, k.MaxTokens
-	a := e.follow(r.Context(), p, k.Deadline, subject{
+	a := e.follow(r.Context(), p, e.deadline(k), subject{
 		ask: func(id string) Owner {
 			return e.backend.Submit(frame.Submit{Call: k, Stream: id, Partial: string(p.text)})
 		},
@@ -216,6 +221,21 @@
 	p.finish(a)
 }
 
+// deadline is when the edge stops waiting for a call's answer.
+func (e *Edge) deadline(k *call.Call) time.Time {
+	if !k.Deadline.IsZero() {
+		return k.Deadline
+	}
+	patience := e.options.Patience
+	if v := e.config().Services[k.Service]; v != nil {
+		patience = max(patience, v.Timeout)
+		if o := v.Operations[k.Operation]; o != nil {
+			patience = max(patience, o.Timeout)
+		}
+	}
+	return k.Received.Add(patience)
+}
+
 func (e *Edge) admit(k *call.Call) (func(), *answer.Answer) {
 	if e.options.Admit == nil {
 		return func() {}, nil
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -416,3 +418,75 @@
 		g.Expect(s.submits).To(BeEmpty())
 	}
 }
+
+// slowWriter blocks in its first write.
+type slowWriter struct {
+	http.ResponseWriter
+	writing chan struct{}
+	release chan struct{}
+}
+
+func (w *slowWriter) Write(data []byte) (int, error) {
+	close(w.writing)
+	<-w.release
+	return w.ResponseWriter.Write(data)
+}
+
+func TestRequestCountsUntilItsAnswerIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serve(t, nil, says(ownerA, done("hello")))
+	w := &slowWriter{httptest.NewRecorder(), make(chan struct{}), make(chan struct{})}
+	r := httptest.NewRequest(http.MethodGet, "/v1/requests/k1", nil)
+	r.Header.Set("X-Customer", "acme")
+	over := make(chan struct{})
+	go func() {
+		s.edge.ServeHTTP(w, r)
+		close(over)
+	}()
+	<-w.writing
+	g.Expect(s.edge.Waiting()).To(Equal(1), "a planned stop would cut the answer off")
+	close(w.release)
+	<-over
+	g.Expect(s.edge.Waiting()).To(BeZero())
+}
+
+func TestCallerWhoStopsReading(t *testing.T) {
+	g := NewWithT(t)
+	var s *script
+	stop := make(chan struct{})
+	s, url := serve(t, func(o *edge.Options) { o.Stall, o.Patience = 50*time.Millisecond, time.Hour }, func(stream string) (edge.Owner, []frame.Reply) {
+		go func() {
+			text := strings.Repeat("x", 64<<10)
+			for at := 0; ; at += len(text) {
+				select {
+				case <-stop:
+					return
+				default:
+					s.edge.Deliver("a", frame.Reply{Stream: stream, Offset: at, Text: text})
+				}
+			}
+		}()
+		return ownerA, nil
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	body := `{"model":"gate","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Customer: acme\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	g.Expect(err).NotTo(HaveOccurred())
+	<-s.left
+	close(stop)
+}
+
+func TestPatienceFollowsTheService(t *testing.T) {
+	g := NewWithT(t)
+	c := config.New()
+	c.Revision = 1
+	c.Services["gate"] = &config.Service{Timeout: 5 * time.Second}
+	s, url := serve(t, func(o *edge.Options) {
+		o.Patience, o.Config = time.Millisecond, func() *config.Config { return c }
+	}, says(ownerA), says(ownerA), says(ownerA), says(ownerA), says(ownerA, done("hello")))
+	response, _ := chat(t, url, "")
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(s.submits).To(HaveLen(5))
+}
