--- a/bench/agent/agent.go
+++ b/bench/agent/agent.go
@@ -177,10 +177,14 @@
 type Driver struct {
 	client *client.Client
 	log    *Log
+	until  time.Time
 }
 
-// NewDriver returns a driver that calls through c and notes into l.
-func NewDriver(c *client.Client, l *Log) *Driver { return &Driver{client: c, log: l} }
+// NewDriver returns a driver that calls through c and notes into l. After
+// until, persons send no further messages; the zero time means never.
+func NewDriver(c *client.Client, l *Log, until time.Time) *Driver {
+	return &Driver{client: c, log: l, until: until}
+}
 
 // talk is one agent's conversation as its caller knows it.
 type talk struct {
@@ -198,6 +202,9 @@
 	var answers []string
 	var err error
 	for i := range p.Tasks {
+		if !d.until.IsZero() && time.Now().Add(p.Tasks[i].Pause).After(d.until) {
+			break
+		}
 		var text string
 		if text, err = d.task(ctx, p, root, &p.Tasks[i]); err != nil {
 			break
--- a/bench/trial/result.go
+++ b/bench/trial/result.go
@@ -47,6 +47,10 @@
 	Share  float64 `json:"share"`
 	// Live is the share of the cache held for live programs.
 	Live float64 `json:"live"`
+	// Busy is the share of the time in which the engines worked, Late the share
+	// by which the machine was too slow for them.
+	Busy float64 `json:"busy"`
+	Late float64 `json:"late"`
 	// Hits is the share of prompt tokens found in the cache.
 	Hits float64 `json:"hits"`
 	// Goodput is answered messages a second.
@@ -82,6 +86,8 @@
 		a.usage.Live += u.Live
 		a.usage.Wasted += u.Wasted
 		a.usage.Memory += u.Memory
+		a.usage.Busy += u.Busy
+		a.usage.Late += u.Late
 	}
 	return a
 }
@@ -225,6 +231,10 @@
 		r.Share = r.Wasted / memory
 		r.Live = (t.last.usage.Live - t.first.usage.Live) / memory
 	}
+	if seconds := t.options.Experiment.Time.Seconds() * float64(len(e.Engines)); seconds > 0 {
+		r.Busy = (t.last.usage.Busy - t.first.usage.Busy) / seconds
+		r.Late = (t.last.usage.Late - t.first.usage.Late) / seconds
+	}
 	prompt, cached := 0, 0
 	for _, n := range e.Engines {
 		for _, l := range n.Ledger {
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -139,7 +139,7 @@
 		beside.Go(func() { o.During(running, t.deployment, t.began) })
 	}
 	c := client.New(e.Customer, t.deployment.Addrs())
-	driver := agent.NewDriver(c, t.log)
+	driver := agent.NewDriver(c, t.log, t.to)
 	for _, a := range arrivals {
 		at := t.began.Add(a.At)
 		if sleepUntil(ctx, at) != nil {
--- a/bench/work/ticket.go
+++ b/bench/work/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cowslipstage/cowslipstage/standin/speech"
 	"github.com/cowslipstage/cowslipstage/state/call"
@@ -12,6 +13,11 @@
 
 // declare sets the services and endpoints of the experiment.
 func (e *Experiment) declare(set func(section string, pairs ...string)) {
+	var names []string
+	for _, k := range e.Kinds {
+		names = append(names, k.Name)
+	}
+	set("model m", "context", "200000", "versions", "1", "adapters", strings.Join(names, ", "))
 	for _, k := range e.Kinds {
 		set("service "+k.Name, "kind", "model", "pool", "engines", "model", "m", "adapter", k.Name, "version", "1",
 			"tools", deskService+"/"+operationLook+", "+deskService+"/"+operationOrder,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -44,6 +44,9 @@
 	serial  uint64
 	changed chan struct{}
 	random  *rand.Rand
+	// worked is the time of all steps, late what the machine delayed them by.
+	worked time.Duration
+	late   time.Duration
 }
 
 // Entry is one line of the engine's ledger: a call that ran.
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -195,10 +195,15 @@
 			return
 		}
 		now := time.Now()
-		if end.Before(now.Add(-maxBehind)) {
+		if behind := now.Sub(end); behind > maxBehind {
+			if !end.IsZero() {
+				s.late += behind
+			}
 			end = now
 		}
-		end = end.Add(s.step(now))
+		d := s.step(now)
+		s.worked += d
+		end = end.Add(d)
 		s.mu.Unlock()
 		if d := time.Until(end); d > 0 {
 			time.Sleep(d)
--- a/standin/engine/usage.go
+++ b/standin/engine/usage.go
@@ -11,6 +11,11 @@
 	Wasted float64 `json:"wasted"`
 	// Memory is token-seconds of the whole cache.
 	Memory float64 `json:"memory"`
+	// Busy is seconds in which the engine worked.
+	Busy float64 `json:"busy"`
+	// Late is seconds by which the engine fell behind its own costs, because
+	// the machine had no time for it.
+	Late float64 `json:"late"`
 }
 
 // Sample is the cache memory held at one time.
@@ -57,7 +62,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cache.count(now)
-	return s.cache.usage.total
+	u := s.cache.usage.total
+	u.Busy, u.Late = s.worked.Seconds(), s.late.Seconds()
+	return u
 }
 
 // Sample returns the cache memory held now.
