--- a/bench/table/table.go
+++ b/bench/table/table.go
@@ -38,6 +38,7 @@
 		{"wasted, % of cache", func(r *trial.Result) float64 { return 100 * r.Share }, "%.2f"},
 		{"live, % of cache", func(r *trial.Result) float64 { return 100 * r.Live }, "%.1f"},
 		{"engines busy, %", func(r *trial.Result) float64 { return 100 * r.Busy }, "%.1f"},
+		{"slots in use, %", func(r *trial.Result) float64 { return 100 * r.Slots }, "%.1f"},
 		{"engines late, %", func(r *trial.Result) float64 { return 100 * r.Late }, "%.2f"},
 		{"prefix hits, %", func(r *trial.Result) float64 { return 100 * r.Hits }, "%.1f"},
 		{"goodput, 1/s", func(r *trial.Result) float64 { return r.Goodput }, "%.1f"},
--- a/bench/trial/result.go
+++ b/bench/trial/result.go
@@ -47,10 +47,11 @@
 	Share  float64 `json:"share"`
 	// Live is the share of the cache held for live programs.
 	Live float64 `json:"live"`
-	// Busy is the share of the time in which the engines worked, Late the share
-	// by which the machine was too slow for them.
-	Busy float64 `json:"busy"`
-	Late float64 `json:"late"`
+	// Busy is the share of the time in which the engines worked, Slots the share
+	// of their slots in use, Late the share by which the machine was too slow.
+	Busy  float64 `json:"busy"`
+	Slots float64 `json:"slots"`
+	Late  float64 `json:"late"`
 	// Hits is the share of prompt tokens found in the cache.
 	Hits float64 `json:"hits"`
 	// Goodput is answered messages a second.
@@ -87,6 +88,7 @@
 		a.usage.Wasted += u.Wasted
 		a.usage.Memory += u.Memory
 		a.usage.Busy += u.Busy
+		a.usage.Batch += u.Batch
 		a.usage.Late += u.Late
 	}
 	return a
@@ -233,6 +235,7 @@
 	}
 	if seconds := t.options.Experiment.Time.Seconds() * float64(len(e.Engines)); seconds > 0 {
 		r.Busy = (t.last.usage.Busy - t.first.usage.Busy) / seconds
+		r.Slots = (t.last.usage.Batch - t.first.usage.Batch) / seconds / float64(t.options.Experiment.Engine.Slots)
 		r.Late = (t.last.usage.Late - t.first.usage.Late) / seconds
 	}
 	prompt, cached := 0, 0
--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -176,7 +176,10 @@
 		o.Remote, o.Copy = held, c.copyCost(r, held-o.Cached)
 		choices = append(choices, o)
 	}
-	n := route.Need{Owner: r.call.Queue(), Prompt: r.prompt(), Output: r.output(), Weight: c.options.Weight}
+	n := route.Need{
+		Program: r.call.Owner(), Agent: r.call.Agent, Pool: r.service.Pool,
+		Prompt: r.prompt(), Output: r.output(), Weight: c.options.Weight,
+	}
 	i := c.router.Pick(n, choices)
 	if i < 0 {
 		return site{}, false
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -38,8 +38,10 @@
 
 // Need describes the call.
 type Need struct {
-	// Owner is the program's identity.
-	Owner string
+	// Program and Agent name the conversation, Pool the endpoints.
+	Program string
+	Agent   string
+	Pool    string
 	// Prompt is the length of the whole prompt, in tokens.
 	Prompt int
 	// Output is the expected number of generated tokens.
@@ -53,13 +55,16 @@
 	policy Policy
 	random *rand.Rand
 	next   int
-	// homes is used by Sticky only.
-	homes map[string]string
+	// homes is used by Sticky only; it is by program.
+	homes map[string]map[home]string
 }
 
+// home is what Sticky keeps in one place: a conversation, in each pool that it uses.
+type home struct{ pool, agent string }
+
 // New returns a router; random breaks ties.
 func New(policy Policy, random *rand.Rand) *Router {
-	return &Router{policy: policy, random: random, homes: map[string]string{}}
+	return &Router{policy: policy, random: random, homes: map[string]map[home]string{}}
 }
 
 // Pick returns the index of the chosen endpoint, or -1 if none has room.
@@ -81,18 +86,22 @@
 }
 
 func (r *Router) sticky(n Need, choices []Choice) int {
+	key := home{n.Pool, n.Agent}
 	for i, c := range choices {
-		if c.Name == r.homes[n.Owner] {
+		if c.Name == r.homes[n.Program][key] {
 			return i
 		}
 	}
 	i := r.best(choices, func(c Choice) int { return c.Calls })
-	r.homes[n.Owner] = choices[i].Name
+	if r.homes[n.Program] == nil {
+		r.homes[n.Program] = map[home]string{}
+	}
+	r.homes[n.Program][key] = choices[i].Name
 	return i
 }
 
 // Forget drops what Sticky keeps for an ended program.
-func (r *Router) Forget(owner string) { delete(r.homes, owner) }
+func (r *Router) Forget(program string) { delete(r.homes, program) }
 
 func (r *Router) best(choices []Choice, cost func(Choice) int) int {
 	best, ties := 0, 1
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -44,9 +44,11 @@
 	serial  uint64
 	changed chan struct{}
 	random  *rand.Rand
-	// worked is the time of all steps, late what the machine delayed them by.
-	worked time.Duration
-	late   time.Duration
+	// worked is the time of all steps, batched the same times their runs, and
+	// late what the machine delayed them by.
+	worked  time.Duration
+	batched time.Duration
+	late    time.Duration
 }
 
 // Entry is one line of the engine's ledger: a call that ran.
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -203,6 +203,7 @@
 		}
 		d := s.step(now)
 		s.worked += d
+		s.batched += d * time.Duration(len(s.running))
 		end = end.Add(d)
 		s.mu.Unlock()
 		if d := time.Until(end); d > 0 {
--- a/standin/engine/usage.go
+++ b/standin/engine/usage.go
@@ -11,8 +11,9 @@
 	Wasted float64 `json:"wasted"`
 	// Memory is token-seconds of the whole cache.
 	Memory float64 `json:"memory"`
-	// Busy is seconds in which the engine worked.
-	Busy float64 `json:"busy"`
+	// Busy is seconds in which the engine worked, Batch the same times its runs.
+	Busy  float64 `json:"busy"`
+	Batch float64 `json:"batch"`
 	// Late is seconds by which the engine fell behind its own costs, because
 	// the machine had no time for it.
 	Late float64 `json:"late"`
@@ -63,7 +64,7 @@
 	defer s.mu.Unlock()
 	s.cache.count(now)
 	u := s.cache.usage.total
-	u.Busy, u.Late = s.worked.Seconds(), s.late.Seconds()
+	u.Busy, u.Batch, u.Late = s.worked.Seconds(), s.batched.Seconds(), s.late.Seconds()
 	return u
 }
 
