Hand shards over for balance; outage and hand-over specs on three nodes

Cause: a node that joined got no shard until an owner died; nodes that start together raced for every shard. Change: an owner gives up one shard at a time to the node that it falls to; a node that starts listens for two gossip rounds before it takes any.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -45,10 +45,14 @@
 // Deployment is one running deployment.
 type Deployment struct {
 	options Options
+	context context.Context
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	servers []*http.Server
 	addrs   []string
+	// stops ends the nodes one by one; each waits for its node.
+	stops   []func()
+	list    string
 	store   string
 	keyval  *keyval.Server
 	hosts   *hosts.Server
@@ -75,6 +79,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
+	d.list, d.context = list, ctx
 	for i := range o.Nodes {
 		if err := d.startNode(ctx, i, list); err != nil {
 			d.Stop()
@@ -163,7 +168,15 @@
 	}
 	d.addrs = append(d.addrs, s.Node.Listen)
 	n := node.New(&s, d.options.Log)
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	d.stops = append(d.stops, func() {
+		cancel()
+		<-ended
+	})
 	d.wait.Go(func() {
+		defer close(ended)
+		defer cancel()
 		if err := n.Run(ctx); err != nil {
 			d.options.Log.Error().Err(err).Msg("node stopped")
 		}
@@ -171,6 +184,17 @@
 	return nil
 }
 
+// Join starts one more node and returns its address for callers.
+func (d *Deployment) Join() (string, error) {
+	if err := d.startNode(d.context, len(d.addrs), d.list); err != nil {
+		return "", err
+	}
+	return d.addrs[len(d.addrs)-1], d.ready()
+}
+
+// Leave stops a node gracefully and waits for its end.
+func (d *Deployment) Leave(i int) { d.stops[i]() }
+
 // free returns a loopback address that was free a moment ago.
 func free() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/claims.go
+++ b/node/claims.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +38,8 @@
 	claim.Host
 	// leased tells whether the host's lease stood in the store when last read.
 	leased bool
+	// since is when this boot of the host was first heard of.
+	since time.Time
 }
 
 // hosts returns the hosts that show a sign of life, this one included.
@@ -66,11 +70,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h := n.known[g.Node]
-	boot := g.Boot
-	if boot == "" {
-		boot = h.Boot
+	if h.since.IsZero() || h.Boot != g.Boot {
+		h.since = now
 	}
-	h.Host = claim.Host{Name: g.Node, Centre: g.Centre, Boot: boot, Leaving: g.Leaving}
+	h.Host = claim.Host{Name: g.Node, Centre: g.Centre, Boot: g.Boot, Leaving: g.Leaving}
 	n.known[g.Node] = h
 	n.signs.Heard(now, g.Node)
 }
@@ -126,6 +129,10 @@
 // claimTick is how often a node looks, without asking the store, whether it should.
 const claimTick = 100 * time.Millisecond
 
+// firstLook is how long a node that starts lets its peers show themselves
+// before it takes shards that they would take too.
+const firstLook = 2 * gossipInterval
+
 // claims takes the shards that fall to the node. The store is asked once in a
 // third of a lease, sooner when an owner fell silent or gave a shard back, and
 // not at all by nodes that own nothing and may not.
@@ -134,10 +141,14 @@
 	random := rand.New(rand.NewPCG(n.settings.Policy.Seed, n.settings.Policy.Seed))
 	ticker := time.NewTicker(claimTick)
 	defer ticker.Stop()
+	if err := n.members(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("members not read; trying again")
+	}
+	start := time.Now().Add(firstLook)
 	var next, choose time.Time
 	for {
 		now := time.Now()
-		if n.candidate(now) && (!now.Before(next) || n.orphaned(now)) {
+		if n.candidate(now) && !now.Before(start) && (!now.Before(next) || n.orphaned(now)) {
 			if err := n.balance(ctx); err != nil {
 				n.log.Warn().Err(err).Msg("claims not read; trying again")
 			}
@@ -204,9 +215,38 @@
 	for shard := range n.settings.Shards.Count {
 		n.consider(ctx, shard, found[shard], claim.Preferred(shard, owners))
 	}
+	n.level(time.Now(), owners)
 	return nil
 }
 
+// level gives up one shard that falls to another node, which has been there
+// for a lease and has its own lease in the store. The next follows only once
+// this one has moved.
+func (n *Node) level(now time.Time, owners map[string]claim.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o := n.journals[n.moving.shard]; o != nil && o.epoch == n.moving.epoch || n.draining {
+		return
+	}
+	for _, shard := range slices.Sorted(maps.Keys(n.journals)) {
+		to := claim.Preferred(shard, owners)
+		h := n.known[to]
+		if to == n.settings.Node.Name || !h.leased || now.Sub(h.since) < n.settings.Store.Lease {
+			continue
+		}
+		n.moving = moving{shard: shard, epoch: n.journals[shard].epoch}
+		n.log.Info().Int("shard", shard).Str("to", to).Msg("handing a shard over for balance")
+		n.wait.Go(func() { n.emit(core.Surrendered{Shard: shard}) })
+		return
+	}
+}
+
+// moving is the shard that is being handed over for balance.
+type moving struct {
+	shard int
+	epoch uint64
+}
+
 // setReady lets callers in once the node knows what to do with them.
 func (n *Node) setReady() {
 	n.mu.Lock()
@@ -235,11 +275,13 @@
 		}
 		n.mu.Lock()
 		h := n.known[m.Node]
-		leaving := h.Leaving && h.Boot == m.Boot
-		n.known[m.Node] = seen{
-			Host:   claim.Host{Name: m.Node, Centre: m.Centre, Boot: m.Boot, Leaving: leaving},
-			leased: true,
+		same := h.Boot == m.Boot
+		if !same {
+			h.since = n.polled
 		}
+		h.Host = claim.Host{Name: m.Node, Centre: m.Centre, Boot: m.Boot, Leaving: same && h.Leaving}
+		h.leased = true
+		n.known[m.Node] = h
 		n.mu.Unlock()
 		n.links.Connect(m.Node, m.Link)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,8 @@
 	draining bool
 	// known are the hosts heard of.
 	known map[string]seen
+	// moving is the shard handed over last for balance.
+	moving moving
 	// polled is when the leases were last read from the store.
 	polled time.Time
 	// signs judges by their messages which hosts are alive.
--- /dev/null
+++ b/node/owner_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/bench/client"
+	"github.com/cowslipstage/cowslipstage/bench/local"
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/examples"
+	"github.com/cowslipstage/cowslipstage/setup"
+	"github.com/cowslipstage/cowslipstage/standin/desk"
+	"github.com/cowslipstage/cowslipstage/standin/engine"
+	"github.com/cowslipstage/cowslipstage/standin/keyval"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/transport/store"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+func start(nodes int) *local.Deployment {
+	text, err := examples.Files.ReadFile("brennecke/001-start.ini")
+	Expect(err).NotTo(HaveOccurred())
+	d, err := local.Start(local.Options{
+		Ticket: text, Nodes: nodes, Log: zerolog.New(GinkgoWriter).Level(zerolog.WarnLevel).With().Timestamp().Logger(),
+		Engine: engine.Options{Prefill: 100000, Decode: time.Millisecond, Slots: 8},
+		Desk:   desk.Options{Latency: time.Millisecond},
+		Adjust: func(s *setup.Settings) {
+			s.Store.Lease, s.Store.Timeout = 900*time.Millisecond, 300*time.Millisecond
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Stop)
+	return d
+}
+
+// fair returns the node that each shard falls to when n nodes live.
+func fair(n int) []string {
+	hosts := map[string]claim.Host{}
+	for i := range n {
+		name := fmt.Sprintf("node-%d", i+1)
+		hosts[name] = claim.Host{Name: name}
+	}
+	var owners []string
+	for shard := range 16 {
+		owners = append(owners, claim.Preferred(shard, hosts))
+	}
+	return owners
+}
+
+// settle waits until n nodes have their shards, each with its standbys.
+func settle(d *local.Deployment, n int) {
+	Eventually(func(g Gomega) {
+		owners, _ := claims(d)
+		g.Expect(owners).To(Equal(fair(n)))
+		for _, c := range records(d) {
+			g.Expect(c.Standbys).To(HaveLen(min(3, n-1)))
+		}
+	}, 30*time.Second).Should(Succeed())
+}
+
+// records returns the claims in the store.
+func records(d *local.Deployment) []claim.Claim {
+	var all []claim.Claim
+	pairs, err := store.New(d.Store(), time.Second).List(context.Background(), "claim/", "", 0)
+	Expect(err).NotTo(HaveOccurred())
+	for _, p := range pairs {
+		var c claim.Claim
+		Expect(cbor.Unmarshal(p.Value, &c)).To(Succeed())
+		all = append(all, c)
+	}
+	return all
+}
+
+// claims returns the owner and the epoch of each shard.
+func claims(d *local.Deployment) (owners []string, epochs []uint64) {
+	for _, c := range records(d) {
+		owners = append(owners, c.Node)
+		epochs = append(epochs, c.Epoch)
+	}
+	return owners, epochs
+}
+
+func effects(d *local.Deployment) int {
+	n := 0
+	for _, desk := range d.Desks() {
+		n += len(desk.Ledger())
+	}
+	return n
+}
+
+// load makes model calls and bookings until stop; it counts those not done.
+func load(d *local.Deployment, c *client.Client) (stop func() (done, bookings int64)) {
+	var wait sync.WaitGroup
+	var done, bookings atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range 4 {
+		wait.Go(func() {
+			defer GinkgoRecover()
+			for k := 0; ctx.Err() == nil; k++ {
+				program := fmt.Sprintf("load-%d-%d", i, k)
+				a, err := c.Do(context.Background(), client.Request{Program: program, Service: "booking", Text: "Two flatbeds."})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(a.Outcome).To(Equal(answer.Done), a.Reason)
+				a, err = c.Do(context.Background(), client.Request{
+					Program: program, Service: "yard", Operation: "book", Text: `{"yard":"north"}`,
+				})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(a.Outcome).To(Equal(answer.Done), a.Reason)
+				done.Add(2)
+				bookings.Add(1)
+			}
+		})
+	}
+	stop = func() (int64, int64) {
+		cancel()
+		wait.Wait()
+		return done.Load(), bookings.Load()
+	}
+	DeferCleanup(func() { stop() })
+	return stop
+}
+
+var _ = Describe("ownership", func() {
+	It("answers calls and bookings while the store is down, and moves no shard after it", func() {
+		d := start(3)
+		settle(d, 3)
+		stop := load(d, client.New("brennecke", d.Addrs()))
+		Eventually(func() int { return effects(d) }, 20*time.Second).Should(BeNumerically(">", 5))
+		_, before := claims(d)
+		renewals := d.Keyval().Counts()["renew"]
+		d.Keyval().SetFault(keyval.Fault{Down: true})
+		booked := effects(d)
+		Eventually(func() int { return d.Keyval().Counts()["renew"] }, 20*time.Second).Should(BeNumerically(">", renewals+20))
+		Expect(effects(d)).To(BeNumerically(">", booked+5), "bookings go on")
+		d.Keyval().SetFault(keyval.Fault{})
+		grants := d.Keyval().Counts()["renew"]
+		Eventually(func() int { return d.Keyval().Counts()["renew"] }, 20*time.Second).Should(BeNumerically(">", grants+20))
+		_, bookings := stop()
+		Expect(effects(d)).To(BeEquivalentTo(bookings))
+		_, after := claims(d)
+		Expect(after).To(Equal(before), "no epoch has risen")
+	})
+
+	It("moves shards to a node that joins, and from one that leaves, without a failed call", func() {
+		d := start(2)
+		stop := load(d, client.New("brennecke", d.Addrs()[:1]))
+		_, err := d.Join()
+		Expect(err).NotTo(HaveOccurred())
+		settle(d, 3)
+		d.Leave(1)
+		Eventually(func() []string { o, _ := claims(d); return o }, 30*time.Second).
+			ShouldNot(Or(ContainElement("node-2"), ContainElement("")))
+		_, bookings := stop()
+		Expect(effects(d)).To(BeEquivalentTo(bookings))
+	})
+})
--- a/node/shards.go
+++ b/node/shards.go
@@ -26,7 +26,12 @@
 	if len(c.Standbys) == 0 {
 		c.Standbys = claim.Choose(shard, c.Node, nil, n.hosts(time.Now()))
 	}
-	if err := n.open(ctx, shard, c, version); err != nil && ctx.Err() == nil {
+	err := n.open(ctx, shard, c, version)
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case errors.Is(err, store.ErrConflict):
+		n.log.Debug().Int("shard", shard).Msg("another node took the shard first")
+	default:
 		n.log.Warn().Err(err).Int("shard", shard).Uint64("epoch", c.Epoch).Msg("shard not taken")
 	}
 }
