--- a/node/owner_test.go
+++ b/node/owner_test.go
@@ -102,7 +102,7 @@
 }
 
 // load makes model calls and bookings until stop; it counts those not done.
-func load(d *local.Deployment, c *client.Client) (stop func() (done, bookings int64)) {
+func load(c *client.Client) (stop func() (done, bookings int64)) {
 	var wait sync.WaitGroup
 	var done, bookings atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,7 +137,7 @@
 	It("answers calls and bookings while the store is down, and moves no shard after it", func() {
 		d := start(3)
 		settle(d, 3)
-		stop := load(d, client.New("brennecke", d.Addrs()))
+		stop := load(client.New("brennecke", d.Addrs()))
 		Eventually(func() int { return effects(d) }, 20*time.Second).Should(BeNumerically(">", 5))
 		_, before := claims(d)
 		renewals := d.Keyval().Counts()["renew"]
@@ -156,7 +156,7 @@
 
 	It("moves shards to a node that joins, and from one that leaves, without a failed call", func() {
 		d := start(2)
-		stop := load(d, client.New("brennecke", d.Addrs()[:1]))
+		stop := load(client.New("brennecke", d.Addrs()[:1]))
 		_, err := d.Join()
 		Expect(err).NotTo(HaveOccurred())
 		settle(d, 3)
