Callers who send the whole conversation; honest 'starting'; the system's share of waiting

Cause: a caller's library that sends the conversation from its beginning doubled the history. A node without configuration said 'unknown' of calls that nobody can have sent before. No metric told what the system adds before a dispatch. Change: messages that begin with the agent's whole history count only from there on (call.After, where a call comes first in its line); 'starting' is 'not run' for first attempts; dispatch_wait_seconds; tidier traces and reports.

--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -28,6 +29,9 @@
 	for _, l := range r.Latencies {
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\n", l.Service, l.Count, span(l.P50), span(l.P95), span(l.P99))
 	}
+	if !spent(r) {
+		return errors.Wrap(t.Flush(), "report: writing")
+	}
 	_, _ = fmt.Fprintln(t, "\nspent by\tcustomer\tprogram\tkey\tbegan\toutcome\tlatency")
 	for _, l := range r.Lines {
 		for _, x := range l.Examples {
@@ -38,6 +42,11 @@
 	return errors.Wrap(t.Flush(), "report: writing")
 }
 
+// spent tells whether the report has calls that spent budget.
+func spent(r burn.Report) bool {
+	return slices.ContainsFunc(r.Lines, func(l burn.Line) bool { return len(l.Examples) > 0 })
+}
+
 func told(x burn.Example) string {
 	if x.Reason == "" {
 		return x.Outcome
--- a/coordination/core/admit.go
+++ b/coordination/core/admit.go
@@ -168,6 +168,7 @@
 		return
 	}
 	r.readied = now
+	r.call = r.call.After(r.program.History(r.call.Agent))
 	c.enqueue(r)
 }
 
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -132,6 +132,19 @@
 	var r *rig
 	BeforeEach(func() { r = newRig() })
 
+	It("takes only what is new from callers who send the whole conversation", func() {
+		r.submit(chat("a", 1))
+		r.finish(0, "hi")
+		r.commit()
+		k := chat("b", 2)
+		k.Messages = append([]call.Message{
+			{Role: "user", Content: "Hello a"}, {Role: "assistant", Content: "hi"},
+		}, k.Messages...)
+		r.submit(k)
+		Expect(r.dispatches[1].History).To(HaveLen(2))
+		Expect(r.dispatches[1].Call.Messages).To(Equal([]call.Message{{Role: "user", Content: "Hello b"}}))
+	})
+
 	It("withholds the final reply until the turn is recorded", func() {
 		r.submit(chat("a", 1))
 		r.finish(0, "hi")
--- a/node/observe.go
+++ b/node/observe.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,7 +49,7 @@
 	n.observer.mu.Lock()
 	n.observer.book.Add(time.Now(), s, v)
 	n.observer.mu.Unlock()
-	n.note(time.Now(), s.Customer, s.Program, s.Key, "answer", fmt.Sprintf("%s %s after %s", s.Outcome, s.Reason, s.Whole.Round(time.Millisecond)))
+	n.note(time.Now(), s.Customer, s.Program, s.Key, "answer", told(s.Outcome, s.Reason)+" after "+s.Whole.Round(time.Millisecond).String())
 }
 
 // count adds a call to the metrics. Services that nobody declared share a label.
@@ -75,6 +76,8 @@
 	n.metrics.GetOrCreateCounter("tokens_total" + label).Add(s.Tokens)
 }
 
+func told(o answer.Outcome, reason string) string { return strings.TrimSpace(string(o) + " " + reason) }
+
 // note keeps one event of a program.
 func (n *Node) note(at time.Time, customer, program, key, kind, detail string) {
 	n.observer.events.Lock()
@@ -93,6 +96,9 @@
 func (n *Node) noteAction(at time.Time, action core.Action) {
 	switch a := action.(type) {
 	case core.Dispatch:
+		// Both ends of the wait are the same clock only where edge and owner are one host.
+		n.metrics.GetOrCreateHistogram(fmt.Sprintf("dispatch_wait_seconds{service=%q}", a.Call.Service)).
+			Update(max(at.Sub(a.Call.Received), 0).Seconds())
 		n.noteCall(at, a.Call, "dispatch", fmt.Sprintf("to %s, epoch %d", a.Endpoint, a.Epoch))
 	case core.Inquire:
 		n.noteCall(at, a.Call, "inquire", "of "+a.Endpoint)
@@ -110,7 +116,7 @@
 	case r.Intent != nil:
 		n.noteCall(at, r.Intent.Call, "intent", "for "+r.Intent.Endpoint)
 	case r.Turn != nil:
-		n.noteCall(at, r.Turn.Call, "settle", string(r.Turn.Answer.Outcome)+" "+r.Turn.Answer.Reason)
+		n.noteCall(at, r.Turn.Call, "settle", told(r.Turn.Answer.Outcome, r.Turn.Answer.Reason))
 	case r.Ended != nil:
 		n.note(at, r.Ended.Customer, r.Ended.Program, "", "end", "")
 	}
--- a/protocol/caller/reply.go
+++ b/protocol/caller/reply.go
@@ -120,7 +120,7 @@
 		ID      string         `json:"id"`
 		Object  string         `json:"object"`
 		Created int64          `json:"created"`
-		Model   string         `json:"model"`
+		Model   string         `json:"model,omitempty"`
 		Outcome answer.Outcome `json:"outcome"`
 		Choices []choice       `json:"choices"`
 		Usage   usage          `json:"usage"`
--- a/transport/edge/auth.go
+++ b/transport/edge/auth.go
@@ -43,7 +43,7 @@
 	}
 	switch {
 	case e.options.Config != nil && c.Revision == 0:
-		return "", starting()
+		return "", starting(r)
 	case len(c.Customers) == 0:
 		return name, nil
 	}
@@ -58,11 +58,15 @@
 }
 
 // starting refuses callers of a node that can't know yet who they are.
-func starting() *answer.Answer {
-	return &answer.Answer{
-		Outcome: answer.Unknown, Reason: "starting", RetryAfter: time.Second,
-		Detail: "the node has no configuration yet; this attempt did not run, an earlier one may have",
+func starting(r *http.Request) *answer.Answer {
+	a := &answer.Answer{
+		Outcome: answer.NotRun, Reason: "starting", RetryAfter: time.Second, Detail: "the node has no configuration yet",
 	}
+	first := r.Header.Get(caller.HeaderTries) == "1" || r.Header.Get(caller.HeaderKey) == ""
+	if r.Method == http.MethodPost && first {
+		return a
+	}
+	return unsure(a)
 }
 
 // owner returns the customer whose token has this digest, or "".
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -249,10 +249,15 @@
 	if k.Tries == 1 {
 		return a
 	}
-	unsure := *a
-	unsure.Outcome = answer.Unknown
-	unsure.Detail += "; this attempt did not run, an earlier one with the key may have"
-	return &unsure
+	return unsure(a)
+}
+
+// unsure says of a refusal that it speaks only of this attempt.
+func unsure(a *answer.Answer) *answer.Answer {
+	b := *a
+	b.Outcome = answer.Unknown
+	b.Detail += "; this attempt did not run, an earlier one with the key may have"
+	return &b
 }
 
 // observe reports a finished call; a is nil when its caller has gone.
