Reckon a whole-conversation caller's need without the history it repeats

Cause: the core dropped the repeated history only at the dispatch, after the call's need was reckoned with it: such a caller was refused at half of its budget. Change: the history is dropped when the call comes first in its line. Measured: the new spec fails with the old place (1 dispatch, refused for its budget, in place of 2) and passes now.

--- a/coordination/core/admit.go
+++ b/coordination/core/admit.go
@@ -168,7 +168,7 @@
 		return
 	}
 	r.readied = now
-	r.call = r.call.After(r.program.History(r.call.Agent))
+	r.freshen()
 	c.enqueue(r)
 }
 
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -132,15 +133,17 @@
 	var r *rig
 	BeforeEach(func() { r = newRig() })
 
-	It("takes only what is new from callers who send the whole conversation", func() {
-		r.submit(chat("a", 1))
+	It("takes only what is new from callers who send the whole conversation, and reserves no more for it", func() {
+		long := call.Message{Role: "user", Content: strings.Repeat("x", 3900)}
+		k := chat("a", 1)
+		k.Messages = []call.Message{long}
+		r.submit(k)
 		r.finish(0, "hi")
 		r.commit()
-		k := chat("b", 2)
-		k.Messages = append([]call.Message{
-			{Role: "user", Content: "Hello a"}, {Role: "assistant", Content: "hi"},
-		}, k.Messages...)
+		k = chat("b", 2)
+		k.Messages = append([]call.Message{long, {Role: "assistant", Content: "hi"}}, k.Messages...)
 		r.submit(k)
+		Expect(r.dispatches).To(HaveLen(2), "reckoned twice, the first message would exceed the budget")
 		Expect(r.dispatches[1].History).To(HaveLen(2))
 		Expect(r.dispatches[1].Call.Messages).To(Equal([]call.Message{{Role: "user", Content: "Hello b"}}))
 	})
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/state/answer"
-	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/record"
 )
 
@@ -98,7 +97,7 @@
 	r.tries++
 	r.touched = true
 	c.do(Dispatch{
-		Flight: f.id, Call: c.fresh(r), Service: r.service,
+		Flight: f.id, Call: r.call, Service: r.service,
 		Endpoint: f.endpoint, Target: c.config.Endpoints[f.endpoint],
 		History: r.program.History(r.call.Agent), Epoch: r.shard.epoch,
 		Source: c.config.Endpoints[f.source], Priority: -r.service.Class, MaxTokens: r.output(), Partial: string(r.text),
@@ -106,16 +105,16 @@
 	})
 }
 
-// fresh is the call without the messages that its conversation already has.
-func (c *Core) fresh(r *request) *call.Call {
+// freshen drops the messages that the call's conversation already has, before
+// the call's need is reckoned.
+func (r *request) freshen() {
 	messages := r.program.Fresh(r.call.Agent, r.call.Messages)
 	if len(messages) == len(r.call.Messages) {
-		return r.call
+		return
 	}
 	k := *r.call
 	k.Messages = messages
 	r.call = &k
-	return r.call
 }
 
 // defaultDispatch bounds one dispatch of an operation that declares no timeout.
