--- a/state/record/codec.go
+++ b/state/record/codec.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -10,15 +12,14 @@
 
 // Encode returns records as a CBOR sequence: sequences can be joined.
 func Encode(records []Record) ([]byte, error) {
-	var data []byte
+	var data bytes.Buffer
+	e := cbor.NewEncoder(&data)
 	for i := range records {
-		one, err := cbor.Marshal(&records[i])
-		if err != nil {
+		if err := e.Encode(&records[i]); err != nil {
 			return nil, errors.Wrap(err, "record: encoding")
 		}
-		data = append(data, one...)
 	}
-	return data, nil
+	return data.Bytes(), nil
 }
 
 // Decode returns the records of a CBOR sequence; the error is ErrBad for
--- a/state/snap/snap.go
+++ b/state/snap/snap.go
@@ -33,7 +33,7 @@
 	// ended is zero while the program goes on.
 	ended time.Time
 	swept bool
-	// once are the ids of its non-idempotent calls.
+	// once are the keys of its non-idempotent calls.
 	once map[string]bool
 }
 
@@ -46,23 +46,23 @@
 func (s *Snap) Note(records []record.Record) {
 	for i := range records {
 		r := &records[i]
-		name := r.Owner()
-		if name == "" {
+		owner := r.Owner()
+		if owner == "" {
 			continue
 		}
-		p, ok := s.programs[name]
+		p, ok := s.programs[owner]
 		if !ok {
 			p = &program{once: map[string]bool{}}
-			s.programs[name] = p
+			s.programs[owner] = p
 		}
 		if r.Ended != nil {
 			p.ended = r.Ended.Time
 		}
 		if r.Intent != nil {
-			p.once[r.Intent.Call.ID()] = true
+			p.once[r.Intent.Call.Key] = true
 		}
 		if r.Turn != nil && r.Turn.Once {
-			p.once[r.Turn.Call.ID()] = true
+			p.once[r.Turn.Call.Key] = true
 		}
 		p.swept = p.swept || r.Swept != nil
 	}
@@ -80,8 +80,8 @@
 	over
 )
 
-func (s *Snap) age(now time.Time, name string) age {
-	p := s.programs[name]
+func (s *Snap) age(now time.Time, owner string) age {
+	p := s.programs[owner]
 	switch {
 	case p == nil || p.ended.IsZero() || now.Sub(p.ended) < s.retention.Answers:
 		return live
@@ -103,11 +103,11 @@
 		switch {
 		case a == over, r.Grant != nil && (superseded[i] || a == quiet):
 			continue
-		case r.Intent != nil && settled[r.Intent.Call.ID()] > i:
+		case r.Intent != nil && settled[name{r.Owner(), r.Intent.Call.Key}] > i:
 			continue
 		case r.Turn != nil:
 			t := *r.Turn
-			t.Once = s.once(r.Owner(), t.Call.ID())
+			t.Once = s.once(r.Owner(), t.Call.Key)
 			if a == quiet && !t.Once {
 				continue
 			}
@@ -142,40 +142,38 @@
 }
 
 // once tells whether a program's call is not idempotent.
-func (s *Snap) once(owner, id string) bool {
+func (s *Snap) once(owner, key string) bool {
 	p := s.programs[owner]
-	return p != nil && p.once[id]
+	return p != nil && p.once[key]
 }
 
+// name is a call's key within its program.
+type name struct{ owner, key string }
+
 // turns returns the places of the calls' last turns.
-func turns(records []record.Record) map[string]int {
-	settled := map[string]int{}
+func turns(records []record.Record) map[name]int {
+	settled := map[name]int{}
 	for i := range records {
 		if t := records[i].Turn; t != nil {
-			settled[t.Call.ID()] = i
+			settled[name{records[i].Owner(), t.Call.Key}] = i
 		}
 	}
 	return settled
 }
 
-// grants returns the grants that a later grant or turn replaces before they are
-// forfeited.
+// grants returns the grants that a later one replaces before they are forfeited.
 func grants(records []record.Record) map[int]bool {
 	superseded, last := map[int]bool{}, map[string]int{}
 	for i := range records {
 		r := &records[i]
-		name := r.Owner()
-		switch {
+		switch owner := r.Owner(); {
 		case r.Forfeit != nil:
-			delete(last, name)
-		case r.Grant != nil, r.Turn != nil:
-			if j, ok := last[name]; ok {
+			delete(last, owner)
+		case r.Grant != nil:
+			if j, ok := last[owner]; ok {
 				superseded[j] = true
 			}
-			delete(last, name)
-			if r.Grant != nil {
-				last[name] = i
-			}
+			last[owner] = i
 		}
 	}
 	return superseded
@@ -189,20 +187,20 @@
 	gone := s.segments[segment]
 	delete(s.segments, segment)
 	for _, rest := range s.segments {
-		for name := range rest {
-			delete(gone, name)
+		for owner := range rest {
+			delete(gone, owner)
 		}
 	}
-	for name := range gone {
-		delete(s.programs, name)
+	for owner := range gone {
+		delete(s.programs, owner)
 	}
 }
 
 // Dead returns how many bytes of a segment, of all, a rewrite would drop.
 func (s *Snap) Dead(now time.Time, segment string) (dead, all int) {
-	for name, n := range s.segments[segment] {
+	for owner, n := range s.segments[segment] {
 		all += n
-		if name != "" && s.age(now, name) != live {
+		if owner != "" && s.age(now, owner) != live {
 			dead += n
 		}
 	}
--- /dev/null
+++ b/transport/jrnl/bench_test.go
@@ -0,0 +1,71 @@
+package jrnl_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/standin/keyval"
+	"github.com/cowslipstage/cowslipstage/state/snap"
+	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/store"
+)
+
+// BenchmarkAppend appends turns one after the other, or many at once, to a
+// store that answers after the delay; slow stores are covered by standbys.
+func BenchmarkAppend(b *testing.B) {
+	for _, delay := range []int{0, 2, 2000} {
+		for _, callers := range []int{1, 16, 64} {
+			b.Run(fmt.Sprintf("store=%dms/callers=%d", delay, callers), func(b *testing.B) { appends(b, delay, callers) })
+		}
+	}
+}
+
+func appends(b *testing.B, delay, callers int) {
+	k := keyval.New()
+	server := httptest.NewServer(k)
+	defer server.Close()
+	s := newStandbys()
+	j := jrnl.New(jrnl.Options{
+		Store: store.New(strings.TrimPrefix(server.URL, "http://"), 10*time.Second), Peers: s,
+		Shard: 3, Epoch: 1, Standbys: []claim.Standby{}, Delay: 50 * time.Millisecond, Bound: 1 << 30,
+		Retention: snap.Retention{Answers: time.Hour, Keys: time.Hour}, Log: zerolog.Nop(),
+	})
+	s.journals = append(s.journals, j)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if _, err := j.Open(ctx); err != nil {
+		b.Fatal(err)
+	}
+	go j.Run(ctx)
+	j.Replace(three())
+	k.SetFault(keyval.Fault{Delay: delay})
+	before := k.Counts()["put"]
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	ends := make(chan time.Duration, callers)
+	send := func(i int) {
+		began := time.Now()
+		j.Append(turn("p", fmt.Sprint(i), "a short answer"), func(error) { ends <- time.Since(began) })
+	}
+	sent := 0
+	for b.Loop() {
+		if sent < callers {
+			send(sent)
+			sent++
+			continue
+		}
+		_ = h.RecordValue(int64(<-ends))
+		send(sent)
+		sent++
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1e6, "p50-ms")
+	b.ReportMetric(float64(h.ValueAtQuantile(99))/1e6, "p99-ms")
+	b.ReportMetric(float64(k.Counts()["put"]-before)/float64(sent), "puts/append")
+}
--- a/transport/jrnl/jrnl_test.go
+++ b/transport/jrnl/jrnl_test.go
@@ -62,7 +62,7 @@
 	}
 	b := hold.Batch{Number: h.Number, Epoch: h.Epoch}
 	if len(h.Data) > 0 {
-		Expect(cbor.Unmarshal(h.Data, &b)).To(Succeed())
+		must(cbor.Unmarshal(h.Data, &b))
 	}
 	reply := frame.Held{Shard: h.Shard, Epoch: h.Epoch, Number: h.Number, Boot: to.Boot}
 	if !s.logs[to].Hold(b, h.Below) {
@@ -87,7 +87,7 @@
 	batches, reply.More = s.logs[to].After(q.After, 1)
 	for _, b := range batches {
 		data, err := cbor.Marshal(b)
-		Expect(err).NotTo(HaveOccurred())
+		must(err)
 		reply.Batches = append(reply.Batches, data)
 	}
 	for _, j := range s.journals {
@@ -103,6 +103,12 @@
 
 func (s *standbys) Rename(context.Context, int, uint64, []claim.Standby) error { return nil }
 
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
 // be matches errors marked with target.
 func be(target error) types.GomegaMatcher {
 	return WithTransform(func(err error) bool { return errors.Is(err, target) }, BeTrue())
@@ -256,7 +262,12 @@
 		f.standbys.mu.Unlock()
 		end := make(chan error, 1)
 		j.Append(turn("p", "k0", "x"), func(err error) { end <- err })
-		tries := func() int { return f.keyval.Counts()["put"] + f.keyval.Counts()["get"] }
+		tries := func() (n int) {
+			for _, calls := range f.keyval.Counts() {
+				n += calls
+			}
+			return n
+		}
 		before := tries()
 		Eventually(tries).WithContext(f.ctx).Should(BeNumerically(">", before+3))
 		Expect(end).NotTo(Receive())
--- a/transport/jrnl/ring.go
+++ b/transport/jrnl/ring.go
@@ -135,7 +135,7 @@
 	at := slot % slots
 	key := place(j.options.Shard, at)
 	if _, ok := j.ring.versions[at]; !ok {
-		if err := j.learn(ctx, key, slot, data); err != nil {
+		if err := j.learn(ctx, slot, data); err != nil {
 			return err
 		}
 	}
@@ -158,23 +158,40 @@
 	return errors.Mark(errors.Newf("jrnl: slot %d is taken", slot), ErrDeposed)
 }
 
-// learn reads the version of a slot that still holds the lap before.
-func (j *Journal) learn(ctx context.Context, key string, slot uint64, data []byte) error {
-	p, err := j.options.Store.Get(ctx, key)
-	if errors.Is(err, store.ErrMissing) {
-		j.ring.versions[slot%slots] = 0
-		return nil
+// learnAhead is how many slots' versions are read at once.
+const learnAhead = 16
+
+// learn reads the versions of a slot that still holds the lap before, and of
+// some that follow.
+func (j *Journal) learn(ctx context.Context, slot uint64, data []byte) error {
+	at, after := slot%slots, prefix(j.options.Shard)
+	if at > 0 {
+		after = place(j.options.Shard, at-1)
 	}
+	pairs, err := j.options.Store.List(ctx, prefix(j.options.Shard), after, learnAhead)
 	if err != nil {
 		return err
 	}
-	v, err := decode(p)
-	if err != nil {
-		return err
+	next := at
+	for _, p := range pairs {
+		for ; next < slots && p.Key != place(j.options.Shard, next); next++ {
+			j.ring.versions[next] = 0
+		}
+		v, err := decode(p)
+		if err != nil {
+			return err
+		}
+		expected := slot + next - at
+		if next == at && v.Slot >= slot && !bytes.Equal(p.Value, data) {
+			return errors.Mark(errors.Newf("jrnl: slot %d is taken", slot), ErrDeposed)
+		}
+		if v.Slot <= expected {
+			j.ring.versions[next] = p.Version
+		}
+		next++
 	}
-	if v.Slot >= slot && !bytes.Equal(p.Value, data) {
-		return errors.Mark(errors.Newf("jrnl: slot %d is taken", slot), ErrDeposed)
+	for ; len(pairs) == 0 && next < slots; next++ {
+		j.ring.versions[next] = 0
 	}
-	j.ring.versions[slot%slots] = p.Version
 	return nil
 }
