--- a/coordination/core/inquire.go
+++ b/coordination/core/inquire.go
@@ -91,7 +91,8 @@
 	case e.Found && !q.shard.leaving:
 		tokens, money := q.program.Purse().Granted()
 		turn := &record.Turn{Call: q.call, Answer: a, Tokens: tokens, Money: money, Time: now}
-		c.journal(q.shard, []record.Record{{Turn: turn}}, nil)
+		// Until the record is safe, callers are told what they were told before.
+		c.journalFirst(q.shard, record.Record{Turn: turn})
 	}
 }
 
--- a/coordination/core/shard.go
+++ b/coordination/core/shard.go
@@ -174,6 +174,15 @@
 	for i := range records {
 		replay(s, &records[i])
 	}
+	c.write(s, records, then)
+}
+
+// journalFirst appends a record and applies it only when it is safe.
+func (c *Core) journalFirst(s *shard, r record.Record) {
+	c.write(s, []record.Record{r}, func(time.Time) { replay(s, &r) })
+}
+
+func (c *Core) write(s *shard, records []record.Record, then func(time.Time)) {
 	ref := c.next()
 	s.pending++
 	c.commits[ref] = commit{shard: s, then: then}
