--- a/node/observe.go
+++ b/node/observe.go
@@ -145,21 +145,25 @@
 	}
 }
 
-// alert logs each objective whose burn begins or ceases to be alarming.
+// alert looks at the objectives from time to time.
 func (n *Node) alert(ctx context.Context) {
 	last := map[[2]string]burn.Alert{}
-	every(ctx, alertInterval, func() {
-		n.observer.mu.Lock()
-		r := n.observer.book.Report(time.Now())
-		n.observer.mu.Unlock()
-		for _, l := range r.Lines {
-			pair := [2]string{l.Service, l.Customer}
-			if l.Alert != last[pair] {
-				n.tell(l)
-			}
-			last[pair] = l.Alert
+	every(ctx, alertInterval, func() { n.judge(time.Now(), last) })
+}
+
+// judge logs each objective whose burn begins or ceases to be alarming; last
+// holds the alerts that were logged.
+func (n *Node) judge(now time.Time, last map[[2]string]burn.Alert) {
+	n.observer.mu.Lock()
+	r := n.observer.book.Report(now)
+	n.observer.mu.Unlock()
+	for _, l := range r.Lines {
+		pair := [2]string{l.Service, l.Customer}
+		if l.Alert != last[pair] {
+			n.tell(l)
 		}
-	})
+		last[pair] = l.Alert
+	}
 }
 
 func (n *Node) tell(l burn.Line) {
--- a/protocol/ticket/ticket_test.go
+++ b/protocol/ticket/ticket_test.go
@@ -264,3 +264,24 @@
 	goldie.New(t, goldie.WithFixtureDir("../../docs/operate"), goldie.WithNameSuffix(".md")).
 		Assert(t, "sections", []byte(ticket.Page()))
 }
+
+// BenchmarkApply is one small ticket on a configuration of the size designed for.
+func BenchmarkApply(b *testing.B) {
+	x, err := ticket.Parse("1", []byte("[ticket]\nnumber = 1\n"+large()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c, err := x.Apply(config.New())
+	if err != nil {
+		b.Fatal(err)
+	}
+	small, err := ticket.Parse("2", []byte("[ticket]\nnumber = 2\n[customer customer-0001]\nrate = 7\n"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := small.Apply(c); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -494,3 +494,46 @@
 	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
 	g.Expect(s.submits).To(HaveLen(5))
 }
+
+// nowhere drops what is written to it, and tells of each write.
+type nowhere struct {
+	header http.Header
+	wrote  chan struct{}
+}
+
+func (n nowhere) Header() http.Header { return n.header }
+
+func (n nowhere) Write(data []byte) (int, error) {
+	n.wrote <- struct{}{}
+	return len(data), nil
+}
+
+func (nowhere) WriteHeader(int)                   {}
+func (nowhere) FlushError() error                 { return nil }
+func (nowhere) SetWriteDeadline(time.Time) error  { return nil }
+func (nowhere) SetReadDeadline(_ time.Time) error { return nil }
+
+// BenchmarkPiece is the edge's work for one piece of a streamed answer.
+func BenchmarkPiece(b *testing.B) {
+	b.ReportAllocs()
+	s := &script{left: make(chan string, 1)}
+	s.edge = edge.New(edge.Options{
+		Silence: time.Hour, MaxBody: 1 << 10, Patience: time.Hour, Beat: time.Hour, Stall: time.Hour,
+	}, s, zerolog.Nop())
+	const text = " token"
+	w := nowhere{http.Header{}, make(chan struct{}, 4)}
+	s.steps = []step{func(stream string) (edge.Owner, []frame.Reply) {
+		go func() {
+			for i := range b.N {
+				s.edge.Deliver("a", frame.Reply{Stream: stream, Offset: i * len(text), Text: text})
+				<-w.wrote
+			}
+			whole := strings.Repeat(text, b.N)
+			s.edge.Deliver("a", frame.Reply{Stream: stream, Final: &answer.Answer{Outcome: answer.Done, Text: whole}})
+		}()
+		return ownerA, nil
+	}}
+	r := httptest.NewRequest(http.MethodGet, "/v1/requests/k1?stream=true", nil)
+	r.Header.Set("X-Customer", "acme")
+	s.edge.ServeHTTP(w, r)
+}
