Drop the second estimate of lateness; count the core's own reasons

Cause: the core refuses what can't meet its deadline and bounds its queues; limit.Late and the key waiting did it again, unused. The burn report knew reasons that nobody gives (busy, late) and not the core's overload. Change: both are gone; overload, deadline, owner and starting count as misses.

--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -127,15 +127,6 @@
 	})
 }
 
-func TestLate(t *testing.T) {
-	g := NewWithT(t)
-	_, late := limit.Late(start, start.Add(3*time.Second), 8, 4, time.Second)
-	g.Expect(late).To(BeFalse())
-	after, late := limit.Late(start, start.Add(2*time.Second), 8, 4, time.Second)
-	g.Expect(late).To(BeTrue())
-	g.Expect(after).To(Equal(time.Second))
-}
-
 func BenchmarkEnter(b *testing.B) {
 	x := limit.New()
 	x.Size(350)
--- a/protocol/caller/reply.go
+++ b/protocol/caller/reply.go
@@ -20,6 +20,7 @@
 	"mismatch":  http.StatusUnprocessableEntity,
 	"token":     http.StatusUnauthorized,
 	"customer":  http.StatusForbidden,
+	"tool":      http.StatusForbidden,
 	"size":      http.StatusRequestEntityTooLarge,
 	"bad":       http.StatusBadRequest,
 }
--- a/protocol/ticket/object.go
+++ b/protocol/ticket/object.go
@@ -107,7 +107,7 @@
 		Timeout: p.Span("timeout"), Idle: p.Span("idle"), Prompt: p.Text("prompt"),
 		Objective: p.Span("objective"), Target: p.Ratio("target"),
 		Rate: p.Ratio("rate"), Burst: int(p.Count("burst")), Active: int(p.Count("active")),
-		Waiting: int(p.Count("waiting")), Operations: map[string]*config.Operation{},
+		Operations: map[string]*config.Operation{},
 	}
 }
 
--- a/protocol/ticket/render.go
+++ b/protocol/ticket/render.go
@@ -95,7 +95,7 @@
 		"tools": strings.Join(o.Tools, ", "), "tokens": count(o.Tokens), "money": count(o.Money),
 		"turns": count(o.Turns), "class": count(o.Class), "output": count(o.Output),
 		"timeout": o.Timeout.String(), "idle": o.Idle.String(), "prompt": o.Prompt,
-		"objective": o.Objective.String(), "target": ratio(o.Target), "waiting": count(o.Waiting),
+		"objective": o.Objective.String(), "target": ratio(o.Target),
 		"rate": ratio(o.Rate), "burst": count(o.Burst), "active": count(o.Active),
 	}
 }
--- a/protocol/ticket/table.go
+++ b/protocol/ticket/table.go
@@ -117,7 +117,6 @@
 			{Name: "prompt", Type: schema.Text{Max: maxPrompt}, Doc: "The system prompt shared by all programs of the service."},
 			{Name: "objective", Type: span, Default: "0s", Doc: "Latency within which calls must be done; 0s means no objective."},
 			{Name: "target", Type: schema.Ratio{Max: 0.99999}, Default: "0", Doc: "Share of calls that must meet the objective."},
-			{Name: "waiting", Type: schema.Count{Max: maxCalls}, Default: "0", Doc: "Calls that may wait for an endpoint at one node; 0 means no bound."},
 		}, limits...),
 	}
 }
--- a/state/burn/burn.go
+++ b/state/burn/burn.go
@@ -33,7 +33,7 @@
 
 // ours are the reasons for which a call that did not run missed its objective;
 // for any other the caller has the cause.
-var ours = map[string]bool{"busy": true, "owner": true, "late": true, "deadline": true, "starting": true}
+var ours = map[string]bool{"overload": true, "deadline": true, "owner": true, "starting": true}
 
 // Counts tells whether a sample says anything of the objective.
 func (s Sample) Counts() bool {
--- a/state/burn/burn_test.go
+++ b/state/burn/burn_test.go
@@ -34,7 +34,7 @@
 		{answer.Done, "", time.Second, true, false},
 		{answer.Done, "", 1001 * time.Millisecond, true, true},
 		{answer.Unknown, "owner", 0, true, true},
-		{answer.NotRun, "busy", 0, true, true},
+		{answer.NotRun, "overload", 0, true, true},
 		{answer.NotRun, "budget", 0, false, true},
 		{answer.NotRun, "limit", 0, false, true},
 		{answer.Unknown, "limit", 0, false, true},
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -85,8 +85,6 @@
 	Burst int `cbor:"19,keyasint,omitempty"`
 	// Active bounds the calls under way over all nodes; 0 means no bound.
 	Active int `cbor:"20,keyasint,omitempty"`
-	// Waiting bounds the calls that wait for an endpoint at one node; 0 means no bound.
-	Waiting int `cbor:"21,keyasint,omitempty"`
 }
 
 // Operation is one operation of a plain service.
