ticket apply goes on while the service gives no answer

Cause: a lost answer to the reading back ended the command with an error, and left open whether the ticket was in force. Change: the change is tried up to four times with a growing pause, which is safe as tickets in force are recognised; the last error says to apply it again.

--- a/cmd/cowslipstage/cmds/ticket.go
+++ b/cmd/cowslipstage/cmds/ticket.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
@@ -102,13 +103,17 @@
 
 // apply puts one ticket in force. Tickets of closed numbers were applied long ago.
 func apply(c *cobra.Command, s *store.Client, t *ticket.Ticket) error {
-	known := false
-	next, err := node.Change(c.Context(), s, func(old *config.Config) (*config.Config, error) {
+	known, reads := false, 0
+	next, err := change(c.Context(), s, func(old *config.Config) (*config.Config, error) {
 		next, err := t.Apply(old)
-		known = err == nil && next == old
+		// Later readings find what this command itself has put in force.
+		reads++
+		known = reads == 1 && err == nil && next == old
 		return next, err
 	})
 	switch {
+	case errors.Is(err, store.ErrUnknown):
+		return errors.Wrapf(err, "ticket %d may be in force or not; apply it again", t.Number())
 	case errors.Is(err, ticket.ErrClosed):
 		c.Printf("ticket %d: skipped; its number is closed\n", t.Number())
 		return nil
@@ -122,6 +127,21 @@
 	return nil
 }
 
+// changeTries bounds the attempts of one change while the service gives no answer.
+const changeTries = 4
+
+// change repeats a change whose fate is not known: tickets that are in force
+// already are recognised.
+func change(ctx context.Context, s *store.Client, edit func(*config.Config) (*config.Config, error)) (*config.Config, error) {
+	return backoff.Retry(ctx, func() (*config.Config, error) {
+		next, err := node.Change(ctx, s, edit)
+		if err != nil && !errors.Is(err, store.ErrUnknown) {
+			return nil, backoff.Permanent(err)
+		}
+		return next, err
+	}, backoff.WithMaxTries(changeTries))
+}
+
 // try prints what tickets would change.
 func try(c *cobra.Command, s *store.Client, tickets []*ticket.Ticket) error {
 	old, err := node.Change(c.Context(), s, func(c *config.Config) (*config.Config, error) { return c, nil })
--- a/cmd/cowslipstage/cmds/ticket_test.go
+++ b/cmd/cowslipstage/cmds/ticket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -64,6 +65,48 @@
 	g.Expect(out).To(Equal("ticket 3: would change\n[customer a]\n- [customer a]\n- rate = 20\n"))
 }
 
+// unreliable drops the answers to some calls, before or after they take effect.
+type unreliable struct {
+	http.Handler
+	// before and after count the calls to a path that are dropped so.
+	before, after map[string]int
+}
+
+func (u *unreliable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.before[r.URL.Path] > 0 {
+		u.before[r.URL.Path]--
+		panic(http.ErrAbortHandler)
+	}
+	if u.after[r.URL.Path] > 0 {
+		u.after[r.URL.Path]--
+		u.Handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	u.Handler.ServeHTTP(w, r)
+}
+
+func TestLostAnswers(t *testing.T) {
+	for name, c := range map[string]struct{ before, after map[string]int }{
+		"the write took effect":               {nil, map[string]int{"/put": 1}},
+		"the write took no effect":            {map[string]int{"/put": 1}, nil},
+		"so did the reading back":             {map[string]int{"/get": 2}, nil},
+		"both, with the reading back missing": {nil, map[string]int{"/put": 1, "/get": 1}},
+	} {
+		g := NewWithT(t)
+		s := httptest.NewServer(&unreliable{keyval.New(), c.before, c.after})
+		store := "--store=" + strings.TrimPrefix(s.URL, "http://")
+		file := write(t, t.TempDir(), "a.ini", "[ticket]\nnumber = 1\n[customer a]\n")
+		out, err := run("ticket", "apply", file, store)
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		g.Expect(out).To(Equal("ticket 1: in force from revision 1\n"), name)
+		out, err = run("ticket", "list", store)
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		g.Expect(strings.Count(out, "\n")).To(Equal(1), name)
+		g.Expect(out).To(HavePrefix("1\trevision 1\t"), name)
+		s.Close()
+	}
+}
+
 func TestTicketNumbersAreUnique(t *testing.T) {
 	folder := t.TempDir()
 	write(t, folder, "a.ini", "[ticket]\nnumber = 1\n")
