--- a/cmd/cowslipstage/cmds/report.go
+++ b/cmd/cowslipstage/cmds/report.go
@@ -18,20 +18,20 @@
 // askTimeout bounds one question to a node.
 const askTimeout = 10 * time.Second
 
-// nodes says which nodes an operator asks.
-type nodes struct {
+// nodeFlags say which nodes an operator asks.
+type nodeFlags struct {
 	addrs []string
 	token string
 }
 
-func (n *nodes) flags(c *cobra.Command) {
+func (n *nodeFlags) register(c *cobra.Command) {
 	c.Flags().StringSliceVar(&n.addrs, "nodes", nil, "addresses of the nodes for callers (IP:port,...)")
 	c.Flags().StringVar(&n.token, "token-file", "", "file that holds the operator's bearer token")
 }
 
 // ask reads one answer in JSON from each node. Nodes that don't answer are
 // named; it fails only if none does.
-func (n *nodes) ask(c *cobra.Command, path string, each func(*json.Decoder) error) error {
+func (n *nodeFlags) ask(c *cobra.Command, path string, each func(*json.Decoder) error) error {
 	token := ""
 	if n.token != "" {
 		data, err := os.ReadFile(n.token)
@@ -78,7 +78,7 @@
 }
 
 func reportCommand() *cobra.Command {
-	var n nodes
+	var n nodeFlags
 	var asJSON bool
 	var page string
 	c := &cobra.Command{
@@ -106,13 +106,13 @@
 			return report.Text(c.OutOrStdout(), merged)
 		},
 	}
-	n.flags(c)
+	n.register(c)
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON, which report reads again")
 	c.Flags().StringVar(&page, "html", "", "write a page with plots to this file")
 	return c
 }
 
-func gather(c *cobra.Command, n *nodes, files []string) (burn.Report, error) {
+func gather(c *cobra.Command, n *nodeFlags, files []string) (burn.Report, error) {
 	var all []burn.Report
 	one := func(d *json.Decoder) error {
 		var r burn.Report
--- a/cmd/cowslipstage/cmds/ticket.go
+++ b/cmd/cowslipstage/cmds/ticket.go
@@ -29,18 +29,18 @@
 // storeTimeout bounds one call of a command to the key-value service.
 const storeTimeout = 5 * time.Second
 
-// place finds the key-value service for a command.
-type place struct {
+// storeFlags find the key-value service for a command.
+type storeFlags struct {
 	addr   string
 	config string
 }
 
-func (p *place) flags(c *cobra.Command) {
+func (p *storeFlags) register(c *cobra.Command) {
 	c.PersistentFlags().StringVar(&p.addr, "store", "", "address of the key-value service (IP:port)")
 	c.PersistentFlags().StringVar(&p.config, "config", "", "settings file that names the key-value service")
 }
 
-func (p *place) open() (*store.Client, error) {
+func (p *storeFlags) open() (*store.Client, error) {
 	if p.addr != "" {
 		return store.New(p.addr, storeTimeout), nil
 	}
@@ -55,7 +55,7 @@
 }
 
 // current reads the configuration in force.
-func (p *place) current(ctx context.Context) (*config.Config, error) {
+func (p *storeFlags) current(ctx context.Context) (*config.Config, error) {
 	s, err := p.open()
 	if err != nil {
 		return nil, err
@@ -65,13 +65,13 @@
 
 func ticketCommand() *cobra.Command {
 	c := &cobra.Command{Use: "ticket", Short: "Apply and inspect change tickets"}
-	p := &place{}
-	p.flags(c)
+	p := &storeFlags{}
+	p.register(c)
 	c.AddCommand(applyCommand(p), showCommand(p), diffCommand(p), listCommand(p))
 	return c
 }
 
-func applyCommand(p *place) *cobra.Command {
+func applyCommand(p *storeFlags) *cobra.Command {
 	var dry bool
 	c := &cobra.Command{
 		Use:   "apply FILE|DIR...",
@@ -222,7 +222,7 @@
 	return files, nil
 }
 
-func showCommand(p *place) *cobra.Command {
+func showCommand(p *storeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "show [OBJECT]",
 		Short:   "Print the configuration in force, as a ticket would set it",
@@ -249,7 +249,7 @@
 	}
 }
 
-func diffCommand(p *place) *cobra.Command {
+func diffCommand(p *storeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "diff FILE",
 		Short: "Print what a ticket would change, and change nothing",
@@ -268,7 +268,7 @@
 	}
 }
 
-func listCommand(p *place) *cobra.Command {
+func listCommand(p *storeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
 		Short: "List the accepted tickets",
--- a/cmd/cowslipstage/cmds/trace.go
+++ b/cmd/cowslipstage/cmds/trace.go
@@ -13,7 +13,7 @@
 )
 
 func traceCommand() *cobra.Command {
-	var n nodes
+	var n nodeFlags
 	var asJSON bool
 	c := &cobra.Command{
 		Use:   "trace KEY --nodes IP:port,...",
@@ -39,7 +39,7 @@
 			return printTrace(c, args[0], all)
 		},
 	}
-	n.flags(c)
+	n.register(c)
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -28,7 +28,7 @@
 	Active int `cbor:"2,keyasint,omitempty"`
 }
 
-// Verdict is a gate's answer. Wait is when to come back if it isn't OK.
+// Verdict is a limiter's answer. Wait is when to come back if it isn't OK.
 type Verdict struct {
 	OK bool
 	// Reason says which bound was met: "rate" or "active".
@@ -51,9 +51,9 @@
 	maxWait = 30 * time.Second
 )
 
-// Gate keeps what one node has let through, and what it knows of its peers.
+// Limiter keeps what one node has let through, and what it knows of its peers.
 // One goroutine at a time may use it.
-type Gate struct {
+type Limiter struct {
 	// nodes is at least 1.
 	nodes int
 	names map[string]*name
@@ -76,28 +76,28 @@
 	used  map[string]Use
 }
 
-// New returns a gate of the only node.
-func New() *Gate {
-	return &Gate{nodes: 1, names: map[string]*name{}, peers: map[string]peer{}}
+// New returns a limiter of the only node.
+func New() *Limiter {
+	return &Limiter{nodes: 1, names: map[string]*name{}, peers: map[string]peer{}}
 }
 
-// Size tells the gate how many nodes share each bound.
-func (g *Gate) Size(nodes int) { g.nodes = max(nodes, 1) }
+// Size tells the limiter how many nodes share each bound.
+func (l *Limiter) Size(nodes int) { l.nodes = max(nodes, 1) }
 
 // Hear takes over what a peer uses.
-func (g *Gate) Hear(now time.Time, node string, used map[string]Use) {
+func (l *Limiter) Hear(now time.Time, node string, used map[string]Use) {
 	if len(used) == 0 {
-		delete(g.peers, node)
+		delete(l.peers, node)
 		return
 	}
-	g.peers[node] = peer{heard: now, used: used}
+	l.peers[node] = peer{heard: now, used: used}
 }
 
-// Enter lets a call begin, or says when to come back. Each call that was let
-// in must Leave.
-func (g *Gate) Enter(now time.Time, key string, b Bound) Verdict {
-	n := g.name(key, b)
-	share := g.share(now, key, b)
+// Acquire lets a call begin, or says when to come back. Each call that was let
+// in must Release.
+func (l *Limiter) Acquire(now time.Time, key string, b Bound) Verdict {
+	n := l.name(key, b)
+	share := l.share(now, key, b)
 	if b.Active > 0 && n.active >= share.Active {
 		return Verdict{Reason: "active", Wait: activePause}
 	}
@@ -113,36 +113,36 @@
 	return Verdict{OK: true}
 }
 
-// Leave notes that a call which was let in is over.
-func (g *Gate) Leave(key string) {
-	if n := g.names[key]; n != nil {
+// Release notes that a call which was let in is over.
+func (l *Limiter) Release(key string) {
+	if n := l.names[key]; n != nil {
 		n.active--
 	}
 }
 
-func (g *Gate) name(key string, b Bound) *name {
-	n := g.names[key]
+func (l *Limiter) name(key string, b Bound) *name {
+	n := l.names[key]
 	if n != nil && n.bound == b {
 		return n
 	}
 	if n == nil {
 		n = &name{}
-		g.names[key] = n
+		l.names[key] = n
 	}
 	n.bound = b
-	n.limiter = rate.NewLimiter(rate.Limit(b.Rate), g.burst(b))
+	n.limiter = rate.NewLimiter(rate.Limit(b.Rate), l.burst(b))
 	return n
 }
 
 // burst is this node's part of the calls that may come at once, with room for
 // an uneven spread over the nodes.
-func (g *Gate) burst(b Bound) int {
+func (l *Limiter) burst(b Bound) int {
 	whole := float64(b.Burst)
 	if whole == 0 {
 		whole = b.Rate
 	}
-	part := whole / float64(g.nodes)
-	if g.nodes > 1 {
+	part := whole / float64(l.nodes)
+	if l.nodes > 1 {
 		part = min(whole, part+2*math.Sqrt(part))
 	}
 	return max(1, int(math.Ceil(part)))
@@ -150,15 +150,15 @@
 
 // share is what this node may use: what the peers leave, and at least an
 // equal part.
-func (g *Gate) share(now time.Time, key string, b Bound) Use {
+func (l *Limiter) share(now time.Time, key string, b Bound) Use {
 	left := Use{Rate: b.Rate, Active: b.Active}
-	for _, p := range g.peers {
+	for _, p := range l.peers {
 		if u, ok := p.used[key]; ok && now.Sub(p.heard) < fresh {
 			left.Rate -= u.Rate
 			left.Active -= u.Active
 		}
 	}
-	equal := float64(g.nodes)
+	equal := float64(l.nodes)
 	return Use{
 		Rate:   max(left.Rate, b.Rate/equal),
 		Active: max(left.Active, int(math.Ceil(float64(b.Active)/equal))),
@@ -179,20 +179,20 @@
 
 // Used returns the names that use at least half of an equal part, the busiest
 // first and at most a few: what peers must know. It forgets unused names.
-func (g *Gate) Used(now time.Time) map[string]Use {
+func (l *Limiter) Used(now time.Time) map[string]Use {
 	type busy struct {
 		key  string
 		use  Use
 		part float64
 	}
 	var all []busy
-	for key, n := range g.names {
+	for key, n := range l.names {
 		if n.active == 0 && now.Sub(n.touched) > quiet {
-			delete(g.names, key)
+			delete(l.names, key)
 			continue
 		}
 		u := Use{Rate: n.rate(now), Active: n.active}
-		if part := g.part(n.bound, u); part >= 0.5 {
+		if part := l.part(n.bound, u); part >= 0.5 {
 			all = append(all, busy{key, u, part})
 		}
 	}
@@ -213,7 +213,7 @@
 }
 
 // part is how much of an equal part is used, by the bound that is nearer.
-func (g *Gate) part(b Bound, u Use) float64 {
+func (l *Limiter) part(b Bound, u Use) float64 {
 	part := 0.0
 	if b.Rate > 0 {
 		part = u.Rate / b.Rate
@@ -221,5 +221,5 @@
 	if b.Active > 0 {
 		part = max(part, float64(u.Active)/float64(b.Active))
 	}
-	return part * float64(g.nodes)
+	return part * float64(l.nodes)
 }
--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -16,63 +16,63 @@
 func TestRateAndRetry(t *testing.T) {
 	g := NewWithT(t)
 	x, b := limit.New(), limit.Bound{Rate: 10, Burst: 2}
-	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
-	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
-	g.Expect(x.Enter(start, "a", b)).To(Equal(limit.Verdict{Reason: "rate", Wait: 100 * time.Millisecond}))
-	g.Expect(x.Enter(start, "b", b).OK).To(BeTrue())
-	g.Expect(x.Enter(start.Add(100*time.Millisecond), "a", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start, "a", b)).To(Equal(limit.Verdict{Reason: "rate", Wait: 100 * time.Millisecond}))
+	g.Expect(x.Acquire(start, "b", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start.Add(100*time.Millisecond), "a", b).OK).To(BeTrue())
 }
 
 func TestActive(t *testing.T) {
 	g := NewWithT(t)
 	x, b := limit.New(), limit.Bound{Active: 1}
-	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
-	g.Expect(x.Enter(start, "a", b).Reason).To(Equal("active"))
-	x.Leave("a")
-	g.Expect(x.Enter(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start, "a", b).OK).To(BeTrue())
+	g.Expect(x.Acquire(start, "a", b).Reason).To(Equal("active"))
+	x.Release("a")
+	g.Expect(x.Acquire(start, "a", b).OK).To(BeTrue())
 }
 
 func TestNoBound(t *testing.T) {
 	x := limit.New()
 	for range 1000 {
-		NewWithT(t).Expect(x.Enter(start, "a", limit.Bound{}).OK).To(BeTrue())
+		NewWithT(t).Expect(x.Acquire(start, "a", limit.Bound{}).OK).To(BeTrue())
 	}
 }
 
 func TestUnusedNamesAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	x := limit.New()
-	x.Enter(start, "a", limit.Bound{Rate: 0.01})
+	x.Acquire(start, "a", limit.Bound{Rate: 0.01})
 	g.Expect(x.Used(start)).To(HaveKey("a"))
-	x.Leave("a")
+	x.Release("a")
 	g.Expect(x.Used(start.Add(2 * time.Minute))).To(BeEmpty())
 }
 
-// run offers calls to every node's gate for a while and counts those let in,
+// run offers calls to every node's limiter for a while and counts those let in,
 // after the nodes have had time to hear of each other.
 func run(nodes int, offered []float64, b limit.Bound) float64 {
 	const tick, gossip, span, warm = 10 * time.Millisecond, 200 * time.Millisecond, 30 * time.Second, 10 * time.Second
-	gates := make([]*limit.Gate, nodes)
+	limiters := make([]*limit.Limiter, nodes)
 	due := make([]float64, nodes)
-	for i := range gates {
-		gates[i] = limit.New()
-		gates[i].Size(nodes)
+	for i := range limiters {
+		limiters[i] = limit.New()
+		limiters[i].Size(nodes)
 	}
 	let := 0
 	for at := time.Duration(0); at < span; at += tick {
 		now := start.Add(at)
-		for i, x := range gates {
+		for i, x := range limiters {
 			for due[i] += offered[i] * tick.Seconds(); due[i] >= 1; due[i]-- {
-				if !x.Enter(now, "a", b).OK {
+				if !x.Acquire(now, "a", b).OK {
 					continue
 				}
-				x.Leave("a")
+				x.Release("a")
 				if at >= warm {
 					let++
 				}
 			}
 			if at%gossip == 0 {
-				for j, y := range gates {
+				for j, y := range limiters {
 					if i != j {
 						y.Hear(now, fmt.Sprint(i), x.Used(now))
 					}
@@ -100,9 +100,9 @@
 	}
 }
 
-// TestGateProperties checks that whatever the order of calls, one gate alone
+// TestLimiterProperties checks that whatever the order of calls, one limiter alone
 // never exceeds its bounds.
-func TestGateProperties(t *testing.T) {
+func TestLimiterProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := limit.Bound{
 			Rate: rapid.Float64Range(0.5, 50).Draw(t, "rate"), Burst: rapid.IntRange(1, 20).Draw(t, "burst"),
@@ -112,11 +112,11 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
 			if active > 0 && rapid.Bool().Draw(t, "leave") {
-				x.Leave("a")
+				x.Release("a")
 				active--
 				continue
 			}
-			if x.Enter(now, "a", b).OK {
+			if x.Acquire(now, "a", b).OK {
 				active++
 				let++
 			}
@@ -127,13 +127,13 @@
 	})
 }
 
-func BenchmarkEnter(b *testing.B) {
+func BenchmarkAcquire(b *testing.B) {
 	x := limit.New()
 	x.Size(350)
 	for i := range 350 {
 		x.Hear(start, fmt.Sprint(i), map[string]limit.Use{"a": {Rate: 1}})
 	}
 	for b.Loop() {
-		x.Enter(start, "a", limit.Bound{Rate: 1e9, Burst: 1e9})
+		x.Acquire(start, "a", limit.Bound{Rate: 1e9, Burst: 1e9})
 	}
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -20,7 +20,7 @@
 
 // news is what the node tells its peers about itself; freed are shards it gave back.
 func (n *Node) news(freed map[int]uint64) frame.Gossip {
-	used := n.gate.used(time.Now())
+	used := n.limits.used(time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.settings.Node
@@ -40,7 +40,7 @@
 func (n *Node) hear(g frame.Gossip) {
 	n.links.Connect(g.Node, g.Addr)
 	n.meet(time.Now(), g)
-	n.gate.hear(time.Now(), g.Node, g.Used, 1+len(n.links.Live()))
+	n.limits.hear(time.Now(), g.Node, g.Used, 1+len(n.links.Live()))
 	for shard, epoch := range g.Owned {
 		n.see(shard, ownership{node: g.Node, epoch: epoch})
 		n.supersede(shard, epoch)
--- a/node/limits.go
+++ b/node/limits.go
@@ -10,25 +10,25 @@
 	"github.com/cowslipstage/cowslipstage/state/config"
 )
 
-// gate guards the limits of customers and services for the edge's goroutines.
-type gate struct {
-	mu    sync.Mutex
-	limit *limit.Gate
+// limits guards the limits of customers and services for the edge's goroutines.
+type limits struct {
+	mu      sync.Mutex
+	limiter *limit.Limiter
 }
 
-func newGate() *gate { return &gate{limit: limit.New()} }
+func newLimits() *limits { return &limits{limiter: limit.New()} }
 
-func (g *gate) hear(now time.Time, node string, used map[string]limit.Use, nodes int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limit.Size(nodes)
-	g.limit.Hear(now, node, used)
+func (l *limits) hear(now time.Time, node string, used map[string]limit.Use, nodes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Size(nodes)
+	l.limiter.Hear(now, node, used)
 }
 
-func (g *gate) used(now time.Time) map[string]limit.Use {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.limit.Used(now)
+func (l *limits) used(now time.Time) map[string]limit.Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Used(now)
 }
 
 // bounded is a name with its bound.
@@ -52,15 +52,15 @@
 // admit lets a call through the limits, or refuses it.
 func (n *Node) admit(now time.Time, k *call.Call) (func(), *answer.Answer) {
 	all := bounds(n.current(), k)
-	g := n.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	l := n.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for i, b := range all {
-		v := g.limit.Enter(now, b.name, b.bound)
+		v := l.limiter.Acquire(now, b.name, b.bound)
 		if v.OK {
 			continue
 		}
-		g.leave(all[:i])
+		l.release(all[:i])
 		n.metrics.GetOrCreateCounter(`limited_total{reason="` + v.Reason + `"}`).Inc()
 		return nil, &answer.Answer{
 			Outcome: answer.NotRun, Reason: "limit", RetryAfter: v.Wait,
@@ -68,15 +68,15 @@
 		}
 	}
 	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.leave(all)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.release(all)
 	}, nil
 }
 
-// leave takes a call out of its limits; the caller holds mu.
-func (g *gate) leave(all []bounded) {
+// release takes a call out of its limits; the caller holds mu.
+func (l *limits) release(all []bounded) {
 	for _, b := range all {
-		g.limit.Leave(b.name)
+		l.limiter.Release(b.name)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -40,7 +40,7 @@
 	store    *store.Client
 	links    *links.Links
 	edge     *edge.Edge
-	gate     *gate
+	limits   *limits
 	observer *observer
 	dialer   *dialer.Dialer
 	core     *core.Core
@@ -139,7 +139,7 @@
 		logs:     map[int]*hold.Log{},
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
-		gate:     newGate(),
+		limits:   newLimits(),
 		observer: newObserver(s.Node.Name),
 	}
 	n.core = core.New(core.Options{
--- a/node/observe.go
+++ b/node/observe.go
@@ -29,25 +29,25 @@
 
 // observer keeps what operators ask a node about finished calls.
 type observer struct {
-	// mu guards book. Reading a large book takes a while, so that the control
+	// mu guards calls. Reading many of them takes a while, so that the control
 	// goroutine, which keeps events, has a lock apart.
-	mu   sync.Mutex
-	book *burn.Book
+	mu    sync.Mutex
+	calls *burn.Recorder
 	// events guards trace.
 	events sync.Mutex
 	trace  *trace.Log
 }
 
 func newObserver(node string) *observer {
-	return &observer{book: burn.New(node), trace: trace.New(traceLength)}
+	return &observer{calls: burn.New(node), trace: trace.New(traceLength)}
 }
 
-// observe books one finished call.
+// observe records one finished call.
 func (n *Node) observe(s burn.Sample) {
 	v := n.current().Services[s.Service]
 	n.count(s, v != nil)
 	n.observer.mu.Lock()
-	n.observer.book.Add(time.Now(), s, v)
+	n.observer.calls.Add(time.Now(), s, v)
 	n.observer.mu.Unlock()
 	n.note(time.Now(), s.Customer, s.Program, s.Key, "answer", told(s.Outcome, s.Reason)+" after "+s.Whole.Round(time.Millisecond).String())
 }
@@ -125,7 +125,7 @@
 // getReport answers GET /v1/report.
 func (n *Node) getReport(w http.ResponseWriter, _ *http.Request) {
 	n.observer.mu.Lock()
-	r := n.observer.book.Report(time.Now())
+	r := n.observer.calls.Report(time.Now())
 	n.observer.mu.Unlock()
 	n.answer(w, r)
 }
@@ -155,7 +155,7 @@
 // holds the alerts that were logged.
 func (n *Node) judge(now time.Time, last map[[2]string]burn.Alert) {
 	n.observer.mu.Lock()
-	r := n.observer.book.Report(now)
+	r := n.observer.calls.Report(now)
 	n.observer.mu.Unlock()
 	for _, l := range r.Lines {
 		pair := [2]string{l.Service, l.Customer}
--- a/node/observe_test.go
+++ b/node/observe_test.go
@@ -26,7 +26,7 @@
 	v := &config.Service{Objective: time.Second, Target: 0.99}
 	now := time.Now()
 	for i := range 20 {
-		n.observer.book.Add(now, burn.Sample{
+		n.observer.calls.Add(now, burn.Sample{
 			Customer: "acme", Service: "gate", Key: fmt.Sprintf("k%02d", i), Outcome: answer.Done,
 			Began: now, Whole: time.Duration(i) * time.Second,
 		}, v)
--- a/state/burn/burn.go
+++ b/state/burn/burn.go
@@ -54,8 +54,8 @@
 // pair names one customer of one service.
 type pair struct{ customer, service string }
 
-// Book holds the samples of one node. One goroutine at a time may use it.
-type Book struct {
+// Recorder holds the samples of one node. One goroutine at a time may use it.
+type Recorder struct {
 	node string
 	// series has at most maxSeries entries; further customers share one for
 	// each service.
@@ -77,43 +77,43 @@
 	Others = "(others)"
 )
 
-// New returns an empty book of a node.
-func New(node string) *Book {
-	return &Book{node: node, series: map[pair]*series{}, latency: map[string]*hdrhistogram.Histogram{}}
+// New returns a recorder of a node without calls.
+func New(node string) *Recorder {
+	return &Recorder{node: node, series: map[pair]*series{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
-// Add books a finished call of a service.
-func (b *Book) Add(now time.Time, s Sample, v *config.Service) {
+// Add records a finished call of a service.
+func (c *Recorder) Add(now time.Time, s Sample, v *config.Service) {
 	if v == nil || !s.Counts() {
 		return
 	}
-	b.record(s)
+	c.record(s)
 	if v.Objective == 0 {
 		return
 	}
 	p := pair{s.Customer, s.Service}
-	x := b.series[p]
+	x := c.series[p]
 	if x == nil {
-		if len(b.series) >= maxSeries {
+		if len(c.series) >= maxSeries {
 			p.customer = Others
 		}
-		if x = b.series[p]; x == nil {
+		if x = c.series[p]; x == nil {
 			x = newSeries()
-			b.series[p] = x
+			c.series[p] = x
 		}
 	}
 	x.objective, x.target = v.Objective, v.Target
 	x.add(now, s)
 }
 
-func (b *Book) record(s Sample) {
-	h := b.latency[s.Service]
+func (c *Recorder) record(s Sample) {
+	h := c.latency[s.Service]
 	if h == nil {
-		if len(b.latency) >= maxServices {
+		if len(c.latency) >= maxServices {
 			return
 		}
 		h = hdrhistogram.New(1, maxLatency.Milliseconds(), digits)
-		b.latency[s.Service] = h
+		c.latency[s.Service] = h
 	}
 	_ = h.RecordValue(min(max(s.Whole.Milliseconds(), 1), maxLatency.Milliseconds()))
 }
--- a/state/burn/burn_test.go
+++ b/state/burn/burn_test.go
@@ -98,7 +98,7 @@
 
 func TestMergedEqualsTogether(t *testing.T) {
 	g := NewWithT(t)
-	together, apart := burn.New("a"), []*burn.Book{burn.New("b"), burn.New("c")}
+	together, apart := burn.New("a"), []*burn.Recorder{burn.New("b"), burn.New("c")}
 	for i := range 300 {
 		at := start.Add(time.Duration(i) * time.Minute)
 		s := sample(at, time.Duration(i*10)*time.Millisecond, fmt.Sprintf("k%d", i))
@@ -145,20 +145,20 @@
 // BenchmarkAddNew shows the memory of one customer of one service.
 func BenchmarkAddNew(b *testing.B) {
 	b.ReportAllocs()
-	book, i := burn.New("a"), 0
+	recorder, i := burn.New("a"), 0
 	for b.Loop() {
 		if i++; i%12800 == 0 {
-			book = burn.New("a")
+			recorder = burn.New("a")
 		}
 		s := sample(start, time.Millisecond, "k")
 		s.Customer = fmt.Sprint(i)
-		book.Add(start, s, gate)
+		recorder.Add(start, s, gate)
 	}
 }
 
 func BenchmarkAdd(b *testing.B) {
-	book, s := burn.New("a"), sample(start, time.Millisecond, "k")
+	recorder, s := burn.New("a"), sample(start, time.Millisecond, "k")
 	for b.Loop() {
-		book.Add(start, s, gate)
+		recorder.Add(start, s, gate)
 	}
 }
--- a/state/burn/report.go
+++ b/state/burn/report.go
@@ -92,13 +92,13 @@
 // ErrReport means that a saved report can't be read.
 var ErrReport = errors.New("burn: unreadable report")
 
-// Report returns the state of the book.
-func (b *Book) Report(now time.Time) Report {
-	r := Report{Nodes: []string{b.node}, Taken: now, Lines: []Line{}, Latencies: []Latency{}}
-	for p, s := range b.series {
+// Report returns the burn of what was recorded.
+func (c *Recorder) Report(now time.Time) Report {
+	r := Report{Nodes: []string{c.node}, Taken: now, Lines: []Line{}, Latencies: []Latency{}}
+	for p, s := range c.series {
 		r.Lines = append(r.Lines, s.line(now, p))
 	}
-	for service, h := range b.latency {
+	for service, h := range c.latency {
 		r.Latencies = append(r.Latencies, latency(service, h))
 	}
 	r.sort()
--- a/transport/edge/follow.go
+++ b/transport/edge/follow.go
@@ -17,8 +17,8 @@
 	reads bool
 }
 
-// pursuit is one answer that is followed until it is complete.
-type pursuit struct {
+// exchange is one answer that is followed until it is complete.
+type exchange struct {
 	subject
 	stream string
 	// doubtful holds the owners that were asked, and may run the call.
@@ -31,28 +31,28 @@
 	missed bool
 }
 
-func (q *pursuit) again() {
-	o := q.ask(q.stream)
+func (x *exchange) again() {
+	o := x.ask(x.stream)
 	if o == (Owner{}) {
 		return
 	}
-	q.doubtful[o] = true
-	q.newest[o.Node] = o
+	x.doubtful[o] = true
+	x.newest[o.Node] = o
 }
 
 // moved notes that an owner has given the program away.
-func (q *pursuit) moved(r reply) {
+func (x *exchange) moved(r reply) {
 	if r.Touched {
-		q.touched = true
+		x.touched = true
 	}
-	delete(q.doubtful, q.newest[r.from])
+	delete(x.doubtful, x.newest[r.from])
 }
 
 // honest turns a "not run" into "unknown" when another owner may have run the call.
-func (q *pursuit) honest(r reply, p *printer) *answer.Answer {
+func (x *exchange) honest(r reply, p *printer) *answer.Answer {
 	a := r.Final
-	delete(q.doubtful, q.newest[r.from])
-	if a.Outcome != answer.NotRun || q.reads || !q.touched && len(p.text) == 0 && len(q.doubtful) == 0 {
+	delete(x.doubtful, x.newest[r.from])
+	if a.Outcome != answer.NotRun || x.reads || !x.touched && len(p.text) == 0 && len(x.doubtful) == 0 {
 		return a
 	}
 	return &answer.Answer{
@@ -62,10 +62,10 @@
 }
 
 // lost speaks for owners who gave no answer.
-func (q *pursuit) lost() *answer.Answer {
+func (x *exchange) lost() *answer.Answer {
 	a := &answer.Answer{Outcome: answer.Unknown, Reason: "owner", RetryAfter: time.Second}
 	a.Detail = "the program's owner gave no answer; ask again with the same key"
-	if !q.reads && !q.touched && len(q.newest) == 0 {
+	if !x.reads && !x.touched && len(x.newest) == 0 {
 		a.Outcome, a.Detail = answer.NotRun, "the program has no owner at the moment; nothing was sent"
 	}
 	return a
@@ -79,7 +79,7 @@
 func (e *Edge) follow(ctx context.Context, p *printer, deadline time.Time, s subject) *answer.Answer {
 	id, replies := e.open()
 	defer e.shut(id)
-	q := &pursuit{subject: s, stream: id, doubtful: map[Owner]bool{}, newest: map[string]Owner{}}
+	x := &exchange{subject: s, stream: id, doubtful: map[Owner]bool{}, newest: map[string]Owner{}}
 	if deadline.IsZero() {
 		deadline = time.Now().Add(e.options.Patience)
 	}
@@ -90,21 +90,21 @@
 	defer again.Stop()
 	beat := time.NewTicker(e.options.Beat)
 	defer beat.Stop()
-	q.again()
+	x.again()
 	for !p.broken {
 		select {
 		case <-ctx.Done():
 			p.broken = true
 		case <-end.C:
 			s.leave(id)
-			return q.lost()
+			return x.lost()
 		case <-beat.C:
 			p.comment()
 		case <-again.C:
-			q.again()
+			x.again()
 			again.Reset(e.options.Silence)
 		case r := <-replies:
-			if a := q.hear(r, p); a != nil {
+			if a := x.hear(r, p); a != nil {
 				return a
 			}
 			again.Reset(e.pause(r))
@@ -122,24 +122,24 @@
 }
 
 // hear takes one reply in, and returns the final answer once it is complete.
-func (q *pursuit) hear(r reply, p *printer) *answer.Answer {
+func (x *exchange) hear(r reply, p *printer) *answer.Answer {
 	if r.Moved {
-		q.moved(r)
+		x.moved(r)
 		return nil
 	}
 	if r.Final != nil {
-		return p.complete(q.honest(r, p))
+		return p.complete(x.honest(r, p))
 	}
 	switch p.take(r.Offset, r.Text) {
 	case gap:
-		if !q.missed {
-			q.missed = true
-			q.again()
+		if !x.missed {
+			x.missed = true
+			x.again()
 		}
 	case conflict:
 		return diverged()
 	default:
-		q.missed = false
+		x.missed = false
 	}
 	return nil
 }
