--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,6 +30,7 @@
 	"github.com/cowslipstage/cowslipstage/transport/dialer"
 	"github.com/cowslipstage/cowslipstage/transport/edge"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/keys"
 	"github.com/cowslipstage/cowslipstage/transport/links"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
@@ -39,6 +41,7 @@
 	log      zerolog.Logger
 	store    *store.Client
 	links    *links.Links
+	keys     *keys.Keys
 	edge     *edge.Edge
 	limits   *limits
 	observer *observer
@@ -147,8 +150,12 @@
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
 		Hedge: s.Policy.Hedge, Copy: s.Policy.Copy, Keep: !s.Policy.Release, Weight: s.Policy.Weight,
 	})
+	n.keys = keys.New(keys.Options{
+		Secret: s.Links.Secret, File: s.Links.Secrets, Cert: s.Links.Cert, Key: s.Links.Key, CA: s.Links.CA,
+	}, n.log)
 	n.links = links.New(links.Options{
-		Node: s.Node.Name, Secret: s.Links.Secret, Ping: s.Links.Ping, Silence: s.Links.Silence,
+		Node: s.Node.Name, Centre: s.Node.Centre, Keys: n.keys, Metrics: n.metrics,
+		Ping: s.Links.Ping, Silence: s.Links.Silence, Frame: s.Links.Frame,
 	}, n.log)
 	n.dialer = dialer.New(dialer.Options{Quiet: s.Policy.Quiet}, n.emit)
 	n.edge = edge.New(edge.Options{
@@ -166,6 +173,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	working, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	if err := n.keys.Load(); err != nil {
+		return err
+	}
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -195,13 +205,14 @@
 	public.Mount("/", n.edge)
 	private := chi.NewRouter()
 	private.Handle("/link", n.links)
-	if err := n.serve(n.settings.Node.Listen, public); err != nil {
+	if err := n.serve(n.settings.Node.Listen, public, nil); err != nil {
 		return err
 	}
-	return n.serve(n.settings.Node.Link, private)
+	return n.serve(n.settings.Node.Link, private, n.keys.Server())
 }
 
-func (n *Node) serve(addr string, h http.Handler) error {
+// serve listens on addr, with TLS unless secure is nil.
+func (n *Node) serve(addr string, h http.Handler, secure *tls.Config) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
 	}}
@@ -209,6 +220,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "node: listening on %s", addr)
 	}
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader}
 	n.servers = append(n.servers, s)
 	n.wait.Go(func() { _ = s.Serve(l) })
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -11,8 +11,12 @@
 	"github.com/cowslipstage/cowslipstage/state/load"
 )
 
-// Version is the newest frame version that this program speaks.
-const Version = 1
+// The frame versions that this program speaks, both ends included. A new
+// version is first understood by all nodes and only then made the newest.
+const (
+	Oldest = 1
+	Newest = 1
+)
 
 // ErrBad means that bytes are no valid frame.
 var ErrBad = errors.New("frame: not a valid frame")
@@ -33,17 +37,27 @@
 	TopicSealed = "sealed"
 )
 
-// Frame is one message between two nodes.
+// Frame is one message between two nodes, in the version that their link agreed on.
 type Frame struct {
-	Version int    `cbor:"1,keyasint"`
-	Topic   string `cbor:"2,keyasint"`
-	// ID is unique; it follows the message through logs.
-	ID string `cbor:"3,keyasint"`
+	Topic string `cbor:"2,keyasint"`
+	// ID follows the message through logs; messages that are not followed have none.
+	ID string `cbor:"3,keyasint,omitempty"`
 	// From is the sending node.
 	From string          `cbor:"4,keyasint"`
 	Body cbor.RawMessage `cbor:"5,keyasint"`
 }
 
+// Urgent tells whether a topic's frames go before traffic: they are small, and
+// leases, journals and membership wait for them.
+func Urgent(topic string) bool {
+	switch topic {
+	case TopicGossip, TopicWant, TopicConfig, TopicHold, TopicHeld, TopicSeal, TopicSealed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Submit asks the owner to schedule a call, or to attach to it.
 type Submit struct {
 	Call    *call.Call `cbor:"1,keyasint"`
@@ -181,3 +195,17 @@
 	}
 	return nil
 }
+
+// Next takes the first frame off a message, which holds one frame or more, and
+// returns the rest.
+func Next(data []byte) (Frame, []byte, error) {
+	var f Frame
+	rest, err := cbor.UnmarshalFirst(data, &f)
+	if err != nil {
+		return f, nil, errors.Mark(errors.Wrap(err, "frame: decoding"), ErrBad)
+	}
+	if f.Topic == "" || f.From == "" || len(f.Body) == 0 {
+		return f, rest, errors.Mark(errors.New("frame: topic, from and body are required"), ErrBad)
+	}
+	return f, rest, nil
+}
--- /dev/null
+++ b/protocol/frame/frame_test.go
@@ -0,0 +1,87 @@
+package frame_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+)
+
+// bodies returns an empty body of each topic.
+func bodies() []any {
+	return []any{
+		&frame.Submit{}, &frame.Ask{}, &frame.Close{}, &frame.Leave{}, &frame.Reply{}, &frame.Gossip{},
+		&frame.Hold{}, &frame.Held{}, &frame.Seal{}, &frame.Sealed{}, &frame.Want{}, &frame.Config{},
+	}
+}
+
+func pack(t testing.TB, f frame.Frame) []byte {
+	data, err := frame.Pack(f)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+func TestNextTakesOneFrameAtATime(t *testing.T) {
+	g := NewWithT(t)
+	body, err := frame.Pack(frame.Want{Revision: 7})
+	g.Expect(err).NotTo(HaveOccurred())
+	one := pack(t, frame.Frame{Topic: frame.TopicWant, From: "a", Body: body})
+	two := pack(t, frame.Frame{Topic: frame.TopicWant, From: "b", Body: body})
+	f, rest, err := frame.Next(append(append([]byte{}, one...), two...))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.From).To(Equal("a"))
+	g.Expect(rest).To(Equal(two))
+	var want frame.Want
+	g.Expect(frame.Unpack(f.Body, &want)).To(Succeed())
+	g.Expect(want.Revision).To(Equal(uint64(7)))
+	for cut := 1; cut < len(one); cut++ {
+		_, _, err := frame.Next(one[:cut])
+		g.Expect(errors.Is(err, frame.ErrBad)).To(BeTrue(), "cut at %d", cut)
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	for _, body := range bodies() {
+		data, err := frame.Pack(body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(pack(f, frame.Frame{Topic: frame.TopicSubmit, ID: "1", From: "a", Body: data}))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for len(data) > 0 {
+			one, rest, err := frame.Next(data)
+			if err != nil {
+				if !errors.Is(err, frame.ErrBad) {
+					t.Fatalf("not marked as bad: %v", err)
+				}
+				return
+			}
+			if len(rest) >= len(data) {
+				t.Fatal("no progress")
+			}
+			for _, body := range bodies() {
+				_ = frame.Unpack(one.Body, body)
+			}
+			data = rest
+		}
+	})
+}
+
+// TestFieldsHaveTheirOwnNumbers guards against two fields with one number,
+// which the codec would silently leave out both.
+func TestFieldsHaveTheirOwnNumbers(t *testing.T) {
+	for _, body := range append(bodies(), &frame.Frame{}) {
+		kind := reflect.TypeOf(body).Elem()
+		seen := map[string]string{}
+		for i := range kind.NumField() {
+			number, _, _ := strings.Cut(kind.Field(i).Tag.Get("cbor"), ",")
+			NewWithT(t).Expect(seen).NotTo(HaveKey(number), "%s.%s", kind.Name(), kind.Field(i).Name)
+			seen[number] = kind.Field(i).Name
+		}
+	}
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -60,9 +60,19 @@
 
 // Links sets the links between nodes.
 type Links struct {
-	Secret  string        `ini:"secret"`
+	Secret string `ini:"secret"`
+	// Secrets is a file of secrets, one a line; the first is shown, all are accepted.
+	Secrets string `ini:"secrets"`
+	// Cert, Key and CA are PEM files; together they turn mutual TLS on.
+	Cert    string        `ini:"cert"`
+	Key     string        `ini:"key"`
+	CA      string        `ini:"ca"`
 	Ping    time.Duration `ini:"ping"`
 	Silence time.Duration `ini:"silence"`
+	// Frame bounds a message between nodes in bytes.
+	Frame int `ini:"frame"`
+	// Budget bounds the gossip that a node sends, in bytes a second.
+	Budget int `ini:"budget"`
 	// Peers are "node=IP:port" seeds.
 	Peers []string `ini:"peers"`
 }
@@ -111,7 +121,9 @@
 			Delay: 50 * time.Millisecond, Bound: 32 << 20, Abandon: 10 * time.Second,
 		},
 		Hosts: Hosts{Poll: time.Second},
-		Links: Links{Ping: 500 * time.Millisecond, Silence: 2 * time.Second},
+		Links: Links{
+			Ping: 500 * time.Millisecond, Silence: 2 * time.Second, Frame: 16 << 20, Budget: 4096,
+		},
 		Policy: Policy{
 			Queue: "attained", Route: "finish", Seed: 1, Hedge: true, Copy: true, Release: true,
 			Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second,
--- a/setup/table.go
+++ b/setup/table.go
@@ -19,6 +19,7 @@
 	maxPath  = 4096
 	maxText  = 256
 	maxBody  = 64 << 20
+	maxFrame = 128 << 20
 	maxShard = 4096
 )
 
@@ -68,8 +69,14 @@
 func linksSection() schema.Section {
 	return schema.Section{Kind: "links", Doc: "The links between nodes.", Keys: []schema.Key{
 		{Name: "secret", Type: schema.Secret{Max: maxText}, Doc: "Key that nodes show each other."},
+		{Name: "secrets", Type: schema.Text{Max: maxPath}, Doc: "File of keys, one a line, in place of secret: the first is shown, all are accepted. Read again when it changes."},
+		{Name: "cert", Type: schema.Text{Max: maxPath}, Doc: "PEM file of the node's certificate, which bears its name. Read again when it changes."},
+		{Name: "key", Type: schema.Text{Max: maxPath}, Doc: "PEM file of the certificate's private key."},
+		{Name: "ca", Type: schema.Text{Max: maxPath}, Doc: "PEM file of the authorities that sign the nodes' certificates; cert, key and ca together turn mutual TLS on."},
 		{Name: "ping", Type: span, Doc: "Time between two heartbeats on a link."},
 		{Name: "silence", Type: span, Doc: "A link that is silent for so long is replaced."},
+		{Name: "frame", Type: schema.Count{Min: 1 << 16, Max: maxFrame}, Doc: "Bound of one message between nodes, in bytes; it must hold a request's body."},
+		{Name: "budget", Type: schema.Count{Min: 1 << 10, Max: maxBody}, Doc: "Bound of the gossip that the node sends, in bytes a second; news of changes go out at once."},
 		{Name: "peers", Type: schema.List{Of: schema.Peer{}}, Doc: "Nodes to connect to before the store has answered."},
 	}}
 }
--- /dev/null
+++ b/transport/keys/keys.go
@@ -0,0 +1,214 @@
+// Package keys (transport layer) holds the secrets and certificates by which
+// nodes know each other; files are read again when they change.
+package keys
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// ErrFile means that a key file is missing or malformed.
+var ErrFile = errors.New("keys: unusable file")
+
+// Options say where the keys are.
+type Options struct {
+	// Secret is a fixed shared secret; File takes precedence.
+	Secret string
+	// File holds secrets, one a line: the first is shown to peers, all are accepted.
+	File string
+	// Cert, Key and CA are PEM files; together they turn mutual TLS on.
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Keys are one node's keys. They are safe for concurrent use.
+type Keys struct {
+	options Options
+	log     zerolog.Logger
+
+	mu sync.Mutex
+	// secrets is never empty; the first is the one to show.
+	secrets []string
+	// pair and pool are nil without TLS.
+	pair *tls.Certificate
+	pool *x509.CertPool
+	// stamps hold when each file was last changed, as last read.
+	stamps map[string]stamp
+}
+
+// stamp tells two versions of a file apart.
+type stamp struct {
+	changed time.Time
+	size    int64
+}
+
+// New returns keys whose files are not read yet.
+func New(o Options, log zerolog.Logger) *Keys {
+	return &Keys{options: o, log: log, secrets: []string{o.Secret}, stamps: map[string]stamp{}}
+}
+
+// Load reads the files; it comes before any other use.
+func (k *Keys) Load() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.options
+	if given := len(o.Cert + o.Key + o.CA); given > 0 && (o.Cert == "" || o.Key == "" || o.CA == "") {
+		return errors.Mark(errors.New("keys: cert, key and ca belong together"), ErrFile)
+	}
+	return k.read()
+}
+
+// read reads every file; nothing is changed if one is unusable.
+func (k *Keys) read() error {
+	secrets, pair, pool := k.secrets, k.pair, k.pool
+	var err error
+	if k.options.File != "" {
+		if secrets, err = readSecrets(k.options.File); err != nil {
+			return err
+		}
+	}
+	if k.TLS() {
+		if pair, pool, err = readPair(k.options); err != nil {
+			return err
+		}
+	}
+	k.secrets, k.pair, k.pool = secrets, pair, pool
+	return nil
+}
+
+func readSecrets(file string) ([]string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "keys: secrets"), ErrFile)
+	}
+	var secrets []string
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for lines.Scan() {
+		if s := strings.TrimSpace(lines.Text()); s != "" {
+			secrets = append(secrets, s)
+		}
+	}
+	if len(secrets) == 0 {
+		return nil, errors.Mark(errors.Newf("keys: %s: holds no secret", file), ErrFile)
+	}
+	return secrets, nil
+}
+
+func readPair(o Options) (*tls.Certificate, *x509.CertPool, error) {
+	pair, err := tls.LoadX509KeyPair(o.Cert, o.Key)
+	if err != nil {
+		return nil, nil, errors.Mark(errors.Wrapf(err, "keys: %s and %s", o.Cert, o.Key), ErrFile)
+	}
+	data, err := os.ReadFile(o.CA)
+	if err != nil {
+		return nil, nil, errors.Mark(errors.Wrap(err, "keys: ca"), ErrFile)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, nil, errors.Mark(errors.Newf("keys: %s: holds no certificate", o.CA), ErrFile)
+	}
+	return &pair, pool, nil
+}
+
+// refresh reads the files again if one has changed; unusable new files are
+// logged and the old keys stay in force. The caller holds the lock.
+func (k *Keys) refresh() {
+	changed := false
+	for _, file := range []string{k.options.File, k.options.Cert, k.options.Key, k.options.CA} {
+		if file == "" {
+			continue
+		}
+		info, err := os.Stat(file)
+		if err != nil {
+			continue
+		}
+		s := stamp{changed: info.ModTime(), size: info.Size()}
+		changed = changed || k.stamps[file] != s
+		k.stamps[file] = s
+	}
+	if !changed {
+		return
+	}
+	if err := k.read(); err != nil {
+		k.log.Error().Err(err).Msg("changed key files are unusable; the old keys stay in force")
+	}
+}
+
+// Secret returns the secret to show to peers.
+func (k *Keys) Secret() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refresh()
+	return k.secrets[0]
+}
+
+// Accepts tells whether a peer's secret is one of ours, in constant time.
+func (k *Keys) Accepts(secret string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refresh()
+	shown, found := sha256.Sum256([]byte(secret)), 0
+	for _, s := range k.secrets {
+		own := sha256.Sum256([]byte(s))
+		found |= subtle.ConstantTimeCompare(shown[:], own[:])
+	}
+	return found == 1
+}
+
+// TLS tells whether nodes show each other certificates.
+func (k *Keys) TLS() bool { return k.options.Cert != "" }
+
+// Server returns the settings of the accepting side, or nil without TLS.
+func (k *Keys) Server() *tls.Config {
+	if !k.TLS() {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := k.current()
+			return &tls.Config{
+				MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*pair},
+				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+			}, nil
+		},
+	}
+}
+
+// Client returns the settings for dialling a node, or nil without TLS; the
+// node's certificate must bear its name.
+func (k *Keys) Client(node string) *tls.Config {
+	if !k.TLS() {
+		return nil
+	}
+	pair, pool := k.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*pair},
+		RootCAs: pool, ServerName: node,
+	}
+}
+
+func (k *Keys) current() (*tls.Certificate, *x509.CertPool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refresh()
+	return k.pair, k.pool
+}
+
+// Proves tells whether a verified connection's certificate bears the node's name.
+func Proves(state *tls.ConnectionState, node string) bool {
+	return state != nil && len(state.VerifiedChains) > 0 &&
+		state.PeerCertificates[0].VerifyHostname(node) == nil
+}
--- /dev/null
+++ b/transport/links/beat.go
@@ -0,0 +1,72 @@
+package links
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+const (
+	// pingBytes is what a heartbeat and its answer cost on the wire, in bytes.
+	pingBytes = 64
+	// pingBudget bounds the heartbeats of all idle links, in bytes a second.
+	pingBudget = 2048
+)
+
+// Idle returns the time between heartbeats on links that carry nothing. It
+// grows with the number of links, so that their sum stays within a budget.
+func (l *Links) Idle() time.Duration {
+	l.mu.Lock()
+	count := len(l.peers) + l.inbound
+	l.mu.Unlock()
+	spread := time.Duration(count) * pingBytes * time.Second / pingBudget
+	return max(l.options.Ping, spread)
+}
+
+// beat sends heartbeats until one is not answered within what is left of the
+// silence. A link that carries data gets one soon after it.
+func (l *Links) beat(ctx context.Context, node string, c *websocket.Conn, used <-chan struct{}) error {
+	for {
+		if err := l.rest(ctx, used); err != nil {
+			return err
+		}
+		began := time.Now()
+		if err := l.ping(ctx, c); err != nil {
+			if ctx.Err() == nil {
+				l.log.Warn().Str("peer", node).Dur("silence", l.options.Silence).Msg("link silent; replacing it")
+				l.meters.silent.Inc()
+			}
+			return errors.Wrap(err, "links: heartbeat")
+		}
+		l.meters.rtt.UpdateDuration(began)
+		l.hear(node)
+	}
+}
+
+// rest waits for the next heartbeat's time.
+func (l *Links) rest(ctx context.Context, used <-chan struct{}) error {
+	least := time.NewTimer(l.options.Ping)
+	defer least.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-least.C:
+	}
+	idle := time.NewTimer(l.Idle() - l.options.Ping)
+	defer idle.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-used:
+	case <-idle.C:
+	}
+	return nil
+}
+
+func (l *Links) ping(ctx context.Context, c *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, max(l.options.Silence-l.options.Ping, l.options.Silence/2))
+	defer cancel()
+	return c.Ping(ctx)
+}
--- a/transport/links/links.go
+++ b/transport/links/links.go
@@ -4,17 +4,18 @@
 
 import (
 	"context"
-	"net/http"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/transport/keys"
 )
 
 // The metadata keys of messages.
@@ -25,65 +26,107 @@
 	From = "from"
 )
 
-// ErrNoLink means that there is no live link to the node; nothing was sent.
-var ErrNoLink = errors.New("links: no link to the node")
+// The errors of the links.
+var (
+	// ErrNoLink means that there is no live link to the node, or no room on
+	// it; nothing was sent.
+	ErrNoLink = errors.New("links: no link to the node")
+	// ErrTooLarge means that a message exceeds the bound on frames.
+	ErrTooLarge = errors.New("links: the message is too large")
+)
 
 // Options are the settings of a node's links.
 type Options struct {
-	Node string
-	// Secret authenticates nodes to each other.
-	Secret string
+	Node   string
+	Centre string
+	// Keys authenticate nodes to each other.
+	Keys *keys.Keys
 	// Ping is the time between heartbeats; a link silent for Silence is replaced.
 	Ping    time.Duration
 	Silence time.Duration
+	// Frame bounds a frame's size in bytes.
+	Frame int
+	// Queue bounds the frames that wait for one link, traffic and control apart.
+	Queue int
+	// Oldest and Newest bound the frame versions spoken; 0 means all that
+	// package frame knows.
+	Oldest int
+	Newest int
+	// Metrics counts what happens; nil counts nothing that is seen.
+	Metrics *metrics.Set
 }
 
+const (
+	// defaultFrame bounds a frame's size in bytes.
+	defaultFrame = 16 << 20
+	// defaultQueue bounds the frames that wait for one link.
+	defaultQueue = 8192
+)
+
 // Links holds a node's links. It is safe for concurrent use.
 type Links struct {
 	options Options
 	log     zerolog.Logger
+	meters  meters
 	context context.Context
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	closed bool
 	// peers holds the outgoing link of each peer by node; messages are only
 	// sent on links that this node dialled, and only received on the others.
-	peers  map[string]*peer
-	topics map[string]chan *message.Message
+	peers map[string]*peer
+	// inbound counts the accepted links.
+	inbound int
+	// heard holds the last sign of life of each node on any link.
+	heard  map[string]time.Time
+	topics map[string]*inbox
+	// joined gets the name of each node to which a link came up.
+	joined func(node string)
 }
 
-// peer is the outgoing link to one node.
-type peer struct {
-	node   string
-	addr   string
-	queue  chan []byte
-	live   bool
-	cancel context.CancelFunc
-}
-
-// queueLength bounds the frames that wait for one link.
-const queueLength = 8192
-
-// maxFrame bounds a frame's size in bytes.
-const maxFrame = 4 << 20
-
 // New returns links without peers.
 func New(o Options, log zerolog.Logger) *Links {
+	if o.Frame == 0 {
+		o.Frame = defaultFrame
+	}
+	if o.Queue == 0 {
+		o.Queue = defaultQueue
+	}
+	if o.Oldest == 0 {
+		o.Oldest = frame.Oldest
+	}
+	if o.Newest == 0 {
+		o.Newest = frame.Newest
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Links{
+	l := &Links{
 		options: o, log: log, context: ctx, cancel: cancel,
-		peers: map[string]*peer{}, topics: map[string]chan *message.Message{},
+		peers: map[string]*peer{}, heard: map[string]time.Time{},
+		topics: map[string]*inbox{}, joined: func(string) {},
 	}
+	l.meters = newMeters(o.Metrics, l)
+	return l
 }
 
+// OnJoin sets what is called each time an outgoing link comes up; it must not
+// block. It is set before the first Connect.
+func (l *Links) OnJoin(joined func(node string)) { l.joined = joined }
+
 // Connect keeps a link to a node at addr (IP:port) until Forget or Close.
 func (l *Links) Connect(node, addr string) {
-	if node == l.options.Node || node == "" {
+	if node == l.options.Node || node == "" || addr == "" {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	if old, ok := l.peers[node]; ok {
 		if old.addr == addr {
 			return
@@ -91,13 +134,13 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(l.context)
-	p := &peer{node: node, addr: addr, queue: make(chan []byte, queueLength), cancel: cancel}
+	p := newPeer(node, addr, l.options.Queue, cancel)
 	l.peers[node] = p
 	l.wait.Add(1)
 	go l.keep(ctx, p)
 }
 
-// Forget drops the link to a node that is gone for good.
+// Forget drops the link to a node that is gone or not needed.
 func (l *Links) Forget(node string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,7 +150,7 @@
 	}
 }
 
-// Live returns the nodes with a live outgoing link.
+// Live returns the nodes with a live outgoing link, by name.
 func (l *Links) Live() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,202 +160,97 @@
 			live = append(live, n)
 		}
 	}
+	sort.Strings(live)
 	return live
 }
 
-// redial is the pause before a lost link is dialled again.
-const redial = 200 * time.Millisecond
-
-func (l *Links) keep(ctx context.Context, p *peer) {
-	defer l.wait.Done()
-	for ctx.Err() == nil {
-		err := l.dial(ctx, p)
-		l.setLive(p, false)
-		l.log.Debug().Err(err).Str("peer", p.node).Msg("link lost; redialling")
-		select {
-		case <-ctx.Done():
-		case <-time.After(redial):
-		}
-	}
-}
-
-func (l *Links) setLive(p *peer, live bool) {
+// Heard returns when each node last gave a sign of life on a link.
+func (l *Links) Heard() map[string]time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.live = live
-}
-
-func (l *Links) dial(ctx context.Context, p *peer) error {
-	dialing, cancel := context.WithTimeout(ctx, l.options.Silence)
-	defer cancel()
-	header := http.Header{"Authorization": {"Bearer " + l.options.Secret}, "X-Node": {l.options.Node}}
-	c, _, err := websocket.Dial(dialing, "ws://"+p.addr+"/link", &websocket.DialOptions{HTTPHeader: header})
-	if err != nil {
-		return errors.Wrap(err, "links: dial")
+	heard := make(map[string]time.Time, len(l.heard))
+	for n, at := range l.heard {
+		heard[n] = at
 	}
-	defer func() { _ = c.CloseNow() }()
-	l.setLive(p, true)
-	ctx = c.CloseRead(ctx)
-	ticker := time.NewTicker(l.options.Ping)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case data := <-p.queue:
-			err = l.write(ctx, c, data)
-		case <-ticker.C:
-			err = l.ping(ctx, c)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-func (l *Links) write(ctx context.Context, c *websocket.Conn, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, l.options.Silence)
-	defer cancel()
-	return c.Write(ctx, websocket.MessageBinary, data)
+	return heard
 }
 
-func (l *Links) ping(ctx context.Context, c *websocket.Conn) error {
-	ctx, cancel := context.WithTimeout(ctx, l.options.Silence)
-	defer cancel()
-	return c.Ping(ctx)
-}
-
-// ServeHTTP accepts a link from another node.
-func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+l.options.Secret {
-		http.Error(w, "not a node", http.StatusUnauthorized)
-		return
-	}
-	c, err := websocket.Accept(w, r, nil)
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.CloseNow() }()
-	c.SetReadLimit(maxFrame)
-	from := r.Header.Get("X-Node")
-	for {
-		_, data, err := c.Read(l.context)
-		if err != nil {
-			return
-		}
-		l.receive(from, data)
-	}
-}
-
-func (l *Links) receive(from string, data []byte) {
-	var f frame.Frame
-	if err := frame.Unpack(data, &f); err != nil {
-		l.log.Warn().Err(err).Str("peer", from).Msg("bad frame dropped")
-		return
-	}
-	m := message.NewMessage(f.ID, message.Payload(f.Body))
-	m.Metadata.Set(From, f.From)
+func (l *Links) hear(node string) {
 	l.mu.Lock()
-	topic := l.topics[f.Topic]
-	l.mu.Unlock()
-	if topic == nil {
-		return
-	}
-	select {
-	case topic <- m:
-	case <-l.context.Done():
-		return
-	}
-	// The next frame waits for this one, which keeps each peer's order.
-	select {
-	case <-m.Acked():
-	case <-m.Nacked():
-	case <-l.context.Done():
-	}
+	defer l.mu.Unlock()
+	l.heard[node] = time.Now()
 }
 
 // Publish sends messages to the node in their To metadata, or to all peers.
-// A message that is lost with its link is not sent again.
+// It never blocks. A message that is lost with its link is not sent again.
 func (l *Links) Publish(topic string, messages ...*message.Message) error {
 	for _, m := range messages {
 		data, err := cbor.Marshal(frame.Frame{
-			Version: frame.Version, Topic: topic, ID: m.UUID, From: l.options.Node,
-			Body: cbor.RawMessage(m.Payload),
+			Topic: topic, ID: m.UUID, From: l.options.Node, Body: cbor.RawMessage(m.Payload),
 		})
 		if err != nil {
 			return errors.Wrap(err, "links: encoding")
 		}
-		if err := l.enqueue(m.Metadata.Get(To), data); err != nil {
+		if len(data) > l.options.Frame {
+			l.meters.drop("large").Inc()
+			return errors.Mark(errors.Newf("links: %s: %d bytes", topic, len(data)), ErrTooLarge)
+		}
+		if err := l.enqueue(m.Metadata.Get(To), topic, data); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (l *Links) enqueue(to string, data []byte) error {
+func (l *Links) enqueue(to, topic string, data []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	urgent := frame.Urgent(topic)
 	if to == "" {
 		for _, p := range l.peers {
-			if p.live {
-				offer(p, data)
+			if p.live && !p.offer(urgent, item{data: data}) {
+				l.meters.drop("full").Inc()
 			}
 		}
 		return nil
 	}
 	p := l.peers[to]
-	if p == nil || !p.live || !offer(p, data) {
+	if p == nil || !p.live {
+		l.meters.drop("nolink").Inc()
 		return errors.Mark(errors.Newf("links: no link to %s", to), ErrNoLink)
 	}
-	return nil
-}
-
-func offer(p *peer, data []byte) bool {
-	select {
-	case p.queue <- data:
-		return true
-	default:
-		return false
+	if !p.offer(urgent, item{data: data}) {
+		l.meters.drop("full").Inc()
+		return errors.Mark(errors.Newf("links: the queue to %s is full", to), ErrNoLink)
 	}
+	return nil
 }
 
-// Subscribe returns the messages of one topic until ctx ends or the links are
-// closed; a topic has one subscriber.
-func (l *Links) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+// Flush waits until what was published so far is written, or ctx ends.
+func (l *Links) Flush(ctx context.Context) {
+	var marks []chan struct{}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.topics[topic] != nil {
-		return nil, errors.Newf("links: topic %s is taken", topic)
+	for _, p := range l.peers {
+		mark := make(chan struct{})
+		if p.live && p.offer(false, item{sent: mark}) {
+			marks = append(marks, mark)
+		}
 	}
-	in, out := make(chan *message.Message), make(chan *message.Message)
-	l.topics[topic] = in
-	l.wait.Go(func() { l.forward(ctx, in, out) })
-	return out, nil
-}
-
-// forward passes messages on and closes out at the end, as watermill expects.
-func (l *Links) forward(ctx context.Context, in <-chan *message.Message, out chan<- *message.Message) {
-	defer close(out)
-	for {
+	l.mu.Unlock()
+	for _, mark := range marks {
 		select {
+		case <-mark:
 		case <-ctx.Done():
 			return
-		case <-l.context.Done():
-			return
-		case m := <-in:
-			select {
-			case out <- m:
-			case <-ctx.Done():
-				return
-			case <-l.context.Done():
-				return
-			}
 		}
 	}
 }
 
 // Close ends all links.
 func (l *Links) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	l.cancel()
 	l.wait.Wait()
 	return nil
--- /dev/null
+++ b/transport/links/links_test.go
@@ -0,0 +1,371 @@
+package links_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/transport/keys"
+	"github.com/cowslipstage/cowslipstage/transport/links"
+)
+
+// patience bounds how long a test waits for an event.
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	// The proxy leaves goroutines of its own behind when it is stopped under load.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/Shopify/toxiproxy/v2/toxics.(*ToxicStub).Run"),
+		goleak.IgnoreAnyFunction("github.com/Shopify/toxiproxy/v2.(*ToxicLink).read"),
+		goleak.IgnoreAnyFunction("github.com/Shopify/toxiproxy/v2.(*ToxicLink).write"))
+}
+
+// party is one node's links with a listener of their own.
+type party struct {
+	*links.Links
+	addr   string
+	meters *metrics.Set
+	got    map[string]<-chan *message.Message
+}
+
+func join(t *testing.T, node string, adjust func(o *links.Options)) *party {
+	t.Helper()
+	k := keys.New(keys.Options{Secret: "s"}, zerolog.Nop())
+	p := &party{meters: metrics.NewSet(), got: map[string]<-chan *message.Message{}}
+	o := links.Options{
+		Node: node, Keys: k, Ping: 20 * time.Millisecond, Silence: patience, Metrics: p.meters,
+	}
+	if adjust != nil {
+		adjust(&o)
+	}
+	p.Links = links.New(o, zerolog.Nop())
+	mux := http.NewServeMux()
+	mux.Handle("/link", p.Links)
+	s := httptest.NewUnstartedServer(mux)
+	if s.TLS = o.Keys.Server(); s.TLS != nil {
+		s.StartTLS()
+	} else {
+		s.Start()
+	}
+	p.addr = s.Listener.Addr().String()
+	t.Cleanup(func() {
+		_ = p.Close()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return p
+}
+
+func (p *party) listen(t *testing.T, topic string) <-chan *message.Message {
+	t.Helper()
+	c, err := p.Subscribe(context.Background(), topic)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func (p *party) say(to, topic, body string) error {
+	data, err := frame.Pack(body)
+	if err != nil {
+		return err
+	}
+	m := message.NewMessage("", data)
+	m.Metadata.Set(links.To, to)
+	return p.Publish(topic, m)
+}
+
+func (p *party) count(name string) uint64 { return p.meters.GetOrCreateCounter(name).Get() }
+
+// take returns the next message's body, or "" when none comes.
+func take(c <-chan *message.Message) string {
+	select {
+	case m := <-c:
+		var s string
+		_ = frame.Unpack(m.Payload, &s)
+		m.Ack()
+		return s
+	case <-time.After(patience):
+		return ""
+	}
+}
+
+func is(reference error) func(error) bool {
+	return func(err error) bool { return errors.Is(err, reference) }
+}
+
+func live(p *party) func() []string { return p.Live }
+
+func proxy(t *testing.T, upstream string) *toxiproxy.Proxy {
+	t.Helper()
+	s := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	p := toxiproxy.NewProxy(s, t.Name(), "127.0.0.1:0", upstream)
+	NewWithT(t).Expect(p.Start()).To(Succeed())
+	t.Cleanup(p.Stop)
+	return p
+}
+
+func TestSilentLinkIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	quick := func(o *links.Options) { o.Silence = 300 * time.Millisecond }
+	a, b := join(t, "a", quick), join(t, "b", nil)
+	got := b.listen(t, frame.TopicReply)
+	p := proxy(t, b.addr)
+	a.Connect("b", p.Listen)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	g.Expect(a.say("b", frame.TopicReply, "before")).To(Succeed())
+	g.Expect(take(got)).To(Equal("before"))
+	for _, stream := range []string{"upstream", "downstream"} {
+		_, err := p.Toxics.AddToxicJson(strings.NewReader(
+			`{"name":"` + stream + `","type":"timeout","stream":"` + stream + `","attributes":{"timeout":0}}`))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() uint64 { return a.count("links_silent_total") }, patience).
+		Should(BeNumerically(">=", 1), "the silence is noticed without a close")
+	for _, stream := range []string{"upstream", "downstream"} {
+		g.Expect(p.Toxics.RemoveToxic(context.Background(), stream)).To(Succeed())
+	}
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	g.Eventually(func() error { return a.say("b", frame.TopicReply, "after") }, patience).Should(Succeed())
+	g.Expect(take(got)).To(Equal("after"))
+}
+
+func TestOrderIsKeptAcrossReconnects(t *testing.T) {
+	g := NewWithT(t)
+	quick := func(o *links.Options) { o.Silence = 300 * time.Millisecond }
+	a, b := join(t, "a", quick), join(t, "b", quick)
+	got := b.listen(t, frame.TopicReply)
+	p := proxy(t, b.addr)
+	a.Connect("b", p.Listen)
+	const messages, cuts = 3000, 3
+	last := -1
+	next := 0
+	for next < messages {
+		g.Eventually(live(a), patience).Should(ConsistOf("b"))
+		for end := next + messages/cuts; next < end; next++ {
+			_ = a.say("b", frame.TopicReply, strconv.Itoa(next))
+		}
+		p.Stop()
+		g.Expect(p.Start()).To(Succeed())
+	}
+	// A message may be lost with its link, the last ones too.
+	stop := make(chan struct{})
+	var sender sync.WaitGroup
+	sender.Go(func() {
+		for {
+			_ = a.say("b", frame.TopicReply, strconv.Itoa(messages))
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+	for last < messages {
+		n, err := strconv.Atoi(take(got))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(BeNumerically(">", last))
+		last = n
+	}
+	close(stop)
+	sender.Wait()
+}
+
+func TestSlowTopicDoesNotBlockOthers(t *testing.T) {
+	g := NewWithT(t)
+	a, b := join(t, "a", func(o *links.Options) { o.Queue = 1 << 15 }), join(t, "b", nil)
+	_ = b.listen(t, frame.TopicReply)
+	gossip := b.listen(t, frame.TopicGossip)
+	a.Connect("b", b.addr)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	for range 20000 {
+		g.Expect(a.say("b", frame.TopicReply, "flood")).To(Succeed())
+	}
+	g.Expect(a.say("b", frame.TopicGossip, "news")).To(Succeed())
+	g.Expect(take(gossip)).To(Equal("news"))
+	g.Eventually(func() uint64 { return b.count(`links_drops_total{reason="busy"}`) }, patience).
+		Should(BeNumerically(">", 0))
+}
+
+func TestFullQueueIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	a := join(t, "a", func(o *links.Options) { o.Queue = 4 })
+	end := make(chan struct{})
+	deaf := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{"cowslipstage.v1"}})
+		if err != nil {
+			return
+		}
+		<-end
+		_ = c.CloseNow()
+	}))
+	t.Cleanup(deaf.Close)
+	t.Cleanup(func() { close(end) })
+	a.Connect("b", deaf.Listener.Addr().String())
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	big := strings.Repeat("x", 1<<20)
+	g.Eventually(func() error { return a.say("b", frame.TopicReply, big) }, patience).Should(Satisfy(is(links.ErrNoLink)))
+	g.Expect(a.count(`links_drops_total{reason="full"}`)).To(BeNumerically(">", 0))
+	g.Expect(a.say("c", frame.TopicReply, "x")).To(Satisfy(is(links.ErrNoLink)))
+}
+
+func TestTooLargeMessageIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	a := join(t, "a", func(o *links.Options) { o.Frame = 1000 })
+	g.Expect(a.say("b", frame.TopicReply, strings.Repeat("x", 1001))).To(Satisfy(is(links.ErrTooLarge)))
+}
+
+func TestUnknownPeersAreRefused(t *testing.T) {
+	wrong := keys.New(keys.Options{Secret: "wrong"}, zerolog.Nop())
+	for name, adjust := range map[string]func(o *links.Options){
+		"wrong secret":     func(o *links.Options) { o.Keys = wrong },
+		"version mismatch": func(o *links.Options) { o.Oldest, o.Newest = frame.Newest+1, frame.Newest+2 },
+		"name of the host": func(o *links.Options) { o.Node = "b" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, b := join(t, "a", adjust), join(t, "b", nil)
+			a.Connect("peer", b.addr)
+			g.Eventually(func() uint64 { return a.count(`links_drops_total{reason="refused"}`) }, patience).
+				Should(BeNumerically(">=", 1))
+			g.Expect(a.Live()).To(BeEmpty())
+			g.Expect(b.count(`links_drops_total{reason="refused"}`)).To(BeNumerically(">=", 1))
+		})
+	}
+}
+
+func TestNewerNodeSpeaksTheVersionInCommon(t *testing.T) {
+	g := NewWithT(t)
+	a, b := join(t, "a", func(o *links.Options) { o.Newest = frame.Newest + 1 }), join(t, "b", nil)
+	got := a.listen(t, frame.TopicReply)
+	a.Connect("b", b.addr)
+	b.Connect("a", a.addr)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	g.Eventually(live(b), patience).Should(ConsistOf("a"))
+	g.Expect(b.say("a", frame.TopicReply, "old")).To(Succeed())
+	g.Expect(take(got)).To(Equal("old"))
+	back := b.listen(t, frame.TopicReply)
+	g.Expect(a.say("b", frame.TopicReply, "new")).To(Succeed())
+	g.Expect(take(back)).To(Equal("new"))
+}
+
+func TestSecretIsRotatedWithoutRestart(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	files := [2]string{filepath.Join(folder, "a"), filepath.Join(folder, "b")}
+	put := func(i int, text string) {
+		g.Expect(os.WriteFile(files[i], []byte(text), 0o600)).To(Succeed())
+	}
+	put(0, "old\n")
+	put(1, "old\n")
+	var both [2]*party
+	for i := range both {
+		k := keys.New(keys.Options{File: files[i]}, zerolog.Nop())
+		g.Expect(k.Load()).To(Succeed())
+		both[i] = join(t, "n"+strconv.Itoa(i), func(o *links.Options) { o.Keys = k })
+	}
+	reconnect := func() {
+		both[0].Forget("n1")
+		both[0].Connect("n1", both[1].addr)
+	}
+	reconnect()
+	g.Eventually(live(both[0]), patience).Should(ConsistOf("n1"))
+	for _, step := range []struct {
+		node int
+		text string
+	}{{0, "old\nnew\n"}, {1, "old\nnew\n"}, {0, "new\nold\n"}, {1, "new\nold\n"}, {0, "new\n"}, {1, "new\n"}} {
+		put(step.node, step.text)
+		reconnect()
+		g.Eventually(live(both[0]), patience).Should(ConsistOf("n1"), step.text)
+	}
+	put(0, "old\n")
+	reconnect()
+	g.Eventually(func() uint64 { return both[1].count(`links_drops_total{reason="refused"}`) }, patience).
+		Should(BeNumerically(">=", 1), "the old secret is refused in the end")
+}
+
+// raw opens a link by hand.
+func raw(t *testing.T, addr, node string) *websocket.Conn {
+	t.Helper()
+	header := http.Header{"Authorization": {"Bearer s"}, "X-Node": {node}}
+	c, _, err := websocket.Dial(context.Background(), "ws://"+addr+"/link", &websocket.DialOptions{
+		HTTPHeader: header, Subprotocols: []string{"cowslipstage.v1"},
+	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = c.CloseNow() })
+	return c
+}
+
+func TestHostileFramesEndOnlyTheirLink(t *testing.T) {
+	g := NewWithT(t)
+	a, b := join(t, "a", nil), join(t, "b", nil)
+	got := b.listen(t, frame.TopicReply)
+	a.Connect("b", b.addr)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	body, err := frame.Pack("forged")
+	g.Expect(err).NotTo(HaveOccurred())
+	good := frame.Frame{Topic: frame.TopicReply, From: "evil", Body: body}
+	pack := func(adjust func(f *frame.Frame)) []byte {
+		f := good
+		adjust(&f)
+		data, err := cbor.Marshal(f)
+		g.Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	whole := pack(func(*frame.Frame) {})
+	for name, data := range map[string][]byte{
+		"garbage":   {0xff, 0x00, 0x13},
+		"truncated": whole[:len(whole)-3],
+		"spoofed":   pack(func(f *frame.Frame) { f.From = "a" }),
+		"no topic":  pack(func(f *frame.Frame) { f.Topic = "" }),
+		"nested":    []byte(strings.Repeat("\x81", 1000)),
+	} {
+		c := raw(t, b.addr, "evil")
+		g.Expect(c.Write(context.Background(), websocket.MessageBinary, data)).To(Succeed())
+		_, _, err := c.Read(context.Background())
+		g.Expect(err).To(HaveOccurred(), name)
+	}
+	g.Expect(a.say("b", frame.TopicReply, "fine")).To(Succeed())
+	g.Expect(take(got)).To(Equal("fine"), "nothing hostile came through")
+}
+
+func TestFlushWaitsForTheQueue(t *testing.T) {
+	g := NewWithT(t)
+	a, b := join(t, "a", nil), join(t, "b", nil)
+	got := b.listen(t, frame.TopicGossip)
+	a.Connect("b", b.addr)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	g.Expect(a.say("b", frame.TopicGossip, "bye")).To(Succeed())
+	a.Flush(context.Background())
+	g.Expect(a.Close()).To(Succeed())
+	g.Expect(take(got)).To(Equal("bye"))
+}
+
+func TestConnectAfterCloseDoesNothing(t *testing.T) {
+	g := NewWithT(t)
+	a := join(t, "a", nil)
+	g.Expect(a.Close()).To(Succeed())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	a.Connect("b", l.Addr().String())
+	g.Expect(a.Live()).To(BeEmpty())
+}
--- /dev/null
+++ b/transport/links/peer.go
@@ -0,0 +1,232 @@
+package links
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+// peer is the outgoing link to one node.
+type peer struct {
+	node   string
+	addr   string
+	cancel context.CancelFunc
+	// urgent and bulk hold control and traffic; each keeps its order, also
+	// over a reconnect.
+	urgent chan item
+	bulk   chan item
+	// used gets a mark when data was written, so that a heartbeat follows it.
+	used chan struct{}
+	// live is guarded by the mutex of Links.
+	live bool
+}
+
+// item is one frame, or a mark without data that says how far the queue is written.
+type item struct {
+	data []byte
+	sent chan struct{}
+}
+
+func newPeer(node, addr string, queue int, cancel context.CancelFunc) *peer {
+	return &peer{
+		node: node, addr: addr, cancel: cancel,
+		urgent: make(chan item, queue), bulk: make(chan item, queue), used: make(chan struct{}, 1),
+	}
+}
+
+// offer queues an item unless the queue is full.
+func (p *peer) offer(urgent bool, i item) bool {
+	queue := p.bulk
+	if urgent {
+		queue = p.urgent
+	}
+	select {
+	case queue <- i:
+		return true
+	default:
+		return false
+	}
+}
+
+// next waits for an item, urgent ones first.
+func (p *peer) next(ctx context.Context) (item, error) {
+	if i, ok := p.waiting(); ok {
+		return i, nil
+	}
+	select {
+	case i := <-p.urgent:
+		return i, nil
+	case i := <-p.bulk:
+		return i, nil
+	case <-ctx.Done():
+		return item{}, ctx.Err()
+	}
+}
+
+// waiting returns an item that is queued now, urgent ones first.
+func (p *peer) waiting() (item, bool) {
+	select {
+	case i := <-p.urgent:
+		return i, true
+	default:
+	}
+	select {
+	case i := <-p.bulk:
+		return i, true
+	default:
+		return item{}, false
+	}
+}
+
+// batchBytes bounds the frames that go into one WebSocket message, but for a
+// single larger frame. It is what an urgent frame may have to wait for.
+const batchBytes = 64 << 10
+
+// batch gathers queued frames behind the first; marks are those of its items.
+func (p *peer) batch(buffer []byte, first item) (data []byte, frames int, marks []chan struct{}) {
+	data = buffer[:0]
+	i, ok := first, true
+	for ok {
+		data = append(data, i.data...)
+		if i.sent != nil {
+			marks = append(marks, i.sent)
+		} else {
+			frames++
+		}
+		if len(data) >= batchBytes {
+			break
+		}
+		i, ok = p.waiting()
+	}
+	return data, frames, marks
+}
+
+const (
+	// redialFirst and redialMost bound the pause before a lost link is dialled
+	// again; it grows from one to the other, with jitter.
+	redialFirst = 50 * time.Millisecond
+	redialMost  = 2 * time.Second
+)
+
+// keep dials the peer again whenever its link is lost.
+func (l *Links) keep(ctx context.Context, p *peer) {
+	defer l.wait.Done()
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = redialFirst, redialMost
+	for ctx.Err() == nil {
+		c, err := l.dial(ctx, p)
+		if err == nil {
+			pause.Reset()
+			err = l.run(ctx, p, c)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		l.meters.redials.Inc()
+		l.log.Debug().Err(err).Str("peer", p.node).Msg("link lost; redialling")
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+// dial opens the link and agrees on a frame version.
+func (l *Links) dial(ctx context.Context, p *peer) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Silence)
+	defer cancel()
+	scheme, client := "ws://", http.DefaultClient
+	if l.options.Keys.TLS() {
+		scheme = "wss://"
+		transport := &http.Transport{TLSClientConfig: l.options.Keys.Client(p.node), DisableKeepAlives: true}
+		client = &http.Client{Transport: transport}
+	}
+	c, response, err := websocket.Dial(ctx, scheme+p.addr+linkPath, &websocket.DialOptions{
+		HTTPClient: client, HTTPHeader: l.hello(), Subprotocols: l.protocols(),
+	})
+	if err != nil {
+		return nil, l.explain(p, response, err)
+	}
+	if c.Subprotocol() == "" {
+		_ = c.CloseNow()
+		return nil, l.explain(p, nil, errVersion)
+	}
+	return c, nil
+}
+
+// explain logs a refusal, which an operator must mend; other failures are
+// left to the next try.
+func (l *Links) explain(p *peer, response *http.Response, err error) error {
+	if response != nil && response.StatusCode >= http.StatusBadRequest || errors.Is(err, errVersion) {
+		l.meters.drop("refused").Inc()
+		l.log.Warn().Err(err).Str("peer", p.node).Str("addr", p.addr).
+			Msg("the peer refused the link: compare keys, names and program versions")
+	}
+	return errors.Wrap(err, "links: dial")
+}
+
+// run writes the queues and the heartbeats until the link fails.
+func (l *Links) run(ctx context.Context, p *peer, c *websocket.Conn) error {
+	ctx, cancel := context.WithCancel(c.CloseRead(ctx))
+	defer cancel()
+	l.setLive(p, true)
+	defer l.setLive(p, false)
+	l.hear(p.node)
+	l.joined(p.node)
+	failed := make(chan error, 2)
+	var wait sync.WaitGroup
+	wait.Go(func() { failed <- l.write(ctx, p, c) })
+	wait.Go(func() { failed <- l.beat(ctx, p.node, c, p.used) })
+	err := <-failed
+	cancel()
+	_ = c.CloseNow()
+	wait.Wait()
+	return err
+}
+
+func (l *Links) setLive(p *peer, live bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.live = live
+}
+
+// write sends what is queued, several frames in a message when they wait.
+func (l *Links) write(ctx context.Context, p *peer, c *websocket.Conn) error {
+	var buffer []byte
+	for {
+		first, err := p.next(ctx)
+		if err != nil {
+			return err
+		}
+		data, frames, marks := p.batch(buffer, first)
+		if err := l.writeBatch(ctx, c, data, frames); err != nil {
+			return err
+		}
+		for _, mark := range marks {
+			close(mark)
+		}
+		select {
+		case p.used <- struct{}{}:
+		default:
+		}
+		if buffer = data; cap(buffer) > 2*batchBytes {
+			buffer = nil
+		}
+	}
+}
+
+func (l *Links) writeBatch(ctx context.Context, c *websocket.Conn, data []byte, frames int) error {
+	if len(data) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.Silence)
+	defer cancel()
+	l.meters.sent.frames.Add(frames)
+	l.meters.sent.bytes.Add(len(data))
+	return c.Write(ctx, websocket.MessageBinary, data)
+}
