--- a/protocol/caller/reply.go
+++ b/protocol/caller/reply.go
@@ -8,7 +8,7 @@
 	"github.com/cowslipstage/cowslipstage/state/call"
 )
 
-// statuses maps the reasons of refusals to HTTP statuses; any other is 503.
+// statuses maps the reasons of refusals to HTTP statuses; any other is 503 or 502.
 var statuses = map[string]int{
 	"service":   http.StatusNotFound,
 	"operation": http.StatusNotFound,
@@ -18,6 +18,7 @@
 	"ended":     http.StatusConflict,
 	"order":     http.StatusConflict,
 	"mismatch":  http.StatusUnprocessableEntity,
+	"limit":     http.StatusTooManyRequests,
 	"token":     http.StatusUnauthorized,
 	"customer":  http.StatusForbidden,
 	"tool":      http.StatusForbidden,
@@ -25,21 +26,19 @@
 	"bad":       http.StatusBadRequest,
 }
 
-// Status maps an answer to the HTTP status that callers get.
+// Status maps an answer to the HTTP status that callers get. A refusal has the
+// status of its reason, whether an earlier attempt may have run or not.
 func Status(a *answer.Answer) int {
 	switch {
 	case a.Outcome == answer.Done && a.Status != 0:
 		return a.Status
 	case a.Outcome == answer.Done:
 		return http.StatusOK
-	case a.Reason == "limit":
-		return http.StatusTooManyRequests
+	case statuses[a.Reason] != 0:
+		return statuses[a.Reason]
 	case a.Outcome == answer.Unknown:
 		return http.StatusBadGateway
 	}
-	if s := statuses[a.Reason]; s != 0 {
-		return s
-	}
 	return http.StatusServiceUnavailable
 }
 
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -217,10 +217,28 @@
 		},
 		leave: func(id string) { e.backend.Leave(id, k.Customer, k.Program) },
 	})
+	if a != nil && a.Outcome == answer.NotRun && e.forgetful(k, a) {
+		a = doubt(k, a)
+	}
 	e.observe(k, a, p)
 	p.finish(a)
 }
 
+// forgetful tells whether a refusal can come from a node that doesn't know what
+// became of earlier attempts with the key. Only calls with an effect are in the
+// journal before they are dispatched; an owner who refuses one knows of all.
+func (e *Edge) forgetful(k *call.Call, a *answer.Answer) bool {
+	if k.Kind == call.Chat || a.Reason == ownerless {
+		return true
+	}
+	v := e.config().Services[k.Service]
+	if v == nil {
+		return false
+	}
+	o := v.Operations[k.Operation]
+	return o != nil && o.Idempotent
+}
+
 // deadline is when the edge stops waiting for a call's answer.
 func (e *Edge) deadline(k *call.Call) time.Time {
 	if !k.Deadline.IsZero() {
@@ -243,8 +261,8 @@
 	return e.options.Admit(k.Received, k)
 }
 
-// doubt turns the edge's own refusal into "unknown" where an earlier attempt
-// with the key may have run the call.
+// doubt turns a refusal into "unknown" where an earlier attempt with the key
+// may have run the call.
 func doubt(k *call.Call, a *answer.Answer) *answer.Answer {
 	if k.Tries == 1 {
 		return a
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -219,7 +219,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			_, url := serve(t, nil, c.steps...)
-			response, body := chat(t, url, "", "Idempotency-Key", "k1")
+			response, body := chat(t, url, "", "Idempotency-Key", "k1", "X-Tries", "1")
 			g.Expect(response.StatusCode).To(Equal(c.status))
 			g.Expect(response.Header.Get("X-Outcome")).To(Equal(c.outcome))
 			g.Expect(response.Header.Get("Retry-After")).To(Equal("2"))
@@ -229,6 +229,33 @@
 	}
 }
 
+// TestRefusalOfARetry: an earlier attempt may have run at an owner whose memory
+// is gone, unless the call is in the journal before it is dispatched.
+func TestRefusalOfARetry(t *testing.T) {
+	c := config.New()
+	c.Revision = 1
+	c.Services["yard"] = &config.Service{Operations: map[string]*config.Operation{"book": {}, "space": {Idempotent: true}}}
+	nobody := says(edge.Owner{}, frame.Reply{Moved: true})
+	for _, x := range []struct {
+		path, tries string
+		step        step
+		outcome     string
+	}{
+		{"/v1/chat/completions", "1", says(ownerA, refused()), "notrun"},
+		{"/v1/chat/completions", "2", says(ownerA, refused()), "unknown"},
+		{"/v1/chat/completions", "", says(ownerA, refused()), "unknown"},
+		{"/v1/services/yard/space", "2", says(ownerA, refused()), "unknown"},
+		{"/v1/services/yard/book", "2", says(ownerA, refused()), "notrun"},
+		{"/v1/services/yard/book", "1", nobody, "notrun"},
+		{"/v1/services/yard/book", "2", nobody, "unknown"},
+	} {
+		_, url := serve(t, func(o *edge.Options) { o.Config = func() *config.Config { return c } }, x.step)
+		response, _ := post(t, url+x.path, `{"model":"gate","messages":[{"role":"user","content":"hi"}]}`,
+			"Idempotency-Key", "k1", "X-Tries", x.tries, "X-Deadline-Ms", "30")
+		NewWithT(t).Expect(response.Header.Get("X-Outcome")).To(Equal(x.outcome), x.path+" "+x.tries)
+	}
+}
+
 func TestOwnersThatNeverAnswer(t *testing.T) {
 	g := NewWithT(t)
 	_, url := serve(t, nil, says(ownerA))
--- a/transport/edge/follow.go
+++ b/transport/edge/follow.go
@@ -61,9 +61,12 @@
 	}
 }
 
+// ownerless is the reason given when no owner answered.
+const ownerless = "owner"
+
 // lost speaks for owners who gave no answer.
 func (x *exchange) lost() *answer.Answer {
-	a := &answer.Answer{Outcome: answer.Unknown, Reason: "owner", RetryAfter: time.Second}
+	a := &answer.Answer{Outcome: answer.Unknown, Reason: ownerless, RetryAfter: time.Second}
 	a.Detail = "the program's owner gave no answer; ask again with the same key"
 	if !x.reads && !x.touched && len(x.newest) == 0 {
 		a.Outcome, a.Detail = answer.NotRun, "the program has no owner at the moment; nothing was sent"
