Gossip of changes in a byte budget; owners' mesh; few readers of store and list

Cause: every node told every other its whole state five times a second, read every endpoint's load and the whole host list, and held a watch of its own on the configuration: each cost grows with the square of the fleet. Change: owners link to all, other nodes to owners; the whole state goes out when a link comes up, then changes in rounds that a byte budget spaces, and news at once; each endpoint is polled by one owner, found by rendezvous hashing, which shares the report; dispatches in flight are shared; three owners watch the store and read the host list; a newer configuration is fetched from a peer, compressed, and kept in the data folder.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -3,7 +3,9 @@
 package member
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -84,8 +86,9 @@
 
 	mu    sync.Mutex
 	nodes map[string]*node
-	// listed is the host list as last read: nodes and endpoints by name.
-	listed map[string]string
+	// lists holds, by who read it, the host list's names that are not live:
+	// nodes and endpoints with their states.
+	lists map[string]map[string]string
 	// refused holds when each endpoint last refused work as leaving.
 	refused map[string]time.Time
 }
@@ -106,7 +109,7 @@
 
 // New returns a view that knows nobody.
 func New(o Options) *View {
-	return &View{options: o, nodes: map[string]*node{}, refused: map[string]time.Time{}}
+	return &View{options: o, nodes: map[string]*node{}, refused: map[string]time.Time{}, lists: map[string]map[string]string{}}
 }
 
 // take notes a record and returns its node, or nil if a newer incarnation is known.
@@ -156,6 +159,14 @@
 	v.take(now, r)
 }
 
+// Quiet sets how long a node that was heard counts as live, once links with
+// little to carry are probed more rarely.
+func (v *View) Quiet(silence time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.options.Silence = silence
+}
+
 // Heard notes a sign of life on a link with a node.
 func (v *View) Heard(at time.Time, name string) {
 	v.mu.Lock()
@@ -178,11 +189,40 @@
 	n.bye = max(n.bye, incarnation)
 }
 
-// List takes over the platform's host list: "live", "leaving" or "gone" by name.
-func (v *View) List(states map[string]string) {
+// List takes over what a reader found in the platform's host list: the names
+// that are not live, "leaving" or "gone". It tells whether that is news.
+func (v *View) List(reader string, away map[string]string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.listed = states
+	news := !maps.Equal(v.lists[reader], away)
+	v.lists[reader] = away
+	return news
+}
+
+// listed returns a name's state in the host list, "" for live. Readers lag
+// behind each other, so one of them suffices; readers that are not there do
+// not count.
+func (v *View) listed(now time.Time, name string) string {
+	found := ""
+	for reader, away := range v.lists {
+		state := away[name]
+		if state == "" || state == found || !v.present(now, reader) {
+			continue
+		}
+		if found == "" || state == "leaving" {
+			found = state
+		}
+	}
+	return found
+}
+
+// present tells whether a node gave a sign of life lately.
+func (v *View) present(now time.Time, name string) bool {
+	if name == v.options.Self {
+		return true
+	}
+	n, ok := v.nodes[name]
+	return ok && (within(now, n.heard, v.options.Silence) || within(now, n.leased, v.options.Lease))
 }
 
 // State returns what is held to be true of a node, and why.
@@ -206,13 +246,13 @@
 	linked := within(now, n.heard, v.options.Silence)
 	leased := within(now, n.leased, v.options.Lease)
 	switch {
-	case !linked && v.listed[name] == "gone":
+	case !linked && v.listed(now, name) == "gone":
 		return Gone, Listed
 	case !linked && !leased:
 		return v.silent(now, n)
 	case n.record.Leaving:
 		return Leaving, Said
-	case v.listed[name] == "leaving":
+	case v.listed(now, name) == "leaving":
 		return Leaving, Listed
 	case linked:
 		return Live, Linked
@@ -260,13 +300,13 @@
 }
 
 // Leaving tells whether a node gets nothing new: it said so, or is listed so.
-func (v *View) Leaving(name string) bool {
+func (v *View) Leaving(now time.Time, name string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if n, ok := v.nodes[name]; ok && (n.record.Leaving || n.bye != 0 && n.bye >= n.record.Incarnation) {
 		return true
 	}
-	return v.listed[name] != "" && v.listed[name] != "live"
+	return v.listed(now, name) != ""
 }
 
 // Record returns the newest description of a node.
@@ -330,16 +370,22 @@
 
 // Departing returns every name that gets nothing new, by list or refusal.
 func (v *View) Departing(now time.Time) []string {
-	names := v.Refusing(now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for name, state := range v.listed {
-		if state != "live" && !within(now, v.refused[name], v.options.Refusal) {
-			names = append(names, name)
+	found := map[string]bool{}
+	for name, at := range v.refused {
+		if within(now, at, v.options.Refusal) {
+			found[name] = true
 		}
 	}
-	sort.Strings(names)
-	return names
+	for reader, away := range v.lists {
+		if v.present(now, reader) {
+			for name := range away {
+				found[name] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
 }
 
 // Elect returns at most bound of the names, by rendezvous hashing with a
--- a/node/claims.go
+++ b/node/claims.go
@@ -14,16 +14,19 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/member"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
-// member is a shard owner's own record in the store; it stands while its lease does.
-type member struct {
+// leased is a shard owner's own record in the store; it stands while its lease does.
+type leased struct {
 	Node   string `cbor:"1,keyasint"`
 	Centre string `cbor:"2,keyasint"`
 	Link   string `cbor:"3,keyasint"`
 	Boot   string `cbor:"4,keyasint,omitempty"`
+	// Start rises with each start of the node's process.
+	Start uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 const (
@@ -66,16 +69,19 @@
 }
 
 // meet takes over a peer's news of itself.
-func (n *Node) meet(now time.Time, g frame.Gossip) {
+func (n *Node) meet(now time.Time, name string, g frame.Gossip) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := n.known[g.Node]
+	h := n.known[name]
+	if g.Boot == "" {
+		g.Boot, g.Centre = h.Boot, h.Centre
+	}
 	if h.since.IsZero() || h.Boot != g.Boot {
 		h.since = now
 	}
-	h.Host = claim.Host{Name: g.Node, Centre: g.Centre, Boot: g.Boot, Leaving: g.Leaving}
-	n.known[g.Node] = h
-	n.signs.Heard(now, g.Node)
+	h.Host = claim.Host{Name: name, Centre: g.Centre, Boot: g.Boot, Leaving: g.Leaving}
+	n.known[name] = h
+	n.signs.Heard(now, name)
 }
 
 // keepLease renews the node's lease in the store while it may own shards.
@@ -111,7 +117,7 @@
 		return "", err
 	}
 	s := n.settings.Node
-	data, err := cbor.Marshal(member{Node: s.Name, Centre: s.Centre, Link: s.Link, Boot: n.boot})
+	data, err := cbor.Marshal(leased{Node: s.Name, Centre: s.Centre, Link: s.Link, Boot: n.boot, Start: n.start})
 	if err != nil {
 		return "", errors.Wrap(err, "node: encoding")
 	}
@@ -267,8 +273,9 @@
 		n.known[name] = h
 	}
 	n.mu.Unlock()
+	var records []member.Record
 	for _, p := range pairs {
-		var m member
+		var m leased
 		if err := cbor.Unmarshal(p.Value, &m); err != nil {
 			n.log.Error().Err(err).Str("key", p.Key).Msg("unreadable member record ignored")
 			continue
@@ -283,8 +290,10 @@
 		h.leased = true
 		n.known[m.Node] = h
 		n.mu.Unlock()
-		n.links.Connect(m.Node, m.Link)
+		records = append(records, member.Record{Node: m.Node, Centre: m.Centre, Link: m.Link, Incarnation: m.Start})
 	}
+	n.view.Leases(n.polled, records)
+	n.mesh(time.Now())
 	return nil
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -54,8 +54,10 @@
 	switch a := action.(type) {
 	case core.Dispatch:
 		n.metrics.GetOrCreateCounter("dispatches_total").Inc()
+		n.shares.begin(a.Flight, a.Endpoint)
 		n.wait.Go(func() { n.dialer.Run(ctx, a) })
 	case core.Abort:
+		n.shares.end(a.Flight)
 		n.dialer.Abort(a.Flight)
 	case core.Order:
 		n.wait.Go(func() { n.dialer.Order(ctx, a) })
@@ -102,7 +104,12 @@
 		n.log.Error().Err(err).Str("topic", topic).Msg("encoding a frame")
 		return false
 	}
-	m := message.NewMessage(watermill.NewUUID(), data)
+	return n.post(to, topic, data)
+}
+
+// post publishes an encoded body to a node.
+func (n *Node) post(to, topic string, data []byte) bool {
+	m := message.NewMessage("", data)
 	m.Metadata.Set(links.To, to)
 	return n.links.Publish(topic, m) == nil
 }
@@ -155,13 +162,13 @@
 	handle(n, r, frame.TopicClose, func(from string, b frame.Close) { n.accept(from, b) })
 	handle(n, r, frame.TopicLeave, func(from string, b frame.Leave) { n.accept(from, b) })
 	handle(n, r, frame.TopicReply, func(from string, b frame.Reply) { n.edge.Deliver(from, b) })
-	handle(n, r, frame.TopicGossip, func(_ string, b frame.Gossip) { n.hear(b) })
+	handle(n, r, frame.TopicGossip, n.hear)
 	handle(n, r, frame.TopicWant, func(from string, b frame.Want) { n.want(from, b) })
 	handle(n, r, frame.TopicHold, n.keep)
 	handle(n, r, frame.TopicHeld, n.held)
 	handle(n, r, frame.TopicSeal, n.seal)
 	handle(n, r, frame.TopicSealed, n.sealed)
-	handle(n, r, frame.TopicConfig, func(_ string, b frame.Config) { n.learn(b.Data) })
+	handle(n, r, frame.TopicConfig, n.given)
 	n.router = r
 	n.wait.Go(func() { _ = r.Run(ctx) })
 	<-r.Running()
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -2,31 +2,96 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/coordination/member"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/config"
 )
 
-// gossipInterval is how often a node tells its peers about itself.
-const gossipInterval = 200 * time.Millisecond
+const (
+	// gossipInterval is the least time between two rounds of gossip.
+	gossipInterval = 200 * time.Millisecond
+	// wholeInterval is how often everything is said again, in case it was lost.
+	wholeInterval = 30 * time.Second
+)
 
+// gossip tells the other owners in rounds what has changed, as often as the
+// budget allows, and everybody the whole state now and then. News that cannot
+// wait is sent by announce.
 func (n *Node) gossip(ctx context.Context) {
-	every(ctx, gossipInterval, func() { n.send("", frame.TopicGossip, n.news(nil)) })
+	n.links.OnJoin(n.greet)
+	var quiet, whole time.Time
+	every(ctx, gossipInterval, func() {
+		now := time.Now()
+		for name, at := range n.links.Heard() {
+			n.view.Heard(at, name)
+		}
+		n.view.Quiet(n.settings.Links.Silence + n.links.Idle() - n.settings.Links.Ping)
+		n.mesh(now)
+		n.depart(now)
+		switch {
+		case now.Sub(whole) >= wholeInterval:
+			n.announce()
+			whole = now
+		case now.After(quiet):
+			cost := n.round(now)
+			quiet = now.Add(time.Duration(cost) * time.Second / time.Duration(n.settings.Links.Budget))
+		}
+	})
+}
+
+// round sends what has changed to the owners that are linked and returns what
+// it cost, in bytes.
+func (n *Node) round(now time.Time) int {
+	var to []string
+	for _, name := range n.links.Live() {
+		if n.owner(now, name) {
+			to = append(to, name)
+		}
+	}
+	if len(to) == 0 || !n.owner(now, n.settings.Node.Name) {
+		return 0
+	}
+	g := frame.Gossip{Used: n.limits.used(now)}
+	g.Sent, g.Loads = n.shares.take(now)
+	n.mu.Lock()
+	g.Revision, g.Leaving = n.config.Revision, n.draining
+	n.mu.Unlock()
+	return n.gossipTo(to, g)
+}
+
+// gossipTo sends gossip to nodes and returns its size times their number, in bytes.
+func (n *Node) gossipTo(to []string, g frame.Gossip) int {
+	data, err := frame.Pack(g)
+	if err != nil {
+		n.log.Error().Err(err).Msg("encoding gossip")
+		return 0
+	}
+	for _, name := range to {
+		n.post(name, frame.TopicGossip, data)
+	}
+	return len(to) * (len(data) + frameOverhead)
 }
 
-// news is what the node tells its peers about itself; freed are shards it gave back.
+// frameOverhead is what a frame and its transport add to a body, in bytes.
+const frameOverhead = 80
+
+// news is everything the node tells its peers about itself; freed are shards
+// it gave back.
 func (n *Node) news(freed map[int]uint64) frame.Gossip {
-	used := n.limits.used(time.Now())
+	now := time.Now()
+	used := n.limits.used(now)
+	refusing := n.view.Refusing(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.settings.Node
 	g := frame.Gossip{
-		Node: s.Name, Centre: s.Centre, Addr: s.Link, Boot: n.boot, Freed: freed, Used: used,
+		Centre: s.Centre, Addr: s.Link, Boot: n.boot, Start: n.start, Freed: freed, Used: used,
 		Owned: map[int]uint64{}, Revision: n.config.Revision, Leaving: n.draining,
+		Refusing: refusing, Away: n.away,
 	}
 	for shard, o := range n.journals {
 		if _, ok := freed[shard]; !ok {
@@ -36,13 +101,51 @@
 	return g
 }
 
+// announce tells every peer the node's whole state.
+func (n *Node) announce() { n.gossipTo(n.links.Live(), n.news(nil)) }
+
+// greet tells a node everything when the link to it comes up, the other
+// owners included.
+func (n *Node) greet(to string) {
+	now := time.Now()
+	g := n.news(nil)
+	g.Sent, g.Whole = n.shares.all(), true
+	for _, name := range n.view.Nodes(now, member.Live, member.Suspect) {
+		r, ok := n.view.Record(name)
+		if ok && n.owner(now, name) {
+			g.Peers = append(g.Peers, frame.Peer{Node: name, Centre: r.Centre, Addr: r.Link, Start: r.Incarnation})
+		}
+	}
+	n.gossipTo([]string{to}, g)
+}
+
 // hear takes over a peer's gossip.
-func (n *Node) hear(g frame.Gossip) {
-	n.links.Connect(g.Node, g.Addr)
-	n.meet(time.Now(), g)
-	n.limits.hear(time.Now(), g.Node, g.Used, 1+len(n.links.Live()))
+func (n *Node) hear(from string, g frame.Gossip) {
+	now := time.Now()
+	if g.Bye {
+		n.view.Bye(now, from, g.Start)
+		return
+	}
+	if g.Addr != "" {
+		n.view.Gossip(now, member.Record{
+			Node: from, Centre: g.Centre, Link: g.Addr, Incarnation: g.Start, Leaving: g.Leaving,
+		})
+	}
+	for _, p := range g.Peers {
+		n.view.Learn(now, member.Record{Node: p.Node, Centre: p.Centre, Link: p.Addr, Incarnation: p.Start})
+	}
+	n.view.Heard(now, from)
+	n.meet(now, from, g)
+	n.limits.hear(now, from, g.Used, 1+len(n.links.Live()))
+	n.hearShards(from, g)
+	n.hearEndpoints(now, from, g)
+	n.hearRevision(from, g.Revision)
+}
+
+// hearShards takes over who owns what.
+func (n *Node) hearShards(from string, g frame.Gossip) {
 	for shard, epoch := range g.Owned {
-		n.see(shard, ownership{node: g.Node, epoch: epoch})
+		n.see(shard, ownership{node: from, epoch: epoch})
 		n.supersede(shard, epoch)
 	}
 	for shard, epoch := range g.Freed {
@@ -51,8 +154,35 @@
 	if len(g.Freed) > 0 {
 		n.stir()
 	}
-	if g.Revision > n.current().Revision {
-		n.send(g.Node, frame.TopicWant, frame.Want{Revision: g.Revision})
+}
+
+// hearEndpoints takes over a peer's view of the endpoints.
+func (n *Node) hearEndpoints(now time.Time, from string, g frame.Gossip) {
+	for name, l := range g.Loads {
+		n.emit(core.Reported{Endpoint: name, Report: l.Report()})
+	}
+	if sent := n.shares.hear(from, g.Sent, g.Whole); len(sent) > 0 {
+		n.emit(core.Shared{Node: from, Sent: sent, Taken: now})
+	}
+	news := g.Away != nil && n.view.List(from, g.Away)
+	for _, endpoint := range g.Refusing {
+		news = n.view.Refuse(now, endpoint) || news
+	}
+	if news {
+		n.depart(now)
+	}
+}
+
+// depart tells the core which endpoints get nothing new, if that has changed.
+func (n *Node) depart(now time.Time) {
+	departing := n.view.Departing(now)
+	n.mu.Lock()
+	news := !slices.Equal(departing, n.departing)
+	n.departing = departing
+	n.mu.Unlock()
+	if news {
+		n.log.Info().Strs("names", departing).Msg("nothing new goes to these hosts")
+		n.emit(core.Listed{Leaving: departing})
 	}
 }
 
@@ -61,49 +191,3 @@
 	defer n.mu.Unlock()
 	return n.config
 }
-
-// poll reads the endpoints' load.
-func (n *Node) poll(ctx context.Context) {
-	every(ctx, n.settings.Policy.Load, func() {
-		for name, e := range n.current().Endpoints {
-			n.wait.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, time.Second)
-				defer cancel()
-				r, err := n.dialer.Load(ctx, e.Addr)
-				if err == nil {
-					n.emit(core.Reported{Endpoint: name, Report: r})
-				}
-			})
-		}
-	})
-}
-
-// list reads the platform's host list.
-func (n *Node) list(ctx context.Context) {
-	if n.settings.Hosts.Addr == "" {
-		return
-	}
-	client := &http.Client{Timeout: time.Second}
-	every(ctx, n.settings.Hosts.Poll, func() {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.Hosts.Addr+"/hosts", nil)
-		if err != nil {
-			return
-		}
-		response, err := client.Do(request)
-		if err != nil {
-			return
-		}
-		defer func() { _ = response.Body.Close() }()
-		var states map[string]string
-		if err := json.NewDecoder(response.Body).Decode(&states); err != nil {
-			return
-		}
-		var leaving []string
-		for name, state := range states {
-			if state != "live" {
-				leaving = append(leaving, name)
-			}
-		}
-		n.emit(core.Listed{Leaving: leaving})
-	})
-}
--- /dev/null
+++ b/node/mesh.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/claim"
+	"github.com/cowslipstage/cowslipstage/coordination/member"
+)
+
+// owner tells whether a node owns shards or may.
+func (n *Node) owner(now time.Time, name string) bool {
+	n.mu.Lock()
+	for _, o := range n.owners {
+		if o.node == name {
+			n.mu.Unlock()
+			return true
+		}
+	}
+	n.mu.Unlock()
+	_, ok := claim.Owners(n.hosts(now), n.settings.Shards.Owners)[name]
+	return ok
+}
+
+// linkedOwners returns the owners that are linked, the node itself included if
+// it is one, by name.
+func (n *Node) linkedOwners(now time.Time) []string {
+	var names []string
+	for _, name := range append(n.links.Live(), n.settings.Node.Name) {
+		if n.owner(now, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// mesh keeps the links that the node needs: owners to everybody, the others
+// to owners alone. Where all nodes may be owners, that is a full mesh.
+func (n *Node) mesh(now time.Time) {
+	self := n.owner(now, n.settings.Node.Name)
+	linked := false
+	for _, name := range n.view.Nodes(now, member.Live, member.Leaving, member.Suspect) {
+		r, ok := n.view.Record(name)
+		if ok && (self || n.owner(now, name)) {
+			n.links.Connect(name, r.Link)
+			linked = true
+		} else {
+			n.links.Forget(name)
+		}
+	}
+	for _, name := range n.view.Nodes(now, member.Gone) {
+		n.links.Forget(name)
+	}
+	if linked && len(n.links.Live()) > 0 {
+		return
+	}
+	for _, seed := range n.settings.Links.Peers {
+		if name, addr, ok := strings.Cut(seed, "="); ok {
+			n.links.Connect(name, addr)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/coordination/hold"
 	"github.com/cowslipstage/cowslipstage/coordination/lease"
+	"github.com/cowslipstage/cowslipstage/coordination/member"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
 	"github.com/cowslipstage/cowslipstage/coordination/route"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
@@ -55,17 +56,34 @@
 	mailbox chan core.Event
 	// wake makes the claims loop look at the store.
 	wake chan struct{}
+	// view is which nodes and endpoints are there.
+	view *member.View
+	// shares is what nodes tell each other of the endpoints' load.
+	shares *shares
+	// start rises with each start of the node's process.
+	start uint64
 	// boot names this process's memory; a standby that restarts has another.
 	boot string
 	// idle is closed when a draining node owns nothing any more.
 	idle chan struct{}
 
+	// files guards the data folder.
+	files sync.Mutex
+
 	mu sync.Mutex
 	// owners is the newest known owner of each shard; epochs never go back.
 	owners map[int]ownership
 	// journals holds the open journals of owned shards.
 	journals map[int]*opened
 	config   *config.Config
+	// revisions holds the configuration that each other node has in force.
+	revisions map[string]uint64
+	// behind wakes the loop that fetches the configuration from a peer.
+	behind chan struct{}
+	// away is what this node reads in the host list, nil while it does not.
+	away map[string]string
+	// departing are the names that get nothing new, as last told to the core.
+	departing []string
 	// ready tells whether the node should get new callers.
 	ready    bool
 	draining bool
@@ -122,6 +140,13 @@
 // mailboxLength bounds the events that wait for the control goroutine.
 const mailboxLength = 65536
 
+const (
+	// patience is how long a silent node stays suspect before it is given up.
+	patience = time.Minute
+	// refusal is how long an endpoint's refusal holds without further news.
+	refusal = 30 * time.Second
+)
+
 // New returns a node that does nothing yet.
 func New(s *setup.Settings, log zerolog.Logger) *Node {
 	n := &Node{
@@ -142,14 +167,23 @@
 		logs:     map[int]*hold.Log{},
 		wake:     make(chan struct{}, 1),
 		boot:     uuid.NewString(),
-		limits:   newLimits(),
-		observer: newObserver(s.Node.Name),
+		shares:   newShares(),
+		start:    uint64(time.Now().UnixNano()),
+
+		revisions: map[string]uint64{},
+		behind:    make(chan struct{}, 1),
+		limits:    newLimits(),
+		observer:  newObserver(s.Node.Name),
 	}
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
 		Hedge: s.Policy.Hedge, Copy: s.Policy.Copy, Keep: !s.Policy.Release, Weight: s.Policy.Weight,
 	})
+	n.view = member.New(member.Options{
+		Self: s.Node.Name, Silence: s.Links.Silence, Lease: s.Store.Lease,
+		Patience: patience, Refusal: refusal,
+	})
 	n.keys = keys.New(keys.Options{
 		Secret: s.Links.Secret, File: s.Links.Secrets, Cert: s.Links.Cert, Key: s.Links.Key, CA: s.Links.CA,
 	}, n.log)
@@ -167,7 +201,15 @@
 }
 
 // emit hands an event to the control goroutine.
-func (n *Node) emit(e core.Event) { n.mailbox <- e }
+func (n *Node) emit(e core.Event) {
+	switch f := e.(type) {
+	case core.Finished:
+		n.shares.end(f.Flight)
+	case core.Failed:
+		n.shares.end(f.Flight)
+	}
+	n.mailbox <- e
+}
 
 // Run serves until ctx ends, then stops gracefully within the grace period.
 func (n *Node) Run(ctx context.Context) error {
@@ -176,6 +218,7 @@
 	if err := n.keys.Load(); err != nil {
 		return err
 	}
+	n.recall()
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -183,7 +226,7 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		n.control, n.tick, n.claims, n.gossip, n.watch, n.poll, n.list, n.follow, n.alert,
+		n.control, n.tick, n.claims, n.gossip, n.watch, n.chase, n.poll, n.list, n.follow, n.alert,
 	} {
 		n.wait.Go(func() { f(working) })
 	}
@@ -259,7 +302,7 @@
 	n.draining = true
 	n.mu.Unlock()
 	n.log.Info().Msg("planned stop: handing over")
-	n.send("", frame.TopicGossip, n.news(nil))
+	n.announce()
 	n.emit(core.Drained{})
 	end := time.After(n.settings.Node.Grace)
 	for {
@@ -289,6 +332,8 @@
 		_ = s.Shutdown(ctx)
 		_ = s.Close()
 	}
+	n.gossipTo(n.links.Live(), frame.Gossip{Bye: true, Start: n.start})
+	n.links.Flush(ctx)
 	_ = n.router.Close()
 	_ = n.links.Close()
 	n.wait.Wait()
--- a/node/shards.go
+++ b/node/shards.go
@@ -9,7 +9,6 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
-	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/snap"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
 	"github.com/cowslipstage/cowslipstage/transport/store"
@@ -76,7 +75,7 @@
 	})
 	n.emit(core.Acquired{Shard: shard, Epoch: c.Epoch, Records: records})
 	n.see(shard, ownership{node: c.Node, epoch: c.Epoch})
-	n.send("", frame.TopicGossip, n.news(nil))
+	n.announce()
 	n.log.Info().Int("shard", shard).Uint64("epoch", c.Epoch).Int("records", len(records)).Msg("shard taken")
 	return nil
 }
@@ -122,7 +121,7 @@
 	delete(n.journals, y.Shard)
 	n.mu.Unlock()
 	n.see(y.Shard, ownership{epoch: y.Epoch})
-	n.send("", frame.TopicGossip, n.news(map[int]uint64{y.Shard: y.Epoch}))
+	n.gossipTo(n.links.Live(), n.news(map[int]uint64{y.Shard: y.Epoch}))
 }
 
 func (n *Node) unclaim(ctx context.Context, y core.Yield) error {
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -2,6 +2,11 @@
 package frame
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -97,21 +102,21 @@
 	Touched bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Gossip is what a node tells its peers about itself.
+// Gossip is what a node tells its peers about itself: everything when a link
+// comes up, then what has changed. The frame's From is the node.
 type Gossip struct {
-	Node   string `cbor:"1,keyasint"`
-	Centre string `cbor:"2,keyasint"`
-	// Addr is where the node listens for links.
-	Addr string `cbor:"3,keyasint"`
-	// Owned holds the shards owned, with their epochs.
+	Centre string `cbor:"2,keyasint,omitempty"`
+	// Addr is where the node listens for links; "" in gossip of changes.
+	Addr string `cbor:"3,keyasint,omitempty"`
+	// Owned holds the shards owned, with their epochs; nil says nothing of them.
 	Owned map[int]uint64 `cbor:"4,keyasint,omitempty"`
 	// Revision is the configuration in force at the node.
 	Revision uint64 `cbor:"5,keyasint"`
 	// Leaving says that the node takes no new work.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
-	// Loads are the newest reports of the endpoints that the node polls.
-	Loads map[string]load.Report `cbor:"7,keyasint,omitempty"`
-	// Sent is the node's dispatches in flight, by endpoint.
+	// Loads are new reports of the endpoints that the node polls.
+	Loads map[string]Load `cbor:"7,keyasint,omitempty"`
+	// Sent is the node's dispatches in flight, by endpoint, where they have changed.
 	Sent map[string]int `cbor:"8,keyasint,omitempty"`
 	// Boot names the node's memory; it changes when the node restarts without it.
 	Boot string `cbor:"9,keyasint,omitempty"`
@@ -119,6 +124,56 @@
 	Freed map[int]uint64 `cbor:"10,keyasint,omitempty"`
 	// Used holds what the node lets through of bounds that it uses much of.
 	Used map[string]limit.Use `cbor:"11,keyasint,omitempty"`
+	// Start rises with each start of the node's process.
+	Start uint64 `cbor:"12,keyasint,omitempty"`
+	// Bye says that the node's process ends now.
+	Bye bool `cbor:"13,keyasint,omitempty"`
+	// Away is what the node read in the platform's host list, nil unless it
+	// reads it: the names that are not live, with their states.
+	Away map[string]string `cbor:"14,keyasint"`
+	// Refusing are endpoints that refuse new work as leaving.
+	Refusing []string `cbor:"15,keyasint,omitempty"`
+	// Peers are the shard owners that the node knows.
+	Peers []Peer `cbor:"16,keyasint,omitempty"`
+	// Whole says that Sent is all there is.
+	Whole bool `cbor:"17,keyasint,omitempty"`
+}
+
+// Peer says where a node listens for links.
+type Peer struct {
+	Node   string `cbor:"1,keyasint"`
+	Centre string `cbor:"2,keyasint,omitempty"`
+	Addr   string `cbor:"3,keyasint"`
+	Start  uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Load is an endpoint's report, in few bytes.
+type Load struct {
+	Running int      `cbor:"1,keyasint,omitempty"`
+	Waiting int      `cbor:"2,keyasint,omitempty"`
+	Pending int      `cbor:"3,keyasint,omitempty"`
+	Cached  int      `cbor:"4,keyasint,omitempty"`
+	Leaving bool     `cbor:"5,keyasint,omitempty"`
+	Role    string   `cbor:"6,keyasint,omitempty"`
+	Models  []string `cbor:"7,keyasint,omitempty"`
+	// Taken is when the endpoint measured itself, in microseconds since 1970.
+	Taken int64 `cbor:"8,keyasint"`
+}
+
+// NewLoad returns a report's short form.
+func NewLoad(r load.Report) Load {
+	return Load{
+		Running: r.Running, Waiting: r.Waiting, Pending: r.Pending, Cached: r.Cached,
+		Leaving: r.Leaving, Role: r.Role, Models: r.Models, Taken: r.Taken.UnixMicro(),
+	}
+}
+
+// Report returns the report that the short form stands for.
+func (l Load) Report() load.Report {
+	return load.Report{
+		Running: l.Running, Waiting: l.Waiting, Pending: l.Pending, Cached: l.Cached,
+		Leaving: l.Leaving, Role: l.Role, Models: l.Models, Taken: time.UnixMicro(l.Taken),
+	}
 }
 
 // Hold asks a standby to keep a journal batch while the store is slow or down.
@@ -177,7 +232,7 @@
 	Revision uint64 `cbor:"1,keyasint"`
 }
 
-// Config carries a whole configuration record.
+// Config carries a whole configuration record, compressed by Squeeze.
 type Config struct {
 	Data []byte `cbor:"1,keyasint"`
 }
@@ -209,3 +264,35 @@
 	}
 	return f, rest, nil
 }
+
+// maxConfig bounds a configuration record in bytes.
+const maxConfig = 16 << 20
+
+// Squeeze compresses data.
+func Squeeze(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "frame: compressing")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "frame: compressing")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "frame: compressing")
+	}
+	return b.Bytes(), nil
+}
+
+// Expand undoes Squeeze; the error is ErrBad for malformed or oversized data.
+func Expand(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	whole, err := io.ReadAll(io.LimitReader(r, maxConfig+1))
+	if err == nil && len(whole) > maxConfig {
+		err = errors.New("frame: too large when expanded")
+	}
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "frame: expanding"), ErrBad)
+	}
+	return whole, nil
+}
--- /dev/null
+++ b/transport/hosts/hosts.go
@@ -0,0 +1,72 @@
+// Package hosts (transport layer) is the adapter to the platform's lagging
+// list of live and leaving hosts.
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrList means that the list could not be read.
+var ErrList = errors.New("hosts: the list could not be read")
+
+// The states of hosts in the list.
+const (
+	Live    = "live"
+	Leaving = "leaving"
+	Gone    = "gone"
+)
+
+// Client reads one host list. It is safe for concurrent use.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New returns a client of the list at addr (IP:port); each read is bounded by timeout.
+func New(addr string, timeout time.Duration) *Client {
+	return &Client{url: "http://" + addr + "/hosts", http: &http.Client{Timeout: timeout, Transport: &http.Transport{}}}
+}
+
+// maxList bounds the list's size in bytes.
+const maxList = 4 << 20
+
+// Away returns the hosts that are not live, by name: those that are leaving
+// or gone. States that are not known count as leaving.
+func (c *Client) Away(ctx context.Context) (map[string]string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "hosts: request"), ErrList)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "hosts: read"), ErrList)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Mark(errors.Newf("hosts: status %d", response.StatusCode), ErrList)
+	}
+	var states map[string]string
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxList)).Decode(&states); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "hosts: decoding"), ErrList)
+	}
+	away := map[string]string{}
+	for name, state := range states {
+		switch state {
+		case Live:
+		case Gone:
+			away[name] = Gone
+		default:
+			away[name] = Leaving
+		}
+	}
+	return away, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/transport/hosts/hosts_test.go
@@ -0,0 +1,44 @@
+package hosts_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/transport/hosts"
+)
+
+func client(t *testing.T, status int, body string) *hosts.Client {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(s.Close)
+	return hosts.New(s.Listener.Addr().String(), 10*time.Second)
+}
+
+func TestAway(t *testing.T) {
+	g := NewWithT(t)
+	c := client(t, http.StatusOK, `{"a":"live","b":"leaving","c":"gone","d":"draining"}`)
+	away, err := c.Away(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(away).To(Equal(map[string]string{"b": hosts.Leaving, "c": hosts.Gone, "d": hosts.Leaving}))
+}
+
+func TestUnreadableListIsAnError(t *testing.T) {
+	for name, c := range map[string]*hosts.Client{
+		"status":    client(t, http.StatusBadGateway, `{}`),
+		"garbage":   client(t, http.StatusOK, `[1`),
+		"truncated": client(t, http.StatusOK, `{"a":"li`),
+		"nobody":    hosts.New("127.0.0.1:1", time.Second),
+	} {
+		_, err := c.Away(context.Background())
+		NewWithT(t).Expect(errors.Is(err, hosts.ErrList)).To(BeTrue(), name)
+	}
+}
