Pace the writes of all journals together; find what is safe without a scan

Change: [store] writes bounds the batches a second of all shards; a batch that may not be written yet goes to the standbys at once; the writer remembers how far batches are safe.

--- a/coordination/commit/commit.go
+++ b/coordination/commit/commit.go
@@ -29,6 +29,9 @@
 	// pending are in order and without a gap; the last one is next-1.
 	pending []*batch
 	size    int
+	// safe is the highest number such that it and all before it are known to
+	// be safe; it never goes back.
+	safe uint64
 	// sets are the standby lists in force; while a change is not confirmed
 	// there are two, and a batch needs a quorum of each.
 	sets [][]claim.Standby
@@ -43,7 +46,7 @@
 
 // New returns a writer whose first batch has the number next.
 func New(o Options, epoch, next uint64, standbys []claim.Standby) *Writer {
-	return &Writer{options: o, epoch: epoch, next: next, sets: [][]claim.Standby{standbys}}
+	return &Writer{options: o, epoch: epoch, next: next, safe: next - 1, sets: [][]claim.Standby{standbys}}
 }
 
 // Ready tells whether the next batch may be formed: those before it are safe
@@ -84,6 +87,7 @@
 		w.size -= len(w.pending[0].Data)
 		w.pending = w.pending[1:]
 	}
+	w.safe = max(w.safe, through)
 }
 
 // Acked notes that a standby holds a batch.
@@ -102,12 +106,21 @@
 
 // Safe returns the highest number such that it and all before it survive the owner.
 func (w *Writer) Safe() uint64 {
-	for _, b := range w.pending {
+	for _, b := range w.unsafe() {
 		if !w.held(b) {
-			return b.Number - 1
+			break
 		}
+		w.safe = b.Number
+	}
+	return w.safe
+}
+
+// unsafe returns the pending batches behind the last one known to be safe.
+func (w *Writer) unsafe() []*batch {
+	if i := w.index(w.safe + 1); i >= 0 {
+		return w.pending[i:]
 	}
-	return w.next - 1
+	return nil
 }
 
 // held tells whether enough standbys of every list have the batch.
@@ -126,14 +139,15 @@
 	return true
 }
 
-// Due returns the batches to send to the standbys now. Once one batch has
-// waited for the store too long, those behind it do not wait again.
-func (w *Writer) Due(now time.Time) []hold.Batch {
-	if len(w.pending) == 0 || now.Sub(w.pending[0].added) < w.options.Delay {
+// Due returns the batches to send to the standbys now: once one batch has
+// waited for the store too long, those behind it do not wait again. When the
+// store may not be written yet, paced, nothing waits.
+func (w *Writer) Due(now time.Time, paced bool) []hold.Batch {
+	if len(w.pending) == 0 || !paced && now.Sub(w.pending[0].added) < w.options.Delay {
 		return nil
 	}
 	var due []hold.Batch
-	for _, b := range w.pending {
+	for _, b := range w.unsafe() {
 		if !w.held(b) && (b.sent.IsZero() || now.Sub(b.sent) >= w.options.Repeat) {
 			b.sent = now
 			due = append(due, b.Batch)
--- a/coordination/commit/steps_test.go
+++ b/coordination/commit/steps_test.go
@@ -23,7 +23,7 @@
 	if o == nil {
 		return
 	}
-	for _, b := range o.writer.Due(m.now) {
+	for _, b := range o.writer.Due(m.now, m.draw(2, "paced") == 1) {
 		for _, s := range o.writer.Standbys() {
 			m.notes = append(m.notes, note{from: o, to: s, batch: b, below: o.writer.Below()})
 		}
--- a/node/shards.go
+++ b/node/shards.go
@@ -50,7 +50,7 @@
 	s := n.settings
 	j := jrnl.New(jrnl.Options{
 		Store: n.store, Peers: peers{n}, Shard: shard, Epoch: c.Epoch, Standbys: c.Standbys,
-		Delay: s.Store.Delay, Bound: s.Store.Bound, Abandon: s.Store.Abandon,
+		Delay: s.Store.Delay, Bound: s.Store.Bound, Pace: float64(s.Store.Writes) / float64(s.Shards.Count), Abandon: s.Store.Abandon,
 		Retention: snap.Retention{Answers: s.Shards.Answers, Keys: s.Shards.Keys},
 		Metrics:   n.metrics, Log: n.log,
 	})
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -46,6 +46,8 @@
 	Lease time.Duration `ini:"lease"`
 	// Delay is how long the store may take to record a batch before standbys are asked.
 	Delay time.Duration `ini:"delay"`
+	// Writes is how many journal batches a second all nodes together may write.
+	Writes int `ini:"writes"`
 	// Bound is how many bytes of one shard may wait for the store.
 	Bound int `ini:"bound"`
 	// Abandon is how long a new owner waits for a standby without a sign of life.
@@ -118,7 +120,7 @@
 		Node: Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", Body: 8 << 20, Grace: time.Minute},
 		Store: Store{
 			Timeout: 2 * time.Second, Lease: 3 * time.Second,
-			Delay: 50 * time.Millisecond, Bound: 32 << 20, Abandon: 10 * time.Second,
+			Delay: 50 * time.Millisecond, Writes: 300, Bound: 32 << 20, Abandon: 10 * time.Second,
 		},
 		Hosts: Hosts{Poll: time.Second},
 		Links: Links{
--- a/setup/table.go
+++ b/setup/table.go
@@ -54,6 +54,7 @@
 		{Name: "timeout", Type: span, Doc: "Bound of one call to the service."},
 		{Name: "lease", Type: span, Doc: "How long a node that doesn't renew keeps its claims."},
 		{Name: "delay", Type: span, Doc: "How long the service may take to record a batch before standbys are asked."},
+		{Name: "writes", Type: schema.Count{Max: 100_000}, Doc: "Journal batches a second that all nodes together may write to the service; 0 means no bound."},
 		{Name: "bound", Type: schema.Count{Min: 1 << 20, Max: 1 << 30}, Doc: "Bytes of one shard that may wait for the service."},
 		{Name: "abandon", Type: span, Doc: "How long a new owner waits for a standby without a sign of life."},
 	}}
--- a/transport/jrnl/bench_test.go
+++ b/transport/jrnl/bench_test.go
@@ -11,7 +11,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 
-	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/standin/keyval"
 	"github.com/cowslipstage/cowslipstage/state/snap"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
@@ -23,19 +22,20 @@
 func BenchmarkAppend(b *testing.B) {
 	for _, delay := range []int{0, 2, 2000} {
 		for _, callers := range []int{1, 16, 64} {
-			b.Run(fmt.Sprintf("store=%dms/callers=%d", delay, callers), func(b *testing.B) { appends(b, delay, callers) })
+			b.Run(fmt.Sprintf("store=%dms/callers=%d", delay, callers), func(b *testing.B) { appends(b, delay, callers, 0) })
 		}
 	}
+	b.Run("store=2ms/callers=64/pace=20", func(b *testing.B) { appends(b, 2, 64, 20) })
 }
 
-func appends(b *testing.B, delay, callers int) {
+func appends(b *testing.B, delay, callers int, pace float64) {
 	k := keyval.New()
 	server := httptest.NewServer(k)
 	defer server.Close()
 	s := newStandbys()
 	j := jrnl.New(jrnl.Options{
 		Store: store.New(strings.TrimPrefix(server.URL, "http://"), 10*time.Second), Peers: s,
-		Shard: 3, Epoch: 1, Standbys: []claim.Standby{}, Delay: 50 * time.Millisecond, Bound: 1 << 30,
+		Shard: 3, Epoch: 1, Standbys: three(), Pace: pace, Delay: 50 * time.Millisecond, Bound: 1 << 30,
 		Retention: snap.Retention{Answers: time.Hour, Keys: time.Hour}, Log: zerolog.Nop(),
 	})
 	s.journals = append(s.journals, j)
@@ -45,7 +45,6 @@
 		b.Fatal(err)
 	}
 	go j.Run(ctx)
-	j.Replace(three())
 	k.SetFault(keyval.Fault{Delay: delay})
 	before := k.Counts()["put"]
 	h := hdrhistogram.New(1, int64(time.Minute), 3)
@@ -68,4 +67,5 @@
 	b.ReportMetric(float64(h.ValueAtQuantile(50))/1e6, "p50-ms")
 	b.ReportMetric(float64(h.ValueAtQuantile(99))/1e6, "p99-ms")
 	b.ReportMetric(float64(k.Counts()["put"]-before)/float64(sent), "puts/append")
+	b.ReportMetric(float64(k.Counts()["put"]-before)/b.Elapsed().Seconds(), "puts/s")
 }
--- a/transport/jrnl/jrnl.go
+++ b/transport/jrnl/jrnl.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/commit"
@@ -52,6 +53,8 @@
 	Standbys []claim.Standby
 	// Delay is how long the store may take before the standbys are asked.
 	Delay time.Duration
+	// Pace is how many batches a second may be written to the store; 0 is no bound.
+	Pace float64
 	// Bound is how many bytes may wait for the store.
 	Bound int
 	// Abandon is how long a standby that shows no sign of life is waited for.
@@ -78,14 +81,18 @@
 	// What follows belongs to Open and then to Run alone.
 	writer *commit.Writer
 	ring   ring
+	pace   *rate.Limiter
 	// waiting are the appends whose batches are not safe yet, in order.
 	waiting []waiter
 	// writing, renaming and cutting tell what is in flight.
 	writing  bool
 	renaming bool
 	cutting  bool
+	// standbys are those that the claim names, next those that are wanted.
 	standbys []claim.Standby
 	next     []claim.Standby
+	// answered is when the store last confirmed a batch.
+	answered time.Time
 	tail     tail
 	past     past
 
@@ -132,13 +139,21 @@
 // New returns a journal that is to be opened, once.
 func New(o Options) *Journal {
 	return &Journal{
-		options: o, closed: make(chan struct{}), standbys: o.Standbys,
+		options: o, pace: newPace(o.Pace), closed: make(chan struct{}), standbys: o.Standbys,
 		sealed: make(chan sealed, 64), held: make(chan held, 1024), wanted: make(chan []claim.Standby, 1),
 		stored: make(chan result, 1), renamed: make(chan renamed, 1), cut: make(chan snapshot, 1),
 		more: make(chan struct{}, 1),
 	}
 }
 
+// newPace allows bursts of a second's worth, so that only lasting load is paced.
+func newPace(limit float64) *rate.Limiter {
+	if limit == 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(limit), max(1, int(limit)))
+}
+
 // Append queues records; done is called once they are safe, or with ErrDeposed.
 // It never blocks.
 func (j *Journal) Append(records []record.Record, done func(error)) {
--- a/transport/jrnl/run.go
+++ b/transport/jrnl/run.go
@@ -78,8 +78,17 @@
 	}
 }
 
-// gather forms the next batches of what waits.
+// recent is how lately the store must have answered for appends to wait until
+// the standbys can be replaced.
+const recent = time.Second
+
+// gather forms the next batches of what waits. Standbys are replaced between
+// batches, which under load needs a moment without any.
 func (j *Journal) gather(now time.Time) {
+	pending, _ := j.writer.Pending()
+	if j.next != nil && pending > 0 && now.Sub(j.answered) < recent {
+		return
+	}
 	for j.writer.Ready() {
 		j.mu.Lock()
 		n, size := 0, 0
@@ -119,7 +128,7 @@
 		return
 	}
 	group := slices.Clone(j.writer.Group(slotBytes))
-	if len(group) == 0 {
+	if len(group) == 0 || !j.pace.Allow() {
 		return
 	}
 	j.writing = true
@@ -136,6 +145,7 @@
 		return r.err
 	}
 	j.ring.next = r.slot + 1
+	j.answered = time.Now()
 	last := r.group[len(r.group)-1].Number
 	if j.writer.Slow() {
 		j.forget(last + 1)
@@ -156,7 +166,8 @@
 
 // hold sends batches that the store keeps waiting to the standbys.
 func (j *Journal) hold(now time.Time) {
-	for _, b := range j.writer.Due(now) {
+	paced := !j.writing && j.pace.TokensAt(now) < 1
+	for _, b := range j.writer.Due(now, paced) {
 		data, err := cbor.Marshal(b)
 		if err != nil {
 			j.options.Log.Error().Err(err).Msg("encoding a batch")
