Reports and traces for operators only; an owner asked twice stays in doubt

Cause: without a declared operator anyone who reached a node could read all customers' keys and programs. An owner whose reply 'moved, touched' was lost could be taken for one that never touched the call, by its second reply. Change: until an operator is declared only the node's own host may ask; only an owner that was asked once is believed when it says that it moved a call untouched. Measured: the new case of TestRefusalIsHonest fails with the old rule and passes now.

--- a/protocol/ticket/table.go
+++ b/protocol/ticket/table.go
@@ -46,7 +46,7 @@
 func operatorSection() schema.Section {
 	return schema.Section{
 		Kind: "operator", Named: true, Name: schema.Name{},
-		Doc: "Someone who may read reports and traces. Without any operator these are open.",
+		Doc: "Someone who may read reports and traces. Without any operator, only the node's own host may.",
 		Keys: []schema.Key{
 			remove,
 			{Name: "token", Type: schema.Digest{}, Required: true, Doc: "SHA-256 of the operator's bearer token."},
--- a/transport/edge/auth.go
+++ b/transport/edge/auth.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -87,11 +88,12 @@
 	return e.options.Config()
 }
 
-// Operators lets only operators through; without any declared it lets all.
+// Operators lets only operators through. Until one is declared it lets requests
+// from the node's own host through.
 func (e *Edge) Operators(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, digest := e.config(), bearer(r)
-		allowed := len(c.Operators) == 0 && (e.options.Config == nil || c.Revision > 0)
+		allowed := len(c.Operators) == 0 && local(r)
 		for _, o := range c.Operators {
 			allowed = equal(o.Token, digest) || allowed
 		}
@@ -104,4 +106,10 @@
 	})
 }
 
+// local tells whether a request comes from the node's own host.
+func local(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	return err == nil && from.Addr().Unmap().IsLoopback()
+}
+
 func bytesText(n int64) string { return strconv.FormatInt(n, 10) + " bytes" }
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -207,6 +207,9 @@
 		"an untouched call moved": {
 			[]step{says(ownerA, frame.Reply{Moved: true}), says(ownerB, refused())}, "notrun", 503,
 		},
+		"an owner that was asked twice moved it": {
+			[]step{says(ownerA), says(ownerA, frame.Reply{Moved: true}), says(ownerB, refused())}, "unknown", 502,
+		},
 		"a touched call moved": {
 			[]step{says(ownerA, frame.Reply{Moved: true, Touched: true}), says(ownerB, refused())}, "unknown", 502,
 		},
@@ -408,6 +411,17 @@
 	}
 }
 
+func TestOperatorsBeforeOneIsDeclared(t *testing.T) {
+	s, _ := serve(t, nil, says(ownerA))
+	private := s.edge.Operators(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }))
+	for from, status := range map[string]int{"127.0.0.1:9": 204, "[::1]:9": 204, "10.0.0.1:9": 401, "": 401} {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/v1/report", nil)
+		r.RemoteAddr = from
+		private.ServeHTTP(w, r)
+		NewWithT(t).Expect(w.Code).To(Equal(status), from)
+	}
+}
+
 func TestFinishedCallsAreObserved(t *testing.T) {
 	g := NewWithT(t)
 	seen := make(chan burn.Sample, 1)
--- a/transport/edge/follow.go
+++ b/transport/edge/follow.go
@@ -21,8 +21,9 @@
 type exchange struct {
 	subject
 	stream string
-	// doubtful holds the owners that were asked, and may run the call.
-	doubtful map[Owner]bool
+	// doubtful holds the owners that were asked, and may run the call, with how
+	// often they were asked.
+	doubtful map[Owner]int
 	// newest is the last owner asked at each node.
 	newest map[string]Owner
 	// touched is set once some owner said that the call may have run there.
@@ -36,16 +37,19 @@
 	if o == (Owner{}) {
 		return
 	}
-	x.doubtful[o] = true
+	x.doubtful[o]++
 	x.newest[o.Node] = o
 }
 
-// moved notes that an owner has given the program away.
+// moved notes that an owner has given the program away. An owner that was asked
+// more than once may have said in a lost reply that the call was touched.
 func (x *exchange) moved(r reply) {
 	if r.Touched {
 		x.touched = true
 	}
-	delete(x.doubtful, x.newest[r.from])
+	if o := x.newest[r.from]; x.doubtful[o] == 1 {
+		delete(x.doubtful, o)
+	}
 }
 
 // honest turns a "not run" into "unknown" when another owner may have run the call.
@@ -82,7 +86,7 @@
 func (e *Edge) follow(ctx context.Context, p *printer, deadline time.Time, s subject) *answer.Answer {
 	id, replies := e.open()
 	defer e.shut(id)
-	x := &exchange{subject: s, stream: id, doubtful: map[Owner]bool{}, newest: map[string]Owner{}}
+	x := &exchange{subject: s, stream: id, doubtful: map[Owner]int{}, newest: map[string]Owner{}}
 	if deadline.IsZero() {
 		deadline = time.Now().Add(e.options.Patience)
 	}
