--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -89,8 +89,8 @@
 	// lists holds, by who read it, the host list's names that are not live:
 	// nodes and endpoints with their states.
 	lists map[string]map[string]string
-	// refused holds when each endpoint last refused work as leaving.
-	refused map[string]time.Time
+	// refused holds the endpoints that refused work as leaving.
+	refused map[string]refused
 }
 
 // node is what is known of one node.
@@ -107,9 +107,16 @@
 	bye uint64
 }
 
+// refused is an endpoint's newest refusal.
+type refused struct {
+	at time.Time
+	// own tells that this node saw it; only then does it tell others.
+	own bool
+}
+
 // New returns a view that knows nobody.
 func New(o Options) *View {
-	return &View{options: o, nodes: map[string]*node{}, refused: map[string]time.Time{}, lists: map[string]map[string]string{}}
+	return &View{options: o, nodes: map[string]*node{}, refused: map[string]refused{}, lists: map[string]map[string]string{}}
 }
 
 // take notes a record and returns its node, or nil if a newer incarnation is known.
@@ -337,14 +344,14 @@
 	return names
 }
 
-// Refuse notes that an endpoint refused work as leaving, and tells whether
-// that is news.
-func (v *View) Refuse(now time.Time, endpoint string) bool {
+// Refuse notes that an endpoint refused work as leaving, as this node saw
+// itself or heard, and tells whether that is news.
+func (v *View) Refuse(now time.Time, endpoint string, own bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	news := !within(now, v.refused[endpoint], v.options.Refusal)
-	v.refused[endpoint] = now
-	return news
+	old := v.refused[endpoint]
+	v.refused[endpoint] = refused{at: now, own: own}
+	return !within(now, old.at, v.options.Refusal)
 }
 
 // Accept notes that an endpoint says it takes work again.
@@ -354,13 +361,14 @@
 	delete(v.refused, endpoint)
 }
 
-// Refusing returns the endpoints whose refusal holds, by name.
+// Refusing returns the endpoints whose refusal this node saw and still holds,
+// by name.
 func (v *View) Refusing(now time.Time) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var names []string
-	for name, at := range v.refused {
-		if within(now, at, v.options.Refusal) {
+	for name, r := range v.refused {
+		if r.own && within(now, r.at, v.options.Refusal) {
 			names = append(names, name)
 		}
 	}
@@ -373,8 +381,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	found := map[string]bool{}
-	for name, at := range v.refused {
-		if within(now, at, v.options.Refusal) {
+	for name, r := range v.refused {
+		if within(now, r.at, v.options.Refusal) {
 			found[name] = true
 		}
 	}
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -101,10 +101,13 @@
 func TestEndpointsDepartByTheFirstOfTheSources(t *testing.T) {
 	g := NewWithT(t)
 	v := view()
-	g.Expect(v.Refuse(start, "e1")).To(BeTrue())
-	g.Expect(v.Refuse(at(time.Second), "e1")).To(BeFalse(), "it is no news twice")
+	g.Expect(v.Refuse(start, "e1", true)).To(BeTrue())
+	g.Expect(v.Refuse(at(time.Second), "e1", true)).To(BeFalse(), "it is no news twice")
 	v.List("a", map[string]string{"e2": "leaving"})
 	g.Expect(v.Departing(at(2 * time.Second))).To(Equal([]string{"e1", "e2"}))
+	g.Expect(v.Refuse(start, "e4", false)).To(BeTrue())
+	g.Expect(v.Refusing(at(2*time.Second))).To(Equal([]string{"e1"}), "hearsay is not told on")
+	v.Accept("e4")
 	v.Accept("e1")
 	g.Expect(v.Departing(at(2 * time.Second))).To(Equal([]string{"e2"}))
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -160,13 +160,16 @@
 func (n *Node) hearEndpoints(now time.Time, from string, g frame.Gossip) {
 	for name, l := range g.Loads {
 		n.emit(core.Reported{Endpoint: name, Report: l.Report()})
+		if !l.Leaving {
+			n.view.Accept(name)
+		}
 	}
 	if sent := n.shares.hear(from, g.Sent, g.Whole); len(sent) > 0 {
 		n.emit(core.Shared{Node: from, Sent: sent, Taken: now})
 	}
 	news := g.Away != nil && n.view.List(from, g.Away)
 	for _, endpoint := range g.Refusing {
-		news = n.view.Refuse(now, endpoint) || news
+		news = n.view.Refuse(now, endpoint, false) || news
 	}
 	if news {
 		n.depart(now)
--- a/node/loads.go
+++ b/node/loads.go
@@ -176,7 +176,7 @@
 	switch {
 	case !r.Leaving:
 		n.view.Accept(name)
-	case n.view.Refuse(now, name):
+	case n.view.Refuse(now, name, true):
 		n.log.Info().Str("endpoint", name).Msg("the endpoint refuses new work as leaving")
 		n.depart(now)
 		n.announce()
--- a/node/node.go
+++ b/node/node.go
@@ -175,6 +175,12 @@
 		limits:    newLimits(),
 		observer:  newObserver(s.Node.Name),
 	}
+	n.metrics.GetOrCreateGauge("hosts_departing", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(len(n.departing))
+	})
+	n.metrics.GetOrCreateGauge("config_revision", func() float64 { return float64(n.current().Revision) })
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
