--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -3,155 +3,25 @@
 import (
 	"bufio"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
-	"go.uber.org/goleak"
 
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/burn"
-	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/config"
 	"github.com/cowslipstage/cowslipstage/transport/edge"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
-
-// script is a backend that plays one owner after another: step n gets the nth
-// request about a stream, and returns its owner and the replies.
-type script struct {
-	edge  *edge.Edge
-	steps []step
-
-	mu      sync.Mutex
-	submits []frame.Submit
-	asks    []frame.Ask
-	left    chan string
-}
-
-type step func(stream string) (edge.Owner, []frame.Reply)
-
-func (s *script) play(stream string) edge.Owner {
-	s.mu.Lock()
-	n := min(len(s.submits)+len(s.asks), len(s.steps)) - 1
-	s.mu.Unlock()
-	owner, replies := s.steps[n](stream)
-	for _, r := range replies {
-		r.Stream = stream
-		s.edge.Deliver(owner.Node, r)
-	}
-	return owner
-}
-
-func (s *script) Submit(f frame.Submit) edge.Owner {
-	s.mu.Lock()
-	s.submits = append(s.submits, f)
-	s.mu.Unlock()
-	return s.play(f.Stream)
-}
-
-func (s *script) Ask(a frame.Ask) edge.Owner {
-	s.mu.Lock()
-	s.asks = append(s.asks, a)
-	s.mu.Unlock()
-	return s.play(a.Stream)
-}
-
-func (s *script) Close(c frame.Close) edge.Owner { return s.play(c.Stream) }
-
-func (s *script) Leave(stream, _, _ string) { s.left <- stream }
-
-var (
-	ownerA = edge.Owner{Node: "a", Epoch: 1}
-	ownerB = edge.Owner{Node: "b", Epoch: 2}
-)
-
-func says(o edge.Owner, replies ...frame.Reply) step {
-	return func(string) (edge.Owner, []frame.Reply) { return o, replies }
-}
-
-func piece(offset int, text string) frame.Reply { return frame.Reply{Offset: offset, Text: text} }
-
-func done(text string) frame.Reply {
-	return frame.Reply{Offset: len(text), Final: &answer.Answer{
-		Outcome: answer.Done, Text: text, Usage: answer.Usage{Prompt: 7, Cached: 3, Output: 2},
-	}}
-}
-
-func refused() frame.Reply {
-	return frame.Reply{Final: &answer.Answer{
-		Outcome: answer.NotRun, Reason: "busy", Detail: "no endpoint is free", RetryAfter: 1500 * time.Millisecond,
-	}}
-}
-
-// serve starts an edge before a script; options may be changed.
-func serve(t *testing.T, change func(*edge.Options), steps ...step) (*script, string) {
-	s := &script{steps: steps, left: make(chan string, 16)}
-	o := edge.Options{
-		Silence: 20 * time.Millisecond, MaxBody: 1 << 10, Patience: 5 * time.Second,
-		Beat: time.Minute, Stall: time.Second,
-	}
-	if change != nil {
-		change(&o)
-	}
-	s.edge = edge.New(o, s, zerolog.Nop())
-	server := httptest.NewServer(s.edge)
-	t.Cleanup(func() {
-		http.DefaultClient.CloseIdleConnections()
-		server.Close()
-	})
-	return s, server.URL
-}
-
-// heard is what came with a body.
-type heard struct {
-	StatusCode int
-	Header     http.Header
-}
-
-// chat sends one model call and returns the response with its body.
-func chat(t *testing.T, url, fields string, headers ...string) (heard, string) {
-	t.Helper()
-	body := `{"model":"gate","messages":[{"role":"user","content":"hi"}]` + fields + `}`
-	return post(t, url+"/v1/chat/completions", body, headers...)
-}
-
-func post(t *testing.T, url, body string, headers ...string) (heard, string) {
-	t.Helper()
-	return send(t, http.MethodPost, url, body, headers...)
-}
-
-func send(t *testing.T, method, url, body string, headers ...string) (heard, string) {
-	t.Helper()
-	g := NewWithT(t)
-	r, err := http.NewRequest(method, url, strings.NewReader(body))
-	g.Expect(err).NotTo(HaveOccurred())
-	r.Header.Set("X-Customer", "acme")
-	for i := 0; i < len(headers); i += 2 {
-		r.Header.Set(headers[i], headers[i+1])
-	}
-	response, err := http.DefaultClient.Do(r)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	g.Expect(err).NotTo(HaveOccurred())
-	return heard{response.StatusCode, response.Header}, string(data)
-}
-
-const streamed = `,"stream":true,"stream_options":{"include_usage":true}`
-
 func TestStreamInPieces(t *testing.T) {
 	g := NewWithT(t)
 	_, url := serve(t, nil, says(ownerA, piece(0, "he"), piece(0, "hel"), piece(3, "lo"), done("hello")))
@@ -343,85 +213,6 @@
 	g.Expect(response.Header.Get("X-Program")).To(Equal("p9"))
 }
 
-func TestBadRequests(t *testing.T) {
-	g := NewWithT(t)
-	s, url := serve(t, nil, says(ownerA, done("hello")))
-	for _, c := range []struct {
-		body, header, value string
-		status              int
-		message             string
-	}{
-		{"", "X-Customer", "a/b", 400, "X-Customer: must be"},
-		{"", "X-Program", "a b", 400, "X-Program: must be"},
-		{"", "Idempotency-Key", strings.Repeat("k", 129), 400, "Idempotency-Key: must be"},
-		{"", "X-Seq", "0", 400, "X-Seq: must be a whole number from 1"},
-		{"", "X-Deadline-Ms", "-1", 400, "X-Deadline-Ms: must be from 1"},
-		{"", "X-End", "yes", 400, "X-End: must be true or false"},
-		{`,"pad":"` + strings.Repeat("x", 2000) + `"`, "X-Tries", "1", 413, "larger than 1024 bytes"},
-	} {
-		response, body := chat(t, url, c.body, c.header, c.value)
-		g.Expect(response.StatusCode).To(Equal(c.status), c.message)
-		g.Expect(body).To(And(ContainSubstring(c.message), ContainSubstring(`"outcome":"notrun"`)))
-	}
-	g.Expect(s.submits).To(BeEmpty())
-}
-
-func digest(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
-func TestTokens(t *testing.T) {
-	g := NewWithT(t)
-	c := config.New()
-	c.Revision = 1
-	c.Customers["acme"] = &config.Customer{Token: digest("s3cret")}
-	c.Customers["open"] = &config.Customer{}
-	c.Operators["ana"] = &config.Operator{Token: digest("op")}
-	s, url := serve(t, func(o *edge.Options) { o.Config = func() *config.Config { return c } }, says(ownerA, done("hello")))
-	for _, x := range []struct {
-		customer, token string
-		status          int
-	}{
-		{"acme", "", 401},
-		{"acme", "wrong", 401},
-		{"acme", "s3cret", 200},
-		{"open", "", 200},
-		{"nobody", "", 403},
-		{"", "s3cret", 200},
-		{"", "wrong", 401},
-		{"", "", 400},
-	} {
-		header := ""
-		if x.token != "" {
-			header = "Bearer " + x.token
-		}
-		response, body := chat(t, url, "", "X-Customer", x.customer, "Authorization", header)
-		g.Expect(response.StatusCode).To(Equal(x.status), x.customer+" "+x.token)
-		g.Expect(body).NotTo(ContainSubstring("s3cret"))
-	}
-	g.Expect(s.submits[2].Call.Customer).To(Equal("acme"))
-
-	private := s.edge.Operators(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }))
-	for token, status := range map[string]int{"op": 204, "s3cret": 401, "": 401} {
-		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/v1/report", nil)
-		r.Header.Set("Authorization", "Bearer "+token)
-		private.ServeHTTP(w, r)
-		g.Expect(w.Code).To(Equal(status))
-	}
-}
-
-func TestOperatorsBeforeOneIsDeclared(t *testing.T) {
-	s, _ := serve(t, nil, says(ownerA))
-	private := s.edge.Operators(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }))
-	for from, status := range map[string]int{"127.0.0.1:9": 204, "[::1]:9": 204, "10.0.0.1:9": 401, "": 401} {
-		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/v1/report", nil)
-		r.RemoteAddr = from
-		private.ServeHTTP(w, r)
-		NewWithT(t).Expect(w.Code).To(Equal(status), from)
-	}
-}
-
 func TestFinishedCallsAreObserved(t *testing.T) {
 	g := NewWithT(t)
 	seen := make(chan burn.Sample, 1)
@@ -434,36 +225,6 @@
 	g.Expect(s.First).To(BeNumerically("<=", s.Whole))
 }
 
-func TestNodeWithoutConfiguration(t *testing.T) {
-	g := NewWithT(t)
-	s, url := serve(t, func(o *edge.Options) { o.Config = config.New }, says(ownerA, done("hello")))
-	for _, c := range []struct{ key, tries, outcome string }{
-		{"", "", "notrun"}, {"k1", "1", "notrun"}, {"k1", "2", "unknown"}, {"k1", "", "unknown"},
-	} {
-		response, body := chat(t, url, "", "Idempotency-Key", c.key, "X-Tries", c.tries)
-		g.Expect(response.Header.Get("Retry-After")).To(Equal("1"))
-		g.Expect(body).To(And(ContainSubstring(`"reason":"starting"`), ContainSubstring(`"outcome":"`+c.outcome+`"`)))
-	}
-	g.Expect(s.submits).To(BeEmpty())
-}
-
-func TestLimitIsHonest(t *testing.T) {
-	over := &answer.Answer{Outcome: answer.NotRun, Reason: "limit", RetryAfter: 100 * time.Millisecond}
-	for _, c := range []struct{ key, tries, outcome string }{
-		{"", "", "notrun"}, {"k1", "1", "notrun"}, {"k1", "2", "unknown"}, {"k1", "", "unknown"},
-	} {
-		g := NewWithT(t)
-		s, url := serve(t, func(o *edge.Options) {
-			o.Admit = func(time.Time, *call.Call) (func(), *answer.Answer) { return nil, over }
-		}, says(ownerA, done("hello")))
-		response, body := chat(t, url, "", "Idempotency-Key", c.key, "X-Tries", c.tries)
-		g.Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
-		g.Expect(response.Header.Get("Retry-After")).To(Equal("1"))
-		g.Expect(body).To(ContainSubstring(`"outcome":"` + c.outcome + `"`))
-		g.Expect(s.submits).To(BeEmpty())
-	}
-}
-
 // slowWriter blocks in its first write.
 type slowWriter struct {
 	http.ResponseWriter
--- /dev/null
+++ b/transport/edge/script_test.go
@@ -0,0 +1,144 @@
+package edge_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/transport/edge"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is a backend that plays one owner after another: step n gets the nth
+// request about a stream, and returns its owner and the replies.
+type script struct {
+	edge  *edge.Edge
+	steps []step
+
+	mu      sync.Mutex
+	submits []frame.Submit
+	asks    []frame.Ask
+	left    chan string
+}
+
+type step func(stream string) (edge.Owner, []frame.Reply)
+
+func (s *script) play(stream string) edge.Owner {
+	s.mu.Lock()
+	n := min(len(s.submits)+len(s.asks), len(s.steps)) - 1
+	s.mu.Unlock()
+	owner, replies := s.steps[n](stream)
+	for _, r := range replies {
+		r.Stream = stream
+		s.edge.Deliver(owner.Node, r)
+	}
+	return owner
+}
+
+func (s *script) Submit(f frame.Submit) edge.Owner {
+	s.mu.Lock()
+	s.submits = append(s.submits, f)
+	s.mu.Unlock()
+	return s.play(f.Stream)
+}
+
+func (s *script) Ask(a frame.Ask) edge.Owner {
+	s.mu.Lock()
+	s.asks = append(s.asks, a)
+	s.mu.Unlock()
+	return s.play(a.Stream)
+}
+
+func (s *script) Close(c frame.Close) edge.Owner { return s.play(c.Stream) }
+
+func (s *script) Leave(stream, _, _ string) { s.left <- stream }
+
+var (
+	ownerA = edge.Owner{Node: "a", Epoch: 1}
+	ownerB = edge.Owner{Node: "b", Epoch: 2}
+)
+
+func says(o edge.Owner, replies ...frame.Reply) step {
+	return func(string) (edge.Owner, []frame.Reply) { return o, replies }
+}
+
+func piece(offset int, text string) frame.Reply { return frame.Reply{Offset: offset, Text: text} }
+
+func done(text string) frame.Reply {
+	return frame.Reply{Offset: len(text), Final: &answer.Answer{
+		Outcome: answer.Done, Text: text, Usage: answer.Usage{Prompt: 7, Cached: 3, Output: 2},
+	}}
+}
+
+func refused() frame.Reply {
+	return frame.Reply{Final: &answer.Answer{
+		Outcome: answer.NotRun, Reason: "busy", Detail: "no endpoint is free", RetryAfter: 1500 * time.Millisecond,
+	}}
+}
+
+// serve starts an edge before a script; options may be changed.
+func serve(t *testing.T, change func(*edge.Options), steps ...step) (*script, string) {
+	s := &script{steps: steps, left: make(chan string, 16)}
+	o := edge.Options{
+		Silence: 20 * time.Millisecond, MaxBody: 1 << 10, Patience: 5 * time.Second,
+		Beat: time.Minute, Stall: time.Second,
+	}
+	if change != nil {
+		change(&o)
+	}
+	s.edge = edge.New(o, s, zerolog.Nop())
+	server := httptest.NewServer(s.edge)
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		server.Close()
+	})
+	return s, server.URL
+}
+
+// heard is what came with a body.
+type heard struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// chat sends one model call and returns the response with its body.
+func chat(t *testing.T, url, fields string, headers ...string) (heard, string) {
+	t.Helper()
+	body := `{"model":"gate","messages":[{"role":"user","content":"hi"}]` + fields + `}`
+	return post(t, url+"/v1/chat/completions", body, headers...)
+}
+
+func post(t *testing.T, url, body string, headers ...string) (heard, string) {
+	t.Helper()
+	return send(t, http.MethodPost, url, body, headers...)
+}
+
+func send(t *testing.T, method, url, body string, headers ...string) (heard, string) {
+	t.Helper()
+	g := NewWithT(t)
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("X-Customer", "acme")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	return heard{response.StatusCode, response.Header}, string(data)
+}
+
+const streamed = `,"stream":true,"stream_options":{"include_usage":true}`
