--- a/node/config.go
+++ b/node/config.go
@@ -108,7 +108,7 @@
 		case <-n.behind:
 		case <-time.After(chasePause):
 		}
-		if !n.owner(time.Now(), n.settings.Node.Name) && tries == 0 {
+		if !n.ownerSet(time.Now())[n.settings.Node.Name] && tries == 0 {
 			sleep(ctx, chasePause)
 		}
 		sources, revision := n.ahead()
--- /dev/null
+++ b/node/cost_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/member"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/setup"
+	"github.com/cowslipstage/cowslipstage/state/load"
+)
+
+// BenchmarkRound measures a round of gossip in which every report has changed
+// and every endpoint has a dispatch more, by the number of endpoints.
+func BenchmarkRound(b *testing.B) {
+	for _, endpoints := range []int{27, 54, 215, 430, 860} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			s := newShares()
+			size, start := 0, time.Unix(1700000000, 0)
+			for i := range b.N {
+				now := start.Add(time.Duration(i) * repeat)
+				for e := range endpoints {
+					name := fmt.Sprintf("conselheiro-%03d", e)
+					s.begin(uint64(i*endpoints+e), name)
+					s.report(now, name, load.Report{
+						Running: 12, Waiting: 3, Pending: 40000 + i, Cached: 150000, Role: "mixed", Taken: now,
+					})
+				}
+				var g frame.Gossip
+				g.Sent, g.Loads = s.take(now)
+				data, err := frame.Pack(g)
+				NewWithT(b).Expect(err).NotTo(HaveOccurred())
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes/round")
+		})
+	}
+}
+
+// BenchmarkHear measures what such a round costs its receiver.
+func BenchmarkHear(b *testing.B) {
+	for _, endpoints := range []int{27, 54, 215, 430, 860} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			s, now := newShares(), time.Unix(1700000000, 0)
+			for e := range endpoints {
+				name := fmt.Sprintf("conselheiro-%03d", e)
+				s.begin(uint64(e), name)
+				s.report(now, name, load.Report{Running: 12, Waiting: 3, Pending: 40000, Cached: 150000, Role: "mixed", Taken: now})
+			}
+			var g frame.Gossip
+			g.Sent, g.Loads = s.take(now)
+			data, err := frame.Pack(g)
+			NewWithT(b).Expect(err).NotTo(HaveOccurred())
+			others := newShares()
+			for range b.N {
+				var heard frame.Gossip
+				NewWithT(b).Expect(frame.Unpack(data, &heard)).To(Succeed())
+				others.hear("peer", heard.Sent, heard.Whole)
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures what a node looks at in every gossip interval,
+// whether anything has changed or not, by the number of nodes.
+func BenchmarkTick(b *testing.B) {
+	for _, nodes := range []int{25, 50, 100, 200, 350} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			s := setup.Default()
+			s.Node.Name = "node-000"
+			n := New(&s, zerolog.Nop())
+			b.Cleanup(func() { _ = n.links.Close() })
+			now := time.Now()
+			for i := range nodes - 1 {
+				name := fmt.Sprintf("node-%03d", i+1)
+				n.view.Gossip(now, member.Record{Node: name, Incarnation: 1})
+				n.meet(now, name, frame.Gossip{Centre: "c", Boot: name})
+			}
+			for range b.N {
+				n.mesh(now)
+				n.depart(now)
+				n.linkedOwners(now)
+			}
+		})
+	}
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -16,6 +16,8 @@
 	gossipInterval = 200 * time.Millisecond
 	// wholeInterval is how often everything is said again, in case it was lost.
 	wholeInterval = 30 * time.Second
+	// largeInterval is the least time between two looks at the links in a large fleet.
+	largeInterval = time.Second
 )
 
 // gossip tells the other owners in rounds what has changed, as often as the
@@ -23,14 +25,17 @@
 // wait is sent by announce.
 func (n *Node) gossip(ctx context.Context) {
 	n.links.OnJoin(n.greet)
-	var quiet, whole time.Time
+	var quiet, whole, meshed time.Time
 	every(ctx, gossipInterval, func() {
 		now := time.Now()
 		for name, at := range n.links.Heard() {
 			n.view.Heard(at, name)
 		}
 		n.view.Quiet(n.settings.Links.Silence + n.links.Idle() - n.settings.Links.Ping)
-		n.mesh(now)
+		if !n.large() || now.Sub(meshed) >= largeInterval {
+			n.mesh(now)
+			meshed = now
+		}
 		n.depart(now)
 		switch {
 		case now.Sub(whole) >= wholeInterval:
@@ -38,21 +43,28 @@
 			whole = now
 		case now.After(quiet):
 			cost := n.round(now)
-			quiet = now.Add(time.Duration(cost) * time.Second / time.Duration(n.settings.Links.Budget))
+			quiet = now.Add(time.Duration(cost) * time.Second / time.Duration(n.budget()))
 		}
 	})
 }
 
+// largeBudget bounds a node's gossip in a large fleet, in bytes a second.
+const largeBudget = 4096
+
+// budget returns the bytes a second that gossip rounds may take.
+func (n *Node) budget() int {
+	if n.large() {
+		return min(largeBudget, n.settings.Links.Budget)
+	}
+	return n.settings.Links.Budget
+}
+
 // round sends what has changed to the owners that are linked and returns what
 // it cost, in bytes.
 func (n *Node) round(now time.Time) int {
-	var to []string
-	for _, name := range n.links.Live() {
-		if n.owner(now, name) {
-			to = append(to, name)
-		}
-	}
-	if len(to) == 0 || !n.owner(now, n.settings.Node.Name) {
+	owners := n.linkedOwners(now)
+	to := slices.DeleteFunc(slices.Clone(owners), func(name string) bool { return name == n.settings.Node.Name })
+	if len(to) == 0 || len(to) == len(owners) {
 		return 0
 	}
 	g := frame.Gossip{Used: n.limits.used(now)}
@@ -110,9 +122,10 @@
 	now := time.Now()
 	g := n.news(nil)
 	g.Sent, g.Whole = n.shares.all(), true
+	owners := n.ownerSet(now)
 	for _, name := range n.view.Nodes(now, member.Live, member.Suspect) {
 		r, ok := n.view.Record(name)
-		if ok && n.owner(now, name) {
+		if ok && owners[name] {
 			g.Peers = append(g.Peers, frame.Peer{Node: name, Centre: r.Centre, Addr: r.Link, Start: r.Incarnation})
 		}
 	}
--- a/node/loads.go
+++ b/node/loads.go
@@ -149,7 +149,7 @@
 			n.wait.Go(func() { n.read(ctx, name, c.Endpoints[name].Addr) })
 		}
 		if n.large() {
-			quiet = now.Add(time.Duration(len(mine)*pollCost) * time.Second / time.Duration(n.settings.Links.Budget))
+			quiet = now.Add(time.Duration(len(mine)*pollCost) * time.Second / time.Duration(n.budget()))
 		}
 	})
 }
--- a/node/mesh.go
+++ b/node/mesh.go
@@ -8,26 +8,29 @@
 	"github.com/cowslipstage/cowslipstage/coordination/member"
 )
 
-// owner tells whether a node owns shards or may.
-func (n *Node) owner(now time.Time, name string) bool {
+// ownerSet returns the nodes that own shards or may.
+func (n *Node) ownerSet(now time.Time) map[string]bool {
+	set := map[string]bool{}
+	for name := range claim.Owners(n.hosts(now), n.settings.Shards.Owners) {
+		set[name] = true
+	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, o := range n.owners {
-		if o.node == name {
-			n.mu.Unlock()
-			return true
+		if o.node != "" {
+			set[o.node] = true
 		}
 	}
-	n.mu.Unlock()
-	_, ok := claim.Owners(n.hosts(now), n.settings.Shards.Owners)[name]
-	return ok
+	return set
 }
 
 // linkedOwners returns the owners that are linked, the node itself included if
 // it is one, by name.
 func (n *Node) linkedOwners(now time.Time) []string {
+	owners := n.ownerSet(now)
 	var names []string
 	for _, name := range append(n.links.Live(), n.settings.Node.Name) {
-		if n.owner(now, name) {
+		if owners[name] {
 			names = append(names, name)
 		}
 	}
@@ -37,11 +40,12 @@
 // mesh keeps the links that the node needs: owners to everybody, the others
 // to owners alone. Where all nodes may be owners, that is a full mesh.
 func (n *Node) mesh(now time.Time) {
-	self := n.owner(now, n.settings.Node.Name)
+	owners := n.ownerSet(now)
+	self := owners[n.settings.Node.Name]
 	linked := false
 	for _, name := range n.view.Nodes(now, member.Live, member.Leaving, member.Suspect) {
 		r, ok := n.view.Record(name)
-		if ok && (self || n.owner(now, name)) {
+		if ok && (self || owners[name]) {
 			n.links.Connect(name, r.Link)
 			linked = true
 		} else {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -125,7 +125,7 @@
 		},
 		Hosts: Hosts{Poll: time.Second},
 		Links: Links{
-			Ping: 500 * time.Millisecond, Silence: 2 * time.Second, Frame: 16 << 20, Budget: 4096,
+			Ping: 500 * time.Millisecond, Silence: 2 * time.Second, Frame: 16 << 20, Budget: 16384,
 		},
 		Policy: Policy{
 			Queue: "attained", Route: "finish", Seed: 1, Hedge: true, Copy: true, Release: true,
--- a/transport/keys/keys.go
+++ b/transport/keys/keys.go
@@ -67,6 +67,9 @@
 	if given := len(o.Cert + o.Key + o.CA); given > 0 && (o.Cert == "" || o.Key == "" || o.CA == "") {
 		return errors.Mark(errors.New("keys: cert, key and ca belong together"), ErrFile)
 	}
+	if o.Secret == "" && o.File == "" && !k.TLS() {
+		k.log.Warn().Msg("nodes are not authenticated to each other: set secrets, or cert, key and ca, in [links]")
+	}
 	return k.read()
 }
 
