--- a/bench/agent/agent.go
+++ b/bench/agent/agent.go
@@ -245,7 +245,7 @@
 }
 
 func (d *Driver) steps(ctx context.Context, p *Program, root *talk, t *Task) (client.Result, error) {
-	result, err := d.model(ctx, p, root, t.Text)
+	result, err := d.model(ctx, p, root, "user", t.Text)
 	for i := 0; i < len(t.Steps) && err == nil; i++ {
 		s := &t.Steps[i]
 		text := s.Text
@@ -259,7 +259,7 @@
 		if err = d.agents(ctx, p, s.Agents); err != nil {
 			break
 		}
-		result, err = d.model(ctx, p, root, text)
+		result, err = d.model(ctx, p, root, "tool", text)
 	}
 	return result, err
 }
@@ -268,20 +268,21 @@
 	failures := make([]error, len(subs))
 	var wait sync.WaitGroup
 	for i, s := range subs {
-		wait.Go(func() { _, failures[i] = d.model(ctx, p, p.talk(s.Agent), s.Text) })
+		wait.Go(func() { _, failures[i] = d.model(ctx, p, p.talk(s.Agent), "user", s.Text) })
 	}
 	wait.Wait()
 	return errors.Join(failures...)
 }
 
-func (d *Driver) model(ctx context.Context, p *Program, t *talk, text string) (client.Result, error) {
-	t.messages = append(t.messages, call.Message{Role: "user", Content: text})
+// model asks the model; role is "user" for a person's message and "tool" for results.
+func (d *Driver) model(ctx context.Context, p *Program, t *talk, role, text string) (client.Result, error) {
+	t.messages = append(t.messages, call.Message{Role: role, Content: text})
 	want := speech.Answer(t.messages, speech.Length(t.messages, p.Output))
 	r := Record{
 		Program: p.Customer + "/" + p.ID, Agent: t.agent, Service: p.Service,
 		Idempotent: true, Digest: speech.Digest(t.messages), Want: want,
 	}
-	result, err := d.call(ctx, t, r, client.Request{Program: p.ID, Agent: t.agent, Service: p.Service, Text: text})
+	result, err := d.call(ctx, t, r, client.Request{Program: p.ID, Agent: t.agent, Service: p.Service, Role: role, Text: text})
 	if err == nil {
 		t.messages = append(t.messages, call.Message{Role: "assistant", Content: result.Text})
 	}
--- a/bench/client/client.go
+++ b/bench/client/client.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -58,9 +59,11 @@
 	Service string
 	// Operation is empty for a model call.
 	Operation string
-	Text      string
-	Deadline  time.Duration
-	End       bool
+	// Role is the message's role; "" means "user".
+	Role     string
+	Text     string
+	Deadline time.Duration
+	End      bool
 }
 
 // NewKey returns a fresh idempotency key.
@@ -103,7 +106,7 @@
 			Model    string         `json:"model"`
 			Messages []call.Message `json:"messages"`
 			Stream   bool           `json:"stream"`
-		}{r.Service, []call.Message{{Role: "user", Content: r.Text}}, true})
+		}{r.Service, []call.Message{{Role: cmp.Or(r.Role, "user"), Content: r.Text}}, true})
 	}
 	addr := c.addrs[c.next.Add(1)%uint64(len(c.addrs))]
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
--- a/bench/trial/result.go
+++ b/bench/trial/result.go
@@ -125,6 +125,10 @@
 	t.caches(r, e)
 	report := audit.Check(e)
 	r.Rules, r.Broke, r.Details = report.Counts(), report.Total(), report.Samples()
+	if o.Policy.Plain {
+		// A plain scheduler promises nothing about memory; it is shown, not held against the run.
+		r.Broke -= r.Rules[audit.Memory]
+	}
 	return r
 }
 
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -25,15 +25,18 @@
 	Name  string
 	Queue string
 	Route string
+	// Plain is a scheduler that neither hedges nor copies caches, and leaves
+	// the memory of ended programs to the engines.
+	Plain bool
 }
 
 // Policies returns the product's policy and the baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "product", Queue: "attained", Route: "finish"},
-		{Name: "round", Queue: "fifo", Route: "round"},
-		{Name: "least", Queue: "fifo", Route: "least"},
-		{Name: "sticky", Queue: "fifo", Route: "sticky"},
+		{Name: "product", Queue: "program", Route: "finish"},
+		{Name: "round", Queue: "fifo", Route: "round", Plain: true},
+		{Name: "least", Queue: "fifo", Route: "least", Plain: true},
+		{Name: "sticky", Queue: "fifo", Route: "sticky", Plain: true},
 	}
 }
 
@@ -92,6 +95,8 @@
 	settle = 3 * time.Second
 	// grace is how long work may still arrive at a leaving endpoint.
 	grace = 3 * time.Second
+	// minLoad is the least time between two reads of an engine's load.
+	minLoad = 20 * time.Millisecond
 	// sampling is the time between two samples of the caches.
 	sampling = 100 * time.Millisecond
 )
@@ -102,6 +107,10 @@
 		Ticket: o.Experiment.Ticket(), Nodes: o.Nodes, Engine: o.Experiment.Engine, Desk: o.Experiment.Desk,
 		Log: o.Log, Adjust: func(s *setup.Settings) {
 			s.Policy.Queue, s.Policy.Route, s.Policy.Seed = o.Policy.Queue, o.Policy.Route, o.Seed
+			s.Policy.Load = max(minLoad, time.Duration(float64(s.Policy.Load)/o.Experiment.Engine.Speed))
+			if o.Policy.Plain {
+				s.Policy.Hedge, s.Policy.Copy, s.Policy.Release = false, false, false
+			}
 			if o.Adjust != nil {
 				o.Adjust(s)
 			}
--- a/coordination/core/flight.go
+++ b/coordination/core/flight.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if !now.Before(r.deadline) {
-		c.ground(f)
+		c.ground(now, f)
 		c.giveUp(now, r, "deadline", "the deadline passed before the call could be sent", time.Second)
 		return
 	}
@@ -133,23 +133,23 @@
 }
 
 // ground takes an attempt that was never sent off the board.
-func (c *Core) ground(f *flight) {
+func (c *Core) ground(now time.Time, f *flight) {
 	r := f.request
 	r.flights = slices.DeleteFunc(r.flights, func(x *flight) bool { return x == f })
 	r.program.Purse().Release(f.reserved.tokens, f.reserved.money)
-	c.loads.Finish(f.endpoint, f.id)
+	c.loads.Finish(now, f.endpoint, f.id)
 	c.touchPool(f.endpoint)
 }
 
 // land takes a sent attempt off the board. It returns nil if nobody wants its
 // end any more.
-func (c *Core) land(id uint64) *flight {
+func (c *Core) land(now time.Time, id uint64) *flight {
 	f := c.flights[id]
 	if f == nil {
 		return nil
 	}
 	delete(c.flights, id)
-	c.loads.Finish(f.endpoint, id)
+	c.loads.Finish(now, f.endpoint, id)
 	c.touchPool(f.endpoint)
 	r := f.request
 	r.flights = slices.DeleteFunc(r.flights, func(x *flight) bool { return x == f })
@@ -220,7 +220,7 @@
 
 // finished takes an endpoint's whole answer.
 func (c *Core) finished(now time.Time, e Finished) {
-	f := c.land(e.Flight)
+	f := c.land(now, e.Flight)
 	if f == nil {
 		return
 	}
@@ -232,6 +232,7 @@
 		return
 	}
 	c.remember(now, f, e.Usage)
+	r.shard.serve(now, f)
 	r.program.Purse().Release(f.reserved.tokens, f.reserved.money)
 	used := e.Usage
 	used.Money = max(used.Money, f.reserved.money)
@@ -254,7 +255,7 @@
 func (c *Core) settle(now time.Time, r *request, a *answer.Answer) {
 	c.unqueue(r)
 	r.stage = settling
-	c.burn(r)
+	c.burn(now, r)
 	p := r.program.Purse()
 	p.Release(r.burnt.tokens, r.burnt.money)
 	turn := &record.Turn{
@@ -270,10 +271,10 @@
 }
 
 // burn ends the attempts that are still under way.
-func (c *Core) burn(r *request) {
+func (c *Core) burn(now time.Time, r *request) {
 	for _, f := range slices.Clone(r.flights) {
 		if f.sent.IsZero() {
-			c.ground(f)
+			c.ground(now, f)
 			continue
 		}
 		r.burnt = r.burnt.plus(f.reserved)
@@ -297,7 +298,7 @@
 
 // failed takes the end of an attempt without an answer.
 func (c *Core) failed(now time.Time, e Failed) {
-	f := c.land(e.Flight)
+	f := c.land(now, e.Flight)
 	if f == nil {
 		return
 	}
--- a/coordination/core/place.go
+++ b/coordination/core/place.go
@@ -95,9 +95,9 @@
 		}
 		c.ready[pool] = l
 	}
-	tokens, _ := r.program.Purse().Spent()
+	t := r.shard.task(r)
 	l.of(r.service.Class).Push(queue.Item{
-		ID: r.call.ID(), Class: r.service.Class, Attained: tokens, Arrived: r.readied,
+		ID: r.call.ID(), Class: r.service.Class, Attained: t.attained, Began: t.began, Arrived: r.readied,
 	})
 	c.dirty[pool] = true
 }
@@ -217,9 +217,9 @@
 		return true
 	}
 	slots := max(1, int(float64(e.Slots)*c.judge.Share(now, name)))
-	if r.service.Class > 0 && c.options.Queue != queue.Fifo {
-		// A few slots are kept for the most urgent class.
-		slots = max(1, slots-slots/reservedPart)
+	if r.service.Class == 0 && c.options.Queue != queue.Fifo {
+		// The engine gives its next free slot to the most urgent call.
+		slots += 1 + slots/urgentPart
 	}
 	return c.loads.Calls(now, name) < slots
 }
@@ -234,8 +234,8 @@
 	return len(models) == 0 || slices.Contains(models, place.Name(r.service))
 }
 
-// reservedPart is which part of an endpoint's slots only class 0 may use.
-const reservedPart = 8
+// urgentPart is which part of an endpoint's slots class 0 may be sent beyond them.
+const urgentPart = 4
 
 func (c *Core) choice(now time.Time, r *request, name string) route.Choice {
 	e := c.config.Endpoints[name]
--- a/coordination/core/shard.go
+++ b/coordination/core/shard.go
@@ -19,6 +19,8 @@
 	programs map[string]*prog.Program
 	// active counts the requests of each program without a final answer.
 	active map[string]int
+	// tasks holds what each program does for its person's last message.
+	tasks map[string]*task
 	// sweeps holds the ended programs whose memory is not yet confirmed released.
 	sweeps map[string]*sweep
 	// pending counts journal appends without an answer.
@@ -44,7 +46,7 @@
 	c.drop(e.Shard)
 	s := &shard{
 		number: e.Shard, epoch: e.Epoch, programs: map[string]*prog.Program{},
-		active: map[string]int{}, sweeps: map[string]*sweep{},
+		active: map[string]int{}, sweeps: map[string]*sweep{}, tasks: map[string]*task{},
 	}
 	c.shards[e.Shard] = s
 	for i := range e.Records {
--- a/coordination/core/sweep.go
+++ b/coordination/core/sweep.go
@@ -71,6 +71,7 @@
 		return
 	}
 	c.router.Forget(owner)
+	delete(s.tasks, owner)
 	w := &sweep{program: p, pending: map[string]bool{}, pause: firstSweep}
 	for _, name := range p.Places() {
 		if c.options.Keep {
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -9,10 +9,12 @@
 // Policy names an order.
 type Policy string
 
-// The orders; Attained is the product's, Fifo the baseline.
+// The orders; Program is the product's, Fifo the baseline.
 const (
-	// Attained serves the program with the least attained service first,
-	// raised by waiting time and by class.
+	// Program serves the person who has waited longest for the complete answer,
+	// whichever call of the program it is, raised by class.
+	Program Policy = "program"
+	// Attained is like Program, but favours those that have had little service.
 	Attained Policy = "attained"
 	// Fifo serves calls by arrival.
 	Fifo Policy = "fifo"
@@ -24,8 +26,11 @@
 	ID string
 	// Class is the service's class, 0 the most urgent.
 	Class int
-	// Attained is the service that the whole program has had, in tokens.
-	Attained int64
+	// Attained is the time that endpoints have worked for the program since
+	// its person's message.
+	Attained time.Duration
+	// Began is when the person's message came.
+	Began time.Time
 	// Arrived is when the call became ready.
 	Arrived time.Time
 }
@@ -91,18 +96,24 @@
 // Len returns how many items wait.
 func (q *Queue) Len() int { return len(q.heap) }
 
-// tokensPerSecond converts waiting time into attained service.
-const tokensPerSecond = 500
-
-// tokensPerClass is the head start of a class over the next one, in tokens.
-const tokensPerClass = 20000
+const (
+	// attainedWeight is what a second of service counts against a second of
+	// waiting since the person's message.
+	attainedWeight = 3
+	// classTime is the head start of a class over the next one.
+	classTime = 30 * time.Second
+)
 
 func (q *Queue) rank(i Item) int64 {
-	if q.policy == Fifo {
+	began := i.Began.Add(time.Duration(i.Class) * classTime)
+	switch q.policy {
+	case Fifo:
 		return i.Arrived.UnixMicro()
+	case Attained:
+		return began.Add(attainedWeight * i.Attained).UnixMicro()
+	default:
+		return began.UnixMicro()
 	}
-	waited := i.Arrived.UnixMicro() * tokensPerSecond / time.Second.Microseconds()
-	return waited + i.Attained + int64(i.Class)*tokensPerClass
 }
 
 func (l line) Len() int { return len(l) }
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -128,7 +128,7 @@
 			Ping: 500 * time.Millisecond, Silence: 2 * time.Second, Frame: 16 << 20, Budget: 16384,
 		},
 		Policy: Policy{
-			Queue: "attained", Route: "finish", Seed: 1, Hedge: true, Copy: true, Release: true,
+			Queue: "program", Route: "finish", Seed: 1, Hedge: true, Copy: true, Release: true,
 			Load: 200 * time.Millisecond, List: 2 * time.Second, Quiet: 15 * time.Second,
 		},
 		Shards: Shards{Count: 16, Owners: 16, Answers: time.Hour, Keys: 24 * time.Hour, Standby: 64 << 20},
--- a/setup/table.go
+++ b/setup/table.go
@@ -84,7 +84,7 @@
 
 func policySection() schema.Section {
 	return schema.Section{Kind: "policy", Doc: "How calls are scheduled.", Keys: []schema.Key{
-		{Name: "queue", Type: schema.Choice{Words: []string{string(queue.Attained), string(queue.Fifo)}}, Doc: "Order of the calls that wait."},
+		{Name: "queue", Type: schema.Choice{Words: []string{string(queue.Program), string(queue.Attained), string(queue.Fifo)}}, Doc: "Order of the calls that wait."},
 		{Name: "route", Type: schema.Choice{Words: []string{
 			string(route.Finish), string(route.Round), string(route.Least), string(route.Sticky),
 		}}, Doc: "Choice of the endpoint."},
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -35,6 +35,9 @@
 	report Report
 	// own are this node's dispatches in flight: flight id to prompt tokens.
 	own map[uint64]flight
+	// ended are the flights that ended lately and were sent before it; those
+	// that the report cannot know of are taken off its count.
+	ended []flight
 	// others are the other nodes' dispatches in flight, by node.
 	others map[string]share
 	// barred is until when the endpoint gets nothing new.
@@ -49,9 +52,13 @@
 
 type flight struct {
 	sent   time.Time
+	ended  time.Time
 	prompt int
 }
 
+// maxEnded bounds the ended flights kept for an endpoint.
+const maxEnded = 512
+
 // New returns an empty board.
 func New() *Board { return &Board{entries: map[string]*entry{}} }
 
@@ -71,6 +78,7 @@
 		return
 	}
 	e.report = r
+	e.ended = slices.DeleteFunc(e.ended, func(f flight) bool { return !f.ended.After(r.Taken) })
 }
 
 // Send notes a dispatch of this node.
@@ -79,7 +87,19 @@
 }
 
 // Finish notes that a dispatch of this node is over.
-func (b *Board) Finish(name string, id uint64) { delete(b.entry(name).own, id) }
+func (b *Board) Finish(now time.Time, name string, id uint64) {
+	e := b.entry(name)
+	f, ok := e.own[id]
+	if !ok {
+		return
+	}
+	delete(e.own, id)
+	f.ended = now
+	e.ended = append(e.ended, f)
+	if len(e.ended) > maxEnded {
+		e.ended = slices.Clone(e.ended[len(e.ended)-maxEnded:])
+	}
+}
 
 // Own returns how many dispatches of this node are in flight there.
 func (b *Board) Own(name string) int { return len(b.entry(name).own) }
@@ -99,23 +119,40 @@
 // shareLife is how long another node's news counts.
 const shareLife = 3 * time.Second
 
-// Calls estimates the calls at the endpoint: the most of its own report with
-// what was sent since, and of what all nodes know to have in flight.
+// Calls estimates the calls at the endpoint: its late report, corrected by what
+// this node knows to have begun and ended since, and never less than what this
+// node has there. Without a recent report it is what all nodes have there.
 func (b *Board) Calls(now time.Time, name string) int {
 	e := b.entry(name)
-	reported := e.report.Running + e.report.Waiting
+	if now.Sub(e.report.Taken) > reportLife {
+		return len(e.own) + e.shared(now)
+	}
+	n := e.report.Running + e.report.Waiting
 	for _, f := range e.own {
 		if f.sent.After(e.report.Taken) {
-			reported++
+			n++
+		}
+	}
+	for _, f := range e.ended {
+		if !f.sent.After(e.report.Taken) {
+			n--
 		}
 	}
-	known := len(e.own)
+	return max(n, len(e.own))
+}
+
+// reportLife is how long an endpoint's report is better than the nodes' own count.
+const reportLife = 5 * time.Second
+
+// shared counts what the other nodes have at the endpoint.
+func (e *entry) shared(now time.Time) int {
+	n := 0
 	for _, s := range e.others {
 		if now.Sub(s.taken) < shareLife {
-			known += s.calls
+			n += s.calls
 		}
 	}
-	return max(reported, known)
+	return n
 }
 
 // Pending estimates the prompt tokens waiting for prefill there.
