--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -156,18 +156,22 @@
 	s.Node.Centre = fmt.Sprintf("centre-%d", i%3+1)
 	s.Store.Addr, s.Hosts.Addr = d.store, list
 	s.Links.Secret = "loopback"
-	var err error
-	if s.Node.Listen, err = free(); err != nil {
+	public, err := open()
+	if err != nil {
 		return err
 	}
-	if s.Node.Link, err = free(); err != nil {
+	private, err := open()
+	if err != nil {
 		return err
 	}
+	s.Node.Listen, s.Node.Link = public.Addr().String(), private.Addr().String()
 	if d.options.Adjust != nil {
 		d.options.Adjust(&s)
 	}
 	d.addrs = append(d.addrs, s.Node.Listen)
 	n := node.New(&s, d.options.Log)
+	n.Use(public)
+	n.Use(private)
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	d.stops = append(d.stops, func() {
@@ -195,14 +199,10 @@
 // Leave stops a node gracefully and waits for its end.
 func (d *Deployment) Leave(i int) { d.stops[i]() }
 
-// free returns a loopback address that was free a moment ago.
-func free() (string, error) {
+// open listens on a free loopback address.
+func open() (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "local: listening")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return l, errors.Wrap(err, "local: listening")
 }
 
 // startTimeout bounds the start of a deployment.
--- a/node/node.go
+++ b/node/node.go
@@ -51,7 +51,9 @@
 	metrics  *metrics.Set
 	router   *message.Router
 	servers  []*http.Server
-	wait     sync.WaitGroup
+	// opened are the listeners that were open before the node ran.
+	opened map[string]net.Listener
+	wait   sync.WaitGroup
 	// mailbox feeds the control goroutine, the only one that touches core.
 	mailbox chan core.Event
 	// wake makes the claims loop look at the store.
@@ -156,6 +158,7 @@
 		metrics:  metrics.NewSet(),
 		mailbox:  make(chan core.Event, mailboxLength),
 		idle:     make(chan struct{}),
+		opened:   map[string]net.Listener{},
 		owners:   map[int]ownership{},
 		journals: map[int]*opened{},
 		config:   config.New(),
@@ -260,14 +263,21 @@
 	return n.serve(n.settings.Node.Link, private, n.keys.Server())
 }
 
+// Use hands the node a listener that is open already, for the address in its
+// settings that it has.
+func (n *Node) Use(l net.Listener) { n.opened[l.Addr().String()] = l }
+
 // serve listens on addr, with TLS unless secure is nil.
 func (n *Node) serve(addr string, h http.Handler, secure *tls.Config) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
 	}}
-	l, err := config.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return errors.Wrapf(err, "node: listening on %s", addr)
+	l, ok := n.opened[addr]
+	if !ok {
+		var err error
+		if l, err = config.Listen(context.Background(), "tcp", addr); err != nil {
+			return errors.Wrapf(err, "node: listening on %s", addr)
+		}
 	}
 	if secure != nil {
 		l = tls.NewListener(l, secure)
--- a/transport/jrnl/run.go
+++ b/transport/jrnl/run.go
@@ -27,6 +27,10 @@
 // Run writes what is appended until ctx ends or the shard is lost.
 func (j *Journal) Run(ctx context.Context) {
 	err := j.loop(ctx)
+	if ctx.Err() != nil {
+		// A put that the end of ctx broke off says nothing about the shard.
+		err = errors.Mark(ctx.Err(), ErrDeposed)
+	}
 	j.mu.Lock()
 	j.ended = true
 	queue := j.queue
