Keep held batches in the data folder, in a package of their own

Cause: a standby that restarted had always lost what it held. Change: transport/shelf writes batches and seals to the data folder, synced before they are acknowledged, and keeps its name over a restart; a folder that fails is left and the shelf goes on in memory under another name. Result: its specs pass, with the race detector too.

--- a/coordination/hold/hold.go
+++ b/coordination/hold/hold.go
@@ -46,6 +46,12 @@
 	return true
 }
 
+// Restore puts a batch back that was held before a restart, whatever is sealed.
+func (l *Log) Restore(b Batch) {
+	l.batches[b.Number] = b
+	l.size += len(b.Data)
+}
+
 // Supersede drops what older epochs left: an owner that appends has sealed the
 // journal in the store, so that nothing of its predecessors can be missing there.
 func (l *Log) Supersede(epoch uint64) {
--- a/node/claims.go
+++ b/node/claims.go
@@ -51,7 +51,7 @@
 	defer n.mu.Unlock()
 	s := n.settings.Node
 	all := map[string]claim.Host{
-		s.Name: {Name: s.Name, Centre: s.Centre, Boot: n.boot, Leaving: n.draining},
+		s.Name: {Name: s.Name, Centre: s.Centre, Boot: n.shelf.Boot(), Leaving: n.draining},
 	}
 	for name, h := range n.known {
 		leased := h.leased && now.Sub(n.polled) < n.settings.Store.Lease
@@ -117,7 +117,7 @@
 		return "", err
 	}
 	s := n.settings.Node
-	data, err := cbor.Marshal(leased{Node: s.Name, Centre: s.Centre, Link: s.Link, Boot: n.boot, Start: n.start})
+	data, err := cbor.Marshal(leased{Node: s.Name, Centre: s.Centre, Link: s.Link, Boot: n.shelf.Boot(), Start: n.start})
 	if err != nil {
 		return "", errors.Wrap(err, "node: encoding")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -15,12 +15,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
-	"github.com/cowslipstage/cowslipstage/coordination/hold"
 	"github.com/cowslipstage/cowslipstage/coordination/lease"
 	"github.com/cowslipstage/cowslipstage/coordination/member"
 	"github.com/cowslipstage/cowslipstage/coordination/queue"
@@ -33,6 +31,7 @@
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
 	"github.com/cowslipstage/cowslipstage/transport/keys"
 	"github.com/cowslipstage/cowslipstage/transport/links"
+	"github.com/cowslipstage/cowslipstage/transport/shelf"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
@@ -64,8 +63,6 @@
 	shares *shares
 	// start rises with each start of the node's process.
 	start uint64
-	// boot names this process's memory; a standby that restarts has another.
-	boot string
 	// idle is closed when a draining node owns nothing any more.
 	idle chan struct{}
 
@@ -101,10 +98,8 @@
 	lease *lease.Lease
 	// opening holds the journals that are being opened.
 	opening map[int]*jrnl.Journal
-	// holding guards logs.
-	holding sync.Mutex
-	// logs holds what this node keeps for the owners of other shards.
-	logs map[int]*hold.Log
+	// shelf is what this node keeps for the owners of other shards.
+	shelf *shelf.Shelf
 	// taking marks shards that are being opened.
 	taking map[int]bool
 }
@@ -167,9 +162,7 @@
 		lease:    lease.New(s.Store.Lease),
 		taking:   map[int]bool{},
 		opening:  map[int]*jrnl.Journal{},
-		logs:     map[int]*hold.Log{},
 		wake:     make(chan struct{}, 1),
-		boot:     uuid.NewString(),
 		shares:   newShares(),
 		start:    uint64(time.Now().UnixNano()),
 
@@ -227,6 +220,10 @@
 	if err := n.keys.Load(); err != nil {
 		return err
 	}
+	var err error
+	if n.shelf, err = shelf.New(n.settings.Node.Data, n.settings.Shards.Standby); err != nil {
+		return err
+	}
 	n.recall()
 	if err := n.listen(); err != nil {
 		return err
--- a/node/standby.go
+++ b/node/standby.go
@@ -9,9 +9,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
-	"github.com/cowslipstage/cowslipstage/coordination/hold"
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
+	"github.com/cowslipstage/cowslipstage/transport/shelf"
 	"github.com/cowslipstage/cowslipstage/transport/store"
 )
 
@@ -25,7 +25,7 @@
 
 func (p peers) Seal(to claim.Standby, s frame.Seal) {
 	if to.Node == p.n.settings.Node.Name {
-		p.n.wait.Go(func() { p.n.sealed(to.Node, p.n.answerSeal(s)) })
+		p.n.wait.Go(func() { p.n.seal(to.Node, s) })
 		return
 	}
 	p.n.send(to.Node, frame.TopicSeal, s)
@@ -76,97 +76,36 @@
 
 // keep holds a batch for another owner.
 func (n *Node) keep(from string, h frame.Hold) {
-	if h.Boot != n.boot {
-		return
-	}
-	reply := frame.Held{Shard: h.Shard, Epoch: h.Epoch, Number: h.Number, Boot: n.boot}
-	n.holding.Lock()
-	l := n.logOf(h.Shard)
-	b := hold.Batch{Number: h.Number, Epoch: h.Epoch}
-	if len(h.Data) > 0 {
-		if err := cbor.Unmarshal(h.Data, &b); err != nil || b.Epoch != h.Epoch || b.Number != h.Number {
-			n.holding.Unlock()
-			n.log.Warn().Err(err).Str("peer", from).Msg("bad batch to hold dropped")
-			return
-		}
-	}
-	if n.heldBytes()+len(b.Data) > n.settings.Shards.Standby {
-		n.holding.Unlock()
+	reply, err := n.shelf.Hold(h)
+	switch {
+	case errors.Is(err, shelf.ErrFull):
 		n.metrics.GetOrCreateCounter("standby_full_total").Inc()
-		return
-	}
-	kept := l.Hold(b, h.Below)
-	reply.Sealed = l.Sealed()
-	n.holding.Unlock()
-	if kept {
-		reply.Sealed = 0
-	}
-	if !kept || h.Number > 0 {
-		n.send(from, frame.TopicHeld, reply)
+	case err != nil:
+		n.log.Warn().Err(err).Str("peer", from).Int("shard", h.Shard).Msg("batch not held")
+	case reply != nil:
+		n.send(from, frame.TopicHeld, *reply)
 	}
 }
 
-// logOf returns what is kept of a shard. The caller holds the lock.
-func (n *Node) logOf(shard int) *hold.Log {
-	l := n.logs[shard]
-	if l == nil {
-		l = hold.New()
-		n.logs[shard] = l
-	}
-	return l
-}
-
-// heldBytes returns the bytes kept for other owners. The caller holds the lock.
-func (n *Node) heldBytes() int {
-	size := 0
-	for _, l := range n.logs {
-		size += l.Size()
-	}
-	return size
-}
-
 // supersede drops what is kept for owners before epoch, which has sealed the journal.
 func (n *Node) supersede(shard int, epoch uint64) {
-	n.holding.Lock()
-	defer n.holding.Unlock()
-	if l := n.logs[shard]; l != nil {
-		l.Supersede(epoch)
+	if err := n.shelf.Supersede(shard, epoch); err != nil {
+		n.log.Warn().Err(err).Int("shard", shard).Msg("superseded batches not dropped")
 	}
 }
 
-// sealBytes bounds the batches of one answer to a seal.
-const sealBytes = 1 << 20
-
 // seal answers a new owner.
 func (n *Node) seal(from string, s frame.Seal) {
-	n.send(from, frame.TopicSealed, n.answerSeal(s))
-}
-
-func (n *Node) answerSeal(s frame.Seal) frame.Sealed {
-	reply := frame.Sealed{Shard: s.Shard, Epoch: s.Epoch, Boot: s.Boot}
-	if s.Boot != n.boot {
-		reply.Gone = true
-		return reply
-	}
-	n.holding.Lock()
-	defer n.holding.Unlock()
-	l := n.logOf(s.Shard)
-	if !l.Seal(s.Epoch) {
-		reply.Newer = l.Sealed()
-		return reply
+	reply, err := n.shelf.Seal(s)
+	if err != nil {
+		n.log.Warn().Err(err).Str("peer", from).Int("shard", s.Shard).Msg("shard not sealed")
+		return
 	}
-	batches, more := l.After(s.After, sealBytes)
-	for _, b := range batches {
-		data, err := cbor.Marshal(b)
-		if err != nil {
-			n.log.Error().Err(err).Msg("encoding a held batch")
-			reply.More = true
-			return reply
-		}
-		reply.Batches = append(reply.Batches, data)
+	if from == n.settings.Node.Name {
+		n.sealed(from, reply)
+		return
 	}
-	reply.More = more
-	return reply
+	n.send(from, frame.TopicSealed, reply)
 }
 
 // held passes an acknowledgement to the shard's journal.
--- /dev/null
+++ b/transport/shelf/disk.go
@@ -0,0 +1,159 @@
+package shelf
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
+)
+
+// disk keeps a shelf in a folder: the file boot, and for each shard a folder
+// with the file sealed and one file per batch. Every file is whole or absent.
+type disk struct {
+	folder string
+	boot   string
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// openDisk opens or makes the folder; fresh is its name if it has none yet.
+func openDisk(folder, fresh string) (*disk, error) {
+	d := &disk{folder: filepath.Join(folder, "hold"), boot: fresh}
+	if err := os.MkdirAll(d.folder, folderMode); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "shelf: folder"), ErrDisk)
+	}
+	data, err := os.ReadFile(filepath.Join(d.folder, "boot"))
+	switch {
+	case err == nil && len(data) > 0:
+		d.boot = string(data)
+		return d, nil
+	case err != nil && !os.IsNotExist(err):
+		return nil, errors.Mark(errors.Wrap(err, "shelf: boot"), ErrDisk)
+	}
+	return d, d.write("boot", []byte(fresh))
+}
+
+// write makes a file that lasts once it returns.
+func (d *disk) write(name string, data []byte) error {
+	path := filepath.Join(d.folder, name)
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return errors.Mark(errors.Wrap(err, "shelf: folder"), ErrDisk)
+	}
+	if err := writeSynced(path+".new", data); err != nil {
+		return errors.Mark(errors.Wrapf(err, "shelf: %s", name), ErrDisk)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return errors.Mark(errors.Wrapf(err, "shelf: %s", name), ErrDisk)
+	}
+	for _, f := range []string{filepath.Dir(path), d.folder} {
+		if err := syncFolder(f); err != nil {
+			return errors.Mark(errors.Wrapf(err, "shelf: %s", f), ErrDisk)
+		}
+	}
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.CombineErrors(err, f.Close())
+}
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
+}
+
+func batchName(shard int, b hold.Batch) string {
+	return filepath.Join(strconv.Itoa(shard), fmt.Sprintf("%d-%d", b.Epoch, b.Number))
+}
+
+// save brings a shard's folder from its state before to that now. The seal
+// goes first: a batch is never there without what refuses older ones.
+func (d *disk) save(shard int, sealed, now uint64, old, batches []hold.Batch) error {
+	if now != sealed {
+		if err := d.write(filepath.Join(strconv.Itoa(shard), "sealed"), strconv.AppendUint(nil, now, 10)); err != nil {
+			return err
+		}
+	}
+	had := map[string]bool{}
+	for _, b := range old {
+		had[batchName(shard, b)] = true
+	}
+	for _, b := range batches {
+		name := batchName(shard, b)
+		if had[name] {
+			delete(had, name)
+			continue
+		}
+		data, err := cbor.Marshal(b)
+		if err != nil {
+			return errors.Wrap(err, "shelf: encoding")
+		}
+		if err := d.write(name, data); err != nil {
+			return err
+		}
+	}
+	for name := range had {
+		if err := os.Remove(filepath.Join(d.folder, name)); err != nil {
+			return errors.Mark(errors.Wrapf(err, "shelf: %s", name), ErrDisk)
+		}
+	}
+	return nil
+}
+
+// load reads what the folder holds into the logs.
+func (d *disk) load(log func(shard int) *hold.Log) error {
+	files, err := filepath.Glob(filepath.Join(d.folder, "*", "*"))
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "shelf: folder"), ErrDisk)
+	}
+	for _, path := range files {
+		shard, err := strconv.Atoi(filepath.Base(filepath.Dir(path)))
+		if err != nil || strings.HasSuffix(path, ".new") {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return errors.Mark(errors.Wrapf(err, "shelf: %s", path), ErrDisk)
+		}
+		if err := restore(log(shard), filepath.Base(path), data); err != nil {
+			return errors.Mark(errors.Wrapf(err, "shelf: %s", path), ErrDisk)
+		}
+	}
+	return nil
+}
+
+func restore(l *hold.Log, name string, data []byte) error {
+	if name == "sealed" {
+		epoch, err := strconv.ParseUint(string(data), 10, 64)
+		if err == nil {
+			l.Seal(epoch)
+		}
+		return err
+	}
+	var b hold.Batch
+	if err := cbor.Unmarshal(data, &b); err != nil {
+		return err
+	}
+	l.Restore(b)
+	return nil
+}
--- /dev/null
+++ b/transport/shelf/shelf.go
@@ -0,0 +1,184 @@
+// Package shelf (transport layer) keeps journal batches for the owners of other
+// shards: in memory, and in the data folder if the host has one.
+package shelf
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+)
+
+// The errors of the shelf.
+var (
+	// ErrFull means that the shelf holds as much as it may.
+	ErrFull = errors.New("shelf: full")
+	// ErrBad means that a batch is malformed, or is not for this shelf.
+	ErrBad = errors.New("shelf: not a batch for this shelf")
+	// ErrDisk means that the data folder cannot be used.
+	ErrDisk = errors.New("shelf: data folder")
+)
+
+// Shelf is one node's memory as a standby. It is safe for concurrent use.
+type Shelf struct {
+	bound int
+
+	mu sync.Mutex
+	// boot names the memory; it changes when the memory is lost.
+	boot string
+	disk *disk
+	logs map[int]*hold.Log
+	// size is the bytes held in all logs.
+	size int
+}
+
+// New returns a shelf that holds at most bound bytes. With a folder it finds
+// again what it held there, and its name.
+func New(folder string, bound int) (*Shelf, error) {
+	s := &Shelf{boot: uuid.NewString(), bound: bound, logs: map[int]*hold.Log{}}
+	if folder == "" {
+		return s, nil
+	}
+	var err error
+	if s.disk, err = openDisk(folder, s.boot); err != nil {
+		return nil, err
+	}
+	s.boot = s.disk.boot
+	if err := s.disk.load(s.log); err != nil {
+		return nil, err
+	}
+	for _, l := range s.logs {
+		s.size += l.Size()
+	}
+	return s, nil
+}
+
+// Boot names the shelf's memory.
+func (s *Shelf) Boot() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot
+}
+
+// log returns what is held of a shard. The caller holds the lock.
+func (s *Shelf) log(shard int) *hold.Log {
+	l := s.logs[shard]
+	if l == nil {
+		l = hold.New()
+		s.logs[shard] = l
+	}
+	return l
+}
+
+// change applies an edit to a shard's log, on the disk as well.
+func (s *Shelf) change(shard int, edit func(l *hold.Log)) error {
+	l := s.log(shard)
+	before := l.Size()
+	var old []hold.Batch
+	if s.disk != nil {
+		old, _ = l.After(0, l.Size()+1)
+	}
+	sealed := l.Sealed()
+	edit(l)
+	s.size += l.Size() - before
+	if s.disk == nil {
+		return nil
+	}
+	now, _ := l.After(0, l.Size()+1)
+	err := s.disk.save(shard, sealed, l.Sealed(), old, now)
+	if err != nil {
+		s.forsake()
+	}
+	return err
+}
+
+// forsake goes on in memory alone and under another name, because what was
+// just changed is not in the folder. The folder still has all that was
+// acknowledged under the old name.
+func (s *Shelf) forsake() {
+	s.boot, s.disk, s.size = uuid.NewString(), nil, 0
+	s.logs = map[int]*hold.Log{}
+}
+
+// Hold keeps a batch and drops what the store has. The answer is to be sent
+// when it is not nil.
+func (s *Shelf) Hold(h frame.Hold) (*frame.Held, error) {
+	b := hold.Batch{Number: h.Number, Epoch: h.Epoch}
+	if len(h.Data) > 0 {
+		if err := cbor.Unmarshal(h.Data, &b); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "shelf: batch"), ErrBad)
+		}
+	}
+	if b.Epoch != h.Epoch || b.Number != h.Number {
+		return nil, errors.Mark(errors.New("shelf: batch and frame differ"), ErrBad)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Boot != s.boot {
+		return nil, errors.Mark(errors.Newf("shelf: boot %s is gone", h.Boot), ErrBad)
+	}
+	if len(b.Data) > 0 && s.size+len(b.Data) > s.bound {
+		return nil, ErrFull
+	}
+	kept := false
+	if err := s.change(h.Shard, func(l *hold.Log) { kept = l.Hold(b, h.Below) }); err != nil {
+		return nil, err
+	}
+	reply := &frame.Held{Shard: h.Shard, Epoch: h.Epoch, Number: h.Number, Boot: s.boot}
+	if !kept {
+		reply.Sealed = s.log(h.Shard).Sealed()
+		return reply, nil
+	}
+	if h.Number == 0 {
+		return nil, nil
+	}
+	return reply, nil
+}
+
+// Supersede drops what is held for owners before epoch, which has sealed the journal.
+func (s *Shelf) Supersede(shard int, epoch uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.logs[shard]
+	if l == nil || l.Sealed() >= epoch && l.Size() == 0 {
+		return nil
+	}
+	return s.change(shard, func(l *hold.Log) { l.Supersede(epoch) })
+}
+
+// sealBytes bounds the batches of one answer to a seal.
+const sealBytes = 1 << 20
+
+// Seal answers a new owner.
+func (s *Shelf) Seal(q frame.Seal) (frame.Sealed, error) {
+	reply := frame.Sealed{Shard: q.Shard, Epoch: q.Epoch, Boot: q.Boot}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q.Boot != s.boot {
+		reply.Gone = true
+		return reply, nil
+	}
+	sealed := false
+	if err := s.change(q.Shard, func(l *hold.Log) { sealed = l.Seal(q.Epoch) }); err != nil {
+		return reply, err
+	}
+	l := s.log(q.Shard)
+	if !sealed {
+		reply.Newer = l.Sealed()
+		return reply, nil
+	}
+	var batches []hold.Batch
+	batches, reply.More = l.After(q.After, sealBytes)
+	for _, b := range batches {
+		data, err := cbor.Marshal(b)
+		if err != nil {
+			return reply, errors.Wrap(err, "shelf: encoding")
+		}
+		reply.Batches = append(reply.Batches, data)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/transport/shelf/shelf_test.go
@@ -0,0 +1,122 @@
+package shelf_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/hold"
+	"github.com/cowslipstage/cowslipstage/protocol/frame"
+	"github.com/cowslipstage/cowslipstage/transport/shelf"
+)
+
+func held(g Gomega, s *shelf.Shelf, epoch, number uint64, text string) (*frame.Held, error) {
+	data, err := cbor.Marshal(hold.Batch{Number: number, Epoch: epoch, Data: []byte(text)})
+	g.Expect(err).NotTo(HaveOccurred())
+	return s.Hold(frame.Hold{Shard: 2, Epoch: epoch, Number: number, Data: data, Boot: s.Boot()})
+}
+
+func texts(g Gomega, s *shelf.Shelf, epoch uint64) []string {
+	reply, err := s.Seal(frame.Seal{Shard: 2, Epoch: epoch, Boot: s.Boot()})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Gone || reply.More || reply.Newer > 0).To(BeFalse())
+	var all []string
+	for _, data := range reply.Batches {
+		var b hold.Batch
+		g.Expect(cbor.Unmarshal(data, &b)).To(Succeed())
+		all = append(all, string(b.Data))
+	}
+	return all
+}
+
+func TestAShelfWithAFolderSurvivesARestart(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	s, err := shelf.New(folder, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	for i, text := range []string{"one", "two", "three"} {
+		reply, err := held(g, s, 4, uint64(i+7), text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Sealed).To(BeZero())
+	}
+	_, err = s.Hold(frame.Hold{Shard: 2, Epoch: 4, Below: 8, Boot: s.Boot()})
+	g.Expect(err).NotTo(HaveOccurred())
+
+	again, err := shelf.New(folder, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Boot()).To(Equal(s.Boot()))
+	g.Expect(texts(g, again, 5)).To(Equal([]string{"two", "three"}))
+
+	third, err := shelf.New(folder, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	reply, err := held(g, third, 4, 10, "late")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Sealed).To(Equal(uint64(5)), "the seal survives too")
+	g.Expect(texts(g, third, 5)).To(Equal([]string{"two", "three"}))
+
+	g.Expect(third.Supersede(2, 6)).To(Succeed())
+	files, err := filepath.Glob(filepath.Join(folder, "hold", "2", "*"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).To(HaveLen(1), "only the seal is left")
+}
+
+func TestAShelfWithoutAFolderHasAnotherNameAfterARestart(t *testing.T) {
+	g := NewWithT(t)
+	s, err := shelf.New("", 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := shelf.New("", 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	reply, err := again.Seal(frame.Seal{Shard: 2, Epoch: 5, Boot: s.Boot()})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Gone).To(BeTrue())
+	_, err = again.Hold(frame.Hold{Shard: 2, Epoch: 5, Number: 1, Boot: s.Boot()})
+	g.Expect(errors.Is(err, shelf.ErrBad)).To(BeTrue())
+}
+
+func TestAShelfRefusesWhatItCannotKeep(t *testing.T) {
+	g := NewWithT(t)
+	s, err := shelf.New("", 5)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = held(g, s, 4, 7, "12345")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = held(g, s, 4, 8, "6")
+	g.Expect(errors.Is(err, shelf.ErrFull)).To(BeTrue())
+	_, err = s.Hold(frame.Hold{Shard: 2, Epoch: 4, Number: 9, Data: []byte{0xff}, Boot: s.Boot()})
+	g.Expect(errors.Is(err, shelf.ErrBad)).To(BeTrue())
+}
+
+func TestAnUnreadableFolderIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	s, err := shelf.New(folder, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = held(g, s, 4, 7, "one")
+	g.Expect(err).NotTo(HaveOccurred())
+	path := filepath.Join(folder, "hold", "2", "4-7")
+	g.Expect(os.WriteFile(path, []byte{0xff}, 0o600)).To(Succeed())
+	_, err = shelf.New(folder, 1000)
+	g.Expect(errors.Is(err, shelf.ErrDisk)).To(BeTrue())
+	g.Expect(err).To(MatchError(ContainSubstring(path)))
+}
+
+func TestAFailingFolderIsForsaken(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	s, err := shelf.New(folder, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	boot := s.Boot()
+	_, err = held(g, s, 4, 7, "one")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.RemoveAll(filepath.Join(folder, "hold"))).To(Succeed())
+	g.Expect(os.WriteFile(filepath.Join(folder, "hold"), nil, 0o600)).To(Succeed())
+	_, err = held(g, s, 4, 8, "two")
+	g.Expect(errors.Is(err, shelf.ErrDisk)).To(BeTrue())
+	g.Expect(s.Boot()).NotTo(Equal(boot), "nothing is acknowledged under the old name any more")
+	reply, err := s.Seal(frame.Seal{Shard: 2, Epoch: 5, Boot: boot})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Gone).To(BeTrue())
+}
