--- a/node/node.go
+++ b/node/node.go
@@ -162,6 +162,7 @@
 		lease:    lease.New(s.Store.Lease),
 		taking:   map[int]bool{},
 		opening:  map[int]*jrnl.Journal{},
+		shelf:    shelf.Memory(s.Shards.Standby),
 		wake:     make(chan struct{}, 1),
 		shares:   newShares(),
 		start:    uint64(time.Now().UnixNano()),
--- a/transport/shelf/shelf.go
+++ b/transport/shelf/shelf.go
@@ -36,10 +36,15 @@
 	size int
 }
 
+// Memory returns a shelf without a folder that holds at most bound bytes.
+func Memory(bound int) *Shelf {
+	return &Shelf{boot: uuid.NewString(), bound: bound, logs: map[int]*hold.Log{}}
+}
+
 // New returns a shelf that holds at most bound bytes. With a folder it finds
 // again what it held there, and its name.
 func New(folder string, bound int) (*Shelf, error) {
-	s := &Shelf{boot: uuid.NewString(), bound: bound, logs: map[int]*hold.Log{}}
+	s := Memory(bound)
 	if folder == "" {
 		return s, nil
 	}
