--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -75,11 +75,13 @@
 	sort.SliceStable(s.waiting, func(a, b int) bool {
 		return s.waiting[a].body.Priority > s.waiting[b].body.Priority
 	})
-	for len(s.waiting) > 0 && len(s.running) < s.options.Slots {
-		if !s.start(now, s.waiting[0]) {
-			return
-		}
+	started := 0
+	for len(s.waiting) > 0 && len(s.running) < s.options.Slots && s.start(now, s.waiting[0]) {
 		s.waiting = s.waiting[1:]
+		started++
+	}
+	if started > 0 {
+		s.note(now)
 	}
 }
 
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -154,6 +155,8 @@
 }
 
 func hang(r *http.Request, lifted chan struct{}) {
+	// The server notices that the caller has gone only after the body is read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-r.Context().Done():
 	case <-lifted:
