Keep one order for submit, ask, close and leave of a peer

Cause: each topic has its own subscriber, so that a caller's leave could overtake the submit before it and the call went on for nobody. Change: topics belong to lanes; a lane's messages are handled one by one in the order in which their node sent them.

--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// Lane names the order that a topic's frames are kept in: those of one lane
+// are handled in the order in which their node sent them.
+func Lane(topic string) string {
+	switch topic {
+	case TopicSubmit, TopicAsk, TopicClose, TopicLeave:
+		return TopicSubmit
+	default:
+		return topic
+	}
+}
+
 // Submit asks the owner to schedule a call, or to attach to it.
 type Submit struct {
 	Call    *call.Call `cbor:"1,keyasint"`
--- a/transport/links/links.go
+++ b/transport/links/links.go
@@ -80,8 +80,10 @@
 	// inbound counts the accepted links.
 	inbound int
 	// heard holds the last sign of life of each node on any link.
-	heard  map[string]time.Time
-	topics map[string]*inbox
+	heard map[string]time.Time
+	// topics holds the subscriber of each topic, lanes what waits for them.
+	topics map[string]*subscription
+	lanes  map[string]*inbox
 	// joined gets the name of each node to which a link came up.
 	joined func(node string)
 }
@@ -107,7 +109,7 @@
 	l := &Links{
 		options: o, log: log, context: ctx, cancel: cancel,
 		peers: map[string]*peer{}, heard: map[string]time.Time{},
-		topics: map[string]*inbox{}, joined: func(string) {},
+		topics: map[string]*subscription{}, lanes: map[string]*inbox{}, joined: func(string) {},
 	}
 	l.meters = newMeters(o.Metrics, l)
 	return l
--- a/transport/links/links_test.go
+++ b/transport/links/links_test.go
@@ -189,6 +189,32 @@
 	sender.Wait()
 }
 
+func TestTopicsOfOneLaneKeepTheirOrder(t *testing.T) {
+	g := NewWithT(t)
+	a, b := join(t, "a", nil), join(t, "b", nil)
+	topics := []string{frame.TopicSubmit, frame.TopicLeave, frame.TopicAsk, frame.TopicClose}
+	got := make(chan string)
+	for _, topic := range topics {
+		c := b.listen(t, topic)
+		go func() {
+			for m := range c {
+				var s string
+				_ = frame.Unpack(m.Payload, &s)
+				got <- s
+				m.Ack()
+			}
+		}()
+	}
+	a.Connect("b", b.addr)
+	g.Eventually(live(a), patience).Should(ConsistOf("b"))
+	for i := range 400 {
+		g.Expect(a.say("b", topics[i%len(topics)], strconv.Itoa(i))).To(Succeed())
+	}
+	for i := range 400 {
+		g.Eventually(got, patience).Should(Receive(Equal(strconv.Itoa(i))))
+	}
+}
+
 func TestSlowTopicDoesNotBlockOthers(t *testing.T) {
 	g := NewWithT(t)
 	a, b := join(t, "a", func(o *links.Options) { o.Queue = 1 << 15 }), join(t, "b", nil)
