Fetching a key that is not known says 'unknown', not 'not run'

Cause: a key asked for under another program, or one whose owner's memory is gone, got 'not run' although the call may have run. Change: such a fetch is 404 with outcome 'unknown'. Measured: TestFetchOfAKeyThatIsNotKnown fails without the change and passes with it.

--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -322,9 +322,21 @@
 		leave: func(id string) { e.backend.Leave(id, customer, program) },
 		reads: true,
 	})
+	if a != nil && a.Outcome == answer.NotRun {
+		a = unheard(a)
+	}
 	p.finish(a)
 }
 
+// unheard says of a key without an answer that this tells nothing of the call:
+// it may belong to another program, or its owner's memory may be gone.
+func unheard(a *answer.Answer) *answer.Answer {
+	b := *a
+	b.Outcome = answer.Unknown
+	b.Detail += "; this does not say that the call did not run"
+	return &b
+}
+
 // end ends a program.
 func (e *Edge) end(w http.ResponseWriter, r *http.Request) {
 	program := chi.URLParam(r, "program")
--- a/transport/edge/edge_test.go
+++ b/transport/edge/edge_test.go
@@ -204,6 +204,14 @@
 	g.Expect(s.asks[1].Program).To(Equal("p"))
 }
 
+func TestFetchOfAKeyThatIsNotKnown(t *testing.T) {
+	g := NewWithT(t)
+	_, url := serve(t, nil, says(ownerA, frame.Reply{Final: &answer.Answer{Outcome: answer.NotRun, Reason: "key", Detail: "no call with this key is known"}}))
+	response, _ := send(t, http.MethodGet, url+"/v1/requests/k7", "")
+	g.Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+	g.Expect(response.Header.Get("X-Outcome")).To(Equal("unknown"), "the call may be another program's")
+}
+
 func TestMetadataNamesTheProgram(t *testing.T) {
 	g := NewWithT(t)
 	s, url := serve(t, nil, says(ownerA, done("hello")))
