demo: both deployments side by side, with budgets and rules from the ledgers

Change: it plays agent programs of the bench's driver, all at once; prints each person's answers, how often each order stands in the desks' ledgers, the budgets used and the broken rules, and fails when there are any. Stand-in endpoints fence where the ticket says so.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -115,7 +115,7 @@
 		if !ok {
 			continue
 		}
-		addr, err := d.serve(d.standin(name, s.Key("kind").String()))
+		addr, err := d.serve(d.standin(name, s.Key("kind").String(), s.Key("fencing").MustBool(false)))
 		if err != nil {
 			return err
 		}
@@ -137,15 +137,18 @@
 	return err
 }
 
-func (d *Deployment) standin(name, kind string) http.Handler {
+// standin makes the stand-in for an endpoint; it fences where the ticket says so.
+func (d *Deployment) standin(name, kind string, fencing bool) http.Handler {
 	if kind == "engine" {
 		o := d.options.Engine
 		o.Seed += xxhash.Sum64String(name)
+		o.Fencing = o.Fencing || fencing
 		d.engines[name] = engine.New(o)
 		return d.engines[name]
 	}
 	o := d.options.Desk
 	o.Seed += xxhash.Sum64String(name)
+	o.Fencing = o.Fencing || fencing
 	d.desks[name] = desk.New(o)
 	return d.desks[name]
 }
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -215,16 +215,8 @@
 }
 
 func (t *Trial) evidence() audit.Evidence {
-	e := audit.Evidence{
-		Records: t.log.Records(), Engines: map[string]audit.Engine{}, Desks: map[string]audit.Desk{},
-		Tokens: t.options.Experiment.Tokens(), Left: t.left, Grace: grace, Ended: t.log.Ended(),
-	}
-	for name, n := range t.deployment.Engines() {
-		e.Engines[name] = audit.Engine{Ledger: n.Ledger(), Refused: n.Refused(), Held: n.Held()}
-	}
-	for name, n := range t.deployment.Desks() {
-		e.Desks[name] = audit.Desk{Ledger: n.Ledger(), Refused: n.Refused()}
-	}
+	e := audit.Collect(t.deployment, t.log)
+	e.Tokens, e.Left, e.Grace = t.options.Experiment.Tokens(), t.left, grace
 	return e
 }
 
--- a/cmd/cowslipstage/cmds/demo.go
+++ b/cmd/cowslipstage/cmds/demo.go
@@ -1,74 +1,29 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
+	"github.com/cowslipstage/cowslipstage/bench/agent"
+	"github.com/cowslipstage/cowslipstage/bench/audit"
 	"github.com/cowslipstage/cowslipstage/bench/client"
 	"github.com/cowslipstage/cowslipstage/bench/local"
 	"github.com/cowslipstage/cowslipstage/examples"
+	"github.com/cowslipstage/cowslipstage/protocol/ticket"
 	"github.com/cowslipstage/cowslipstage/standin/desk"
 	"github.com/cowslipstage/cowslipstage/standin/engine"
-	"github.com/cowslipstage/cowslipstage/state/answer"
+	"github.com/cowslipstage/cowslipstage/state/config"
 )
 
-// scene is one person's program in the demo.
-type scene struct {
-	person string
-	steps  []client.Request
-}
-
-// play is one user's deployment with its scenes.
-type play struct {
-	customer string
-	file     string
-	scenes   []scene
-}
-
-func plays() []play {
-	return []play{
-		{customer: "acoepele", file: "acoepele/001-start.ini", scenes: []scene{
-			{person: "a client asks about a labret", steps: []client.Request{
-				{Service: "sizing", Text: "Which gauge of titanium labret fits a healed helix?"},
-				{Service: "loja", Operation: "stock", Text: `{"item":"labret 1.2x8"}`},
-				{Service: "sizing", Agent: "compare", Text: "Compare 1.2 mm and 1.0 mm posts for this client."},
-				{Service: "sizing", Text: "Stock says four are left. What should I take?"},
-			}},
-			{person: "a member restocks gold rings", steps: []client.Request{
-				{Service: "sizing", Text: "We are low on 8 mm gold rings. How many for a month?"},
-				{Service: "loja", Operation: "order", Text: `{"item":"ring 8 gold","count":20}`},
-				{Service: "sizing", Text: "The order went through. Summarise it."},
-			}},
-			{person: "a client asks about aftercare", steps: []client.Request{
-				{Service: "aftercare", Text: "It is day three and my nostril is a little red. Is that normal?"},
-				{Service: "aftercare", Text: "And may I swim next week?"},
-			}},
-		}},
-		{customer: "brennecke", file: "brennecke/001-start.ini", scenes: []scene{
-			{person: "a foreman books yard space", steps: []client.Request{
-				{Service: "booking", Text: "Two flatbeds from Monday to Thursday near the north shore, please."},
-				{Service: "yard", Operation: "space", Text: `{"yard":"north","vehicles":2}`},
-				{Service: "yard", Operation: "book", Text: `{"yard":"north","vehicles":2}`},
-				{Service: "yard", Operation: "deposit", Text: `{"amount":25000}`},
-				{Service: "booking", Text: "Booked and paid. What do I tell the drivers?"},
-			}},
-			{person: "a dispatcher chases a gate code", steps: []client.Request{
-				{Service: "gate", Text: "Crew is at the lakes-b gate since five and the code fails."},
-				{Service: "yard", Operation: "unlock", Text: `{"gate":"lakes-b-2"}`},
-				{Service: "gate", Text: "It is open. Note the time for the log."},
-			}},
-		}},
-	}
-}
-
 func demoCommand() *cobra.Command {
 	var once bool
 	var nodes int
@@ -87,77 +42,163 @@
 	return c
 }
 
+// stage is one user's deployment in the demo.
+type stage struct {
+	play       play
+	config     *config.Config
+	deployment *local.Deployment
+	log        *agent.Log
+	out        bytes.Buffer
+	err        error
+}
+
 func demo(ctx context.Context, out io.Writer, nodes int, once bool) error {
+	var stages []*stage
+	var wait sync.WaitGroup
 	for _, p := range plays() {
-		d, err := deploy(p, nodes)
-		if err != nil {
-			return err
-		}
-		defer d.Stop()
-		if err := p.run(ctx, out, d); err != nil {
-			return err
-		}
-		if !once {
-			_, _ = fmt.Fprintf(out, "try: curl -N http://%s/v1/chat/completions -H 'X-Customer: %s' "+
-				"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n\n",
-				d.Addrs()[0], p.customer, p.scenes[0].steps[0].Service)
+		s := &stage{play: p, log: agent.NewLog()}
+		stages = append(stages, s)
+		wait.Go(func() { s.err = s.run(ctx, nodes) })
+	}
+	wait.Wait()
+	var err error
+	for _, s := range stages {
+		_, _ = out.Write(s.out.Bytes())
+		err = errors.CombineErrors(err, s.err)
+		if s.deployment != nil {
+			defer s.deployment.Stop()
 		}
 	}
-	if !once {
-		<-ctx.Done()
+	if err != nil || once {
+		return err
 	}
+	for _, s := range stages {
+		_, _ = fmt.Fprintf(out, "try: curl -N http://%s/v1/chat/completions -H 'X-Customer: %s' "+
+			"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n",
+			s.deployment.Addrs()[0], s.play.customer, s.play.scenes[0].service)
+	}
+	<-ctx.Done()
 	return nil
 }
 
-func deploy(p play, nodes int) (*local.Deployment, error) {
-	text, err := examples.Files.ReadFile(p.file)
+// run starts the deployment, plays all scenes at once and prints what came of them.
+func (s *stage) run(ctx context.Context, nodes int) error {
+	text, err := examples.Files.ReadFile(s.play.file)
+	if err != nil {
+		return errors.Wrap(err, "demo: example ticket")
+	}
+	t, err := ticket.Parse(s.play.file, text)
 	if err != nil {
-		return nil, errors.Wrap(err, "demo: example ticket")
+		return err
+	}
+	if s.config, err = t.Apply(config.New()); err != nil {
+		return err
 	}
-	return local.Start(local.Options{
+	s.deployment, err = local.Start(local.Options{
 		Ticket: text, Nodes: nodes, Log: logger("error"),
 		Engine: engine.Options{Prefill: 20000, Decode: 2 * time.Millisecond, Slots: 16},
 		Desk:   desk.Options{Latency: 5 * time.Millisecond},
 	})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(&s.out, "== %s: %d nodes, %d engines, %d desks\n", s.play.customer, nodes,
+		len(s.deployment.Engines()), len(s.deployment.Desks()))
+	if err := s.playAll(ctx); err != nil {
+		return err
+	}
+	return s.summary(ctx)
 }
 
-func (p play) run(ctx context.Context, out io.Writer, d *local.Deployment) error {
-	_, _ = fmt.Fprintf(out, "== %s: %d nodes\n", p.customer, len(d.Addrs()))
-	c := client.New(p.customer, d.Addrs())
-	for _, s := range p.scenes {
-		if err := s.run(ctx, out, c); err != nil {
-			return err
+func (s *stage) playAll(ctx context.Context) error {
+	driver := agent.NewDriver(client.New(s.play.customer, s.deployment.Addrs()), s.log, time.Time{})
+	answers := make([][]string, len(s.play.scenes))
+	failures := make([]error, len(s.play.scenes))
+	var wait sync.WaitGroup
+	for i, x := range s.play.scenes {
+		wait.Go(func() { answers[i], failures[i] = driver.Run(ctx, s.program(i, x)) })
+	}
+	wait.Wait()
+	for i, x := range s.play.scenes {
+		_, _ = fmt.Fprintf(&s.out, "-- %s\n", x.person)
+		for k, a := range answers[i] {
+			_, _ = fmt.Fprintf(&s.out, "   %s\n      -> %.100s\n", x.tasks[k].Text, a)
 		}
 	}
-	effects := 0
-	for name, desk := range d.Desks() {
-		for _, e := range desk.Ledger() {
-			_, _ = fmt.Fprintf(out, "   ledger of %s: %s %s\n", name, e.Operation, e.Body)
-			effects++
+	return errors.Join(failures...)
+}
+
+func (s *stage) program(i int, x scene) *agent.Program {
+	v := s.config.Services[x.service]
+	return &agent.Program{
+		Customer: s.play.customer, ID: fmt.Sprintf("demo-%d", i+1), Service: x.service,
+		Prompt: v.Prompt, Output: v.Output, Tasks: x.tasks,
+	}
+}
+
+// forgetTimeout bounds the wait until the engines hold nothing for ended programs.
+const forgetTimeout = 3 * time.Second
+
+// summary prints the effects, the budgets used and the broken rules, all from
+// the endpoints' ledgers.
+func (s *stage) summary(ctx context.Context) error {
+	tokens := map[string]int64{}
+	for name, v := range s.config.Services {
+		tokens[name] = v.Tokens
+	}
+	var e audit.Evidence
+	var report *audit.Report
+	for end := time.Now().Add(forgetTimeout); ; time.Sleep(20 * time.Millisecond) {
+		e = audit.Collect(s.deployment, s.log)
+		e.Tokens = tokens
+		report = audit.Check(e)
+		if report.Count(audit.Memory) == 0 || time.Now().After(end) || ctx.Err() != nil {
+			break
 		}
 	}
-	_, _ = fmt.Fprintf(out, "   %d effects at the desks\n\n", effects)
+	s.effects(e)
+	s.budgets(e)
+	_, _ = fmt.Fprint(&s.out, "   rules broken, by the endpoints' ledgers:")
+	for _, rule := range audit.Rules {
+		_, _ = fmt.Fprintf(&s.out, " %s %d", rule, report.Count(rule))
+	}
+	_, _ = fmt.Fprint(&s.out, "\n\n")
+	if report.Total() > 0 {
+		return errors.Wrapf(errRules, "demo: %v", report.Samples())
+	}
 	return nil
 }
 
-func (s scene) run(ctx context.Context, out io.Writer, c *client.Client) error {
-	_, _ = fmt.Fprintf(out, "-- %s\n", s.person)
-	program := uuid.NewString()
-	for _, r := range s.steps {
-		r.Program = program
-		a, err := c.Do(ctx, r)
-		if err != nil {
-			return err
+func (s *stage) effects(e audit.Evidence) {
+	for _, c := range s.log.Records() {
+		if c.Operation == "" || c.Idempotent {
+			continue
 		}
-		if a.Outcome != answer.Done {
-			return errors.Newf("demo: %s %s: %s (%s)", r.Service, r.Operation, a.Outcome, a.Reason)
+		count := 0
+		for _, d := range e.Desks {
+			for _, l := range d.Ledger {
+				if l.Key == c.Key {
+					count++
+				}
+			}
 		}
-		text := a.Text
-		if r.Operation != "" {
-			text = string(a.Body)
+		_, _ = fmt.Fprintf(&s.out, "   %s of %s: %d time(s) in the desks' ledgers\n", c.Operation, c.Program, count)
+	}
+}
+
+func (s *stage) budgets(e audit.Evidence) {
+	for i, x := range s.play.scenes {
+		p := s.program(i, x)
+		used, calls := 0, 0
+		for _, n := range e.Engines {
+			for _, l := range n.Ledger {
+				if l.Program == p.Customer+"/"+p.ID {
+					used += l.Prompt + l.Output
+					calls++
+				}
+			}
 		}
-		_, _ = fmt.Fprintf(out, "   %s%s: %s\n      -> %.100s (%s)\n",
-			r.Service, r.Operation, r.Text, text, a.Whole.Round(time.Millisecond))
+		_, _ = fmt.Fprintf(&s.out, "   budget of %s: %d of %d tokens in %d model calls\n",
+			p.ID, used, s.config.Services[x.service].Tokens, calls)
 	}
-	return c.End(ctx, program)
 }
