Forget ended programs by the settings, without sorting all of them each second

Cause: the core had lives of its own beside the settings answers and keys, sorted every program of a shard each second, and stripped the same ended programs again each time; records' owner stood twice. Change: the core takes the settings; only programs that are due are sorted; one owner of records. Result: a spec over 28 hours: a booking's key is known until keys is over, and the booking never runs again.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,6 +34,11 @@
 	Keep bool
 	// Weight is the operator's weight of wasted cache against latency, from 0 to 1.
 	Weight float64
+	// Answers is how long the answers of an ended program can be fetched; Keys
+	// is how long the keys of its calls with an effect stay known. 0 means the
+	// standards.
+	Answers time.Duration
+	Keys    time.Duration
 	// Seed fixes the random choices.
 	Seed uint64
 }
@@ -91,8 +97,15 @@
 	actions []Action
 }
 
+// The standards for how long ended programs are remembered.
+const (
+	answerLife = time.Hour
+	keyLife    = 24 * time.Hour
+)
+
 // New returns a core that owns nothing.
 func New(o Options) *Core {
+	o.Answers, o.Keys = cmp.Or(o.Answers, answerLife), cmp.Or(o.Keys, keyLife)
 	random := rand.New(rand.NewPCG(o.Seed, o.Seed))
 	return &Core{
 		options:   o,
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -363,4 +363,25 @@
 		Expect(r.dispatches).To(HaveLen(2))
 		Expect(r.replies[len(r.replies)-1].Moved).To(BeTrue())
 	})
+
+	It("ends idle programs, and remembers the keys of bookings when answers are forgotten", func() {
+		r.submit(book("a"))
+		r.step(core.Finished{Flight: r.dispatches[0].Flight, Body: []byte("ok"), Status: 200})
+		r.commit()
+		r.now = r.now.Add(31 * time.Minute)
+		r.step(core.Ticked{})
+		r.commit()
+		Expect(r.journal[len(r.journal)-1].Swept).NotTo(BeNil())
+		for _, wait := range []time.Duration{2 * time.Hour, time.Hour} {
+			r.now = r.now.Add(wait)
+			r.step(core.Ticked{})
+			r.submit(book("a"))
+			Expect(r.last().Outcome).To(Equal(answer.Done))
+		}
+		r.now = r.now.Add(25 * time.Hour)
+		r.step(core.Ticked{})
+		r.step(core.Asked{Customer: "c", Program: "p", Key: "a"})
+		Expect(r.last().Reason).To(Equal("key"))
+		Expect(r.dispatches).To(HaveLen(1))
+	})
 })
--- a/coordination/core/shard.go
+++ b/coordination/core/shard.go
@@ -91,32 +91,11 @@
 	if o := r.Opened; o != nil {
 		s.programs[o.Customer+"/"+o.Program] = prog.New(o.Customer, o.Program, o.Service, o.Tokens, o.Money)
 	}
-	if p := s.programs[owner(r)]; p != nil {
+	if p := s.programs[r.Owner()]; p != nil {
 		p.Apply(r)
 	}
 }
 
-// owner returns which program a record is about.
-func owner(r *record.Record) string {
-	switch {
-	case r.Opened != nil:
-		return r.Opened.Customer + "/" + r.Opened.Program
-	case r.Grant != nil:
-		return r.Grant.Customer + "/" + r.Grant.Program
-	case r.Intent != nil:
-		return r.Intent.Call.Owner()
-	case r.Turn != nil:
-		return r.Turn.Call.Owner()
-	case r.Ended != nil:
-		return r.Ended.Customer + "/" + r.Ended.Program
-	case r.Swept != nil:
-		return r.Swept.Customer + "/" + r.Swept.Program
-	case r.Forfeit != nil:
-		return r.Forfeit.Customer + "/" + r.Forfeit.Program
-	}
-	return ""
-}
-
 func (c *Core) lose(e Lost) {
 	if s, ok := c.shards[e.Shard]; ok && s.epoch == e.Epoch {
 		c.drop(e.Shard)
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -111,33 +110,42 @@
 	}
 	c.manage(now)
 	for _, s := range c.ordered() {
-		for _, id := range slices.Sorted(maps.Keys(s.programs)) {
+		for _, id := range c.old(now, s) {
 			c.idle(now, s, s.programs[id])
 		}
 		c.resweep(now, s)
 	}
 }
 
-const (
-	// defaultIdle ends programs of services that declare no idle time.
-	defaultIdle = 30 * time.Minute
-	// answerLife is how long the answers of an ended program can be fetched.
-	answerLife = 15 * time.Minute
-	// keyLife is how long the keys of an ended program's calls that may not be
-	// repeated stay known.
-	keyLife = 24 * time.Hour
-)
+// defaultIdle ends programs of services that declare no idle time.
+const defaultIdle = 30 * time.Minute
+
+// old returns the programs that are to be ended, stripped or forgotten, sorted
+// so that runs can be repeated.
+func (c *Core) old(now time.Time, s *shard) []string {
+	var ids []string
+	for id, p := range s.programs {
+		quiet := now.Sub(p.Touched())
+		switch {
+		case !p.Ended() && (quiet < c.idleTime(p) || s.active[id] > 0 || s.leaving):
+		case p.Ended() && quiet < c.options.Answers:
+		case p.Stripped() && (quiet < c.options.Keys || !p.Swept()):
+		default:
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
 
 func (c *Core) idle(now time.Time, s *shard, p *prog.Program) {
-	quiet := now.Sub(p.Touched())
-	owner := p.Customer() + "/" + p.ID()
 	switch {
-	case p.Ended() && p.Swept() && quiet >= keyLife:
-		delete(s.programs, owner)
-	case p.Ended() && quiet >= answerLife:
-		p.Strip(c.mayRepeat)
-	case !p.Ended() && s.active[owner] == 0 && !s.leaving && quiet >= c.idleTime(p):
+	case !p.Ended():
 		c.journal(s, []record.Record{ended(p, "idle", now)}, func(time.Time) { c.sweep(s, p) })
+	case p.Swept() && now.Sub(p.Touched()) >= c.options.Keys:
+		delete(s.programs, p.Customer()+"/"+p.ID())
+	default:
+		p.Strip(c.mayRepeat)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -181,7 +181,8 @@
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
-		Hedge: s.Policy.Hedge, Copy: s.Policy.Copy, Keep: !s.Policy.Release, Weight: s.Policy.Weight,
+		Hedge: s.Policy.Hedge, Copy: s.Policy.Copy, Keep: !s.Policy.Release,
+		Answers: s.Shards.Answers, Keys: s.Shards.Keys, Weight: s.Policy.Weight,
 	})
 	n.view = member.New(member.Options{
 		Self: s.Node.Name, Silence: s.Links.Silence, Lease: s.Store.Lease,
--- a/state/prog/prog.go
+++ b/state/prog/prog.go
@@ -33,6 +33,8 @@
 	touched time.Time
 	ended   bool
 	swept   bool
+	// stripped is set by Strip.
+	stripped bool
 }
 
 // agent is one conversation.
@@ -117,6 +119,7 @@
 // Strip drops what an ended program needs no longer: its conversations and its
 // answers to calls that may be repeated. The keys of the others stay known.
 func (p *Program) Strip(repeatable func(*call.Call) bool) {
+	p.stripped = true
 	p.agents = map[string]*agent{}
 	for k, t := range p.settled {
 		if repeatable(t.Call) {
@@ -195,6 +198,9 @@
 // Ended tells whether the program takes no more calls.
 func (p *Program) Ended() bool { return p.ended }
 
+// Stripped tells whether the ended program has only its keys left.
+func (p *Program) Stripped() bool { return p.stripped }
+
 // Swept tells whether the endpoints hold nothing for the ended program.
 func (p *Program) Swept() bool { return p.swept }
 
