Wait for open journals before an outage is tested; a gauge of owned shards

Ruled out: a needless takeover; the log shows the interrupted one. Change: the spec waits until all journals are open, which the new gauge shards_owned tells; the check is as it was.

--- a/node/node.go
+++ b/node/node.go
@@ -177,6 +177,7 @@
 		defer n.mu.Unlock()
 		return float64(len(n.departing))
 	})
+	n.metrics.GetOrCreateGauge("shards_owned", func() float64 { return float64(n.owned()) })
 	n.metrics.GetOrCreateGauge("config_revision", func() float64 { return float64(n.current().Revision) })
 	n.core = core.New(core.Options{
 		Shards: s.Shards.Count, Queue: queue.Policy(s.Policy.Queue),
--- a/node/owner_test.go
+++ b/node/owner_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -68,9 +72,30 @@
 		for _, c := range records(d) {
 			g.Expect(c.Standbys).To(HaveLen(min(3, n-1)))
 		}
+		g.Expect(opened(d)).To(Equal(len(owners)), "a claim stands before its journal is open")
 	}, 30*time.Second).Should(Succeed())
 }
 
+// opened returns the shards whose journals are open, on all nodes.
+func opened(d *local.Deployment) int {
+	sum := 0
+	for _, addr := range d.Addrs() {
+		response, err := http.Get("http://" + addr + "/metrics")
+		if err != nil {
+			continue
+		}
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		if m := regexp.MustCompile(`(?m)^shards_owned (\d+)$`).FindSubmatch(data); m != nil {
+			n, err := strconv.Atoi(string(m[1]))
+			Expect(err).NotTo(HaveOccurred())
+			sum += n
+		}
+	}
+	return sum
+}
+
 // records returns the claims in the store.
 func records(d *local.Deployment) []claim.Claim {
 	var all []claim.Claim
