Probe a busy peer's idle links as rarely as it probes its own

Cause: a node with few links probed them often, so that an owner with 698 links would have answered some 650 heartbeats a second from 334 nodes. Change: nodes say how many links they have; an idle link is probed at the pace of its busier end; a link that carries data is probed at the set interval.

--- a/node/gossip.go
+++ b/node/gossip.go
@@ -16,6 +16,8 @@
 	gossipInterval = 200 * time.Millisecond
 	// wholeInterval is how often everything is said again, in case it was lost.
 	wholeInterval = 30 * time.Second
+	// largeWhole is the same in a large fleet.
+	largeWhole = 2 * time.Minute
 	// largeInterval is the least time between two looks at the links in a large fleet.
 	largeInterval = time.Second
 )
@@ -31,14 +33,14 @@
 		for name, at := range n.links.Heard() {
 			n.view.Heard(at, name)
 		}
-		n.view.Quiet(n.settings.Links.Silence + n.links.Idle() - n.settings.Links.Ping)
+		n.view.Quiet(n.settings.Links.Silence + n.links.Slowest() - n.settings.Links.Ping)
 		if !n.large() || now.Sub(meshed) >= largeInterval {
 			n.mesh(now)
 			meshed = now
 		}
 		n.depart(now)
 		switch {
-		case now.Sub(whole) >= wholeInterval:
+		case now.Sub(whole) >= largeWhole, !n.large() && now.Sub(whole) >= wholeInterval:
 			n.announce()
 			whole = now
 		case now.After(quiet):
@@ -49,7 +51,7 @@
 }
 
 // largeBudget bounds a node's gossip in a large fleet, in bytes a second.
-const largeBudget = 4096
+const largeBudget = 2048
 
 // budget returns the bytes a second that gossip rounds may take.
 func (n *Node) budget() int {
@@ -103,7 +105,7 @@
 	g := frame.Gossip{
 		Centre: s.Centre, Addr: s.Link, Boot: n.shelf.Boot(), Start: n.start, Freed: freed, Used: used,
 		Owned: map[int]uint64{}, Revision: n.config.Revision, Leaving: n.draining,
-		Refusing: refusing, Away: n.away,
+		Refusing: refusing, Away: n.away, Links: n.links.Count(),
 	}
 	for shard, o := range n.journals {
 		if _, ok := freed[shard]; !ok {
@@ -140,6 +142,7 @@
 		return
 	}
 	if g.Addr != "" {
+		n.links.Crowd(from, g.Links)
 		n.view.Gossip(now, member.Record{
 			Node: from, Centre: g.Centre, Link: g.Addr, Incarnation: g.Start, Leaving: g.Leaving,
 		})
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -148,6 +148,8 @@
 	Peers []Peer `cbor:"16,keyasint,omitempty"`
 	// Whole says that Sent is all there is.
 	Whole bool `cbor:"17,keyasint,omitempty"`
+	// Links is how many links the node has.
+	Links int `cbor:"18,keyasint,omitempty"`
 }
 
 // Peer says where a node listens for links.
--- a/setup/table.go
+++ b/setup/table.go
@@ -77,7 +77,7 @@
 		{Name: "ping", Type: span, Doc: "Time between two heartbeats on a link."},
 		{Name: "silence", Type: span, Doc: "A link that is silent for so long is replaced."},
 		{Name: "frame", Type: schema.Count{Min: 1 << 16, Max: maxFrame}, Doc: "Bound of one message between nodes, in bytes; it must hold a request's body."},
-		{Name: "budget", Type: schema.Count{Min: 1 << 10, Max: maxBody}, Doc: "Bound of the rounds of gossip that the node sends, in bytes a second; news that cannot wait goes out at once. In fleets with more nodes than [shards] owners it is at most 4096."},
+		{Name: "budget", Type: schema.Count{Min: 1 << 10, Max: maxBody}, Doc: "Bound of the rounds of gossip that the node sends, in bytes a second; news that cannot wait goes out at once. In fleets with more nodes than [shards] owners it is at most 2048."},
 		{Name: "peers", Type: schema.List{Of: schema.Peer{}}, Doc: "Nodes to connect to before the store has answered."},
 	}}
 }
--- a/transport/links/beat.go
+++ b/transport/links/beat.go
@@ -12,14 +12,43 @@
 	// pingBytes is what a heartbeat and its answer cost on the wire, in bytes.
 	pingBytes = 64
 	// pingBudget bounds the heartbeats of all idle links, in bytes a second.
-	pingBudget = 2048
+	pingBudget = 1024
 )
 
-// Idle returns the time between heartbeats on links that carry nothing. It
+// Slowest returns the time between heartbeats on the idle link with the
+// busiest peer.
+func (l *Links) Slowest() time.Duration {
+	l.mu.Lock()
+	busiest := ""
+	for node, count := range l.crowds {
+		if count > l.crowds[busiest] {
+			busiest = node
+		}
+	}
+	l.mu.Unlock()
+	return l.idle(busiest)
+}
+
+// Crowd notes how many links a peer has: a busy peer is not probed more often
+// than it probes itself.
+func (l *Links) Crowd(node string, links int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crowds[node] = links
+}
+
+// Count returns the number of links, in both directions.
+func (l *Links) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers) + l.inbound
+}
+
+// idle returns the time between heartbeats on an idle link with a node. It
 // grows with the number of links, so that their sum stays within a budget.
-func (l *Links) Idle() time.Duration {
+func (l *Links) idle(node string) time.Duration {
 	l.mu.Lock()
-	count := len(l.peers) + l.inbound
+	count := max(len(l.peers)+l.inbound, l.crowds[node])
 	l.mu.Unlock()
 	spread := time.Duration(count) * pingBytes * time.Second / pingBudget
 	return max(l.options.Ping, spread)
@@ -29,7 +58,7 @@
 // silence. A link that carries data gets one soon after it.
 func (l *Links) beat(ctx context.Context, node string, c *websocket.Conn, used <-chan struct{}) error {
 	for {
-		if err := l.rest(ctx, used); err != nil {
+		if err := l.rest(ctx, node, used); err != nil {
 			return err
 		}
 		began := time.Now()
@@ -46,7 +75,7 @@
 }
 
 // rest waits for the next heartbeat's time.
-func (l *Links) rest(ctx context.Context, used <-chan struct{}) error {
+func (l *Links) rest(ctx context.Context, node string, used <-chan struct{}) error {
 	least := time.NewTimer(l.options.Ping)
 	defer least.Stop()
 	select {
@@ -54,7 +83,7 @@
 		return ctx.Err()
 	case <-least.C:
 	}
-	idle := time.NewTimer(l.Idle() - l.options.Ping)
+	idle := time.NewTimer(l.idle(node) - l.options.Ping)
 	defer idle.Stop()
 	select {
 	case <-ctx.Done():
--- a/transport/links/links.go
+++ b/transport/links/links.go
@@ -77,6 +77,8 @@
 	// peers holds the outgoing link of each peer by node; messages are only
 	// sent on links that this node dialled, and only received on the others.
 	peers map[string]*peer
+	// crowds holds how many links each peer has, as it says.
+	crowds map[string]int
 	// inbound counts the accepted links.
 	inbound int
 	// heard holds the last sign of life of each node on any link.
@@ -108,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Links{
 		options: o, log: log, context: ctx, cancel: cancel,
-		peers: map[string]*peer{}, heard: map[string]time.Time{},
+		peers: map[string]*peer{}, heard: map[string]time.Time{}, crowds: map[string]int{},
 		topics: map[string]*subscription{}, lanes: map[string]*inbox{}, joined: func(string) {},
 	}
 	l.meters = newMeters(o.Metrics, l)
