Fenced is 412: a conflict is the service's own answer

Cause: a 409 of a desk was taken for an old fencing number, so a booking refused because the yard is taken was sent again until its deadline and then told as not run. Change: 412 for fencing, in the adapter and in the stand-ins; 409 goes to the caller. Result: a spec that failed in meaning before (a 409 gave Failed, untouched); the packages' specs pass.

--- a/standin/desk/desk.go
+++ b/standin/desk/desk.go
@@ -100,7 +100,7 @@
 	switch reason {
 	case "":
 	case "fenced":
-		http.Error(w, reason, http.StatusConflict)
+		http.Error(w, reason, http.StatusPreconditionFailed)
 		return
 	default:
 		w.Header().Set("Retry-After", "1")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -171,7 +171,7 @@
 	}
 	epoch, _ := strconv.ParseUint(r.epoch, 10, 64)
 	if !s.fence(r.body.Program, epoch) {
-		return http.StatusConflict, "fenced"
+		return http.StatusPreconditionFailed, "fenced"
 	}
 	return 0, ""
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -317,7 +317,7 @@
 			Expect(e.Ledger()).To(HaveLen(1))
 		}
 	},
-		Entry("refuses", true, http.StatusConflict),
+		Entry("refuses", true, http.StatusPreconditionFailed),
 		Entry("ignores", false, http.StatusOK),
 	)
 })
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if !s.lawful(&q) {
-		http.Error(w, "fenced", http.StatusConflict)
+		http.Error(w, "fenced", http.StatusPreconditionFailed)
 		return
 	}
 	switch q.Kind {
--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -185,11 +185,21 @@
 	},
 		Entry("leaving", http.StatusServiceUnavailable, "refused"),
 		Entry("busy", http.StatusTooManyRequests, "refused"),
-		Entry("an old fencing number", http.StatusConflict, "fenced"),
+		Entry("an old fencing number", http.StatusPreconditionFailed, "fenced"),
 	)
 })
 
 var _ = Describe("a plain answer", func() {
+	It("with the status of a conflict is the endpoint's word, not a refusal", func() {
+		addr := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusConflict)
+			_, _ = w.Write([]byte(`{"error":"the yard is taken"}`))
+		}))
+		end := run(dialer.Options{}, plain(addr, false, "{}"))
+		Expect(end).To(BeAssignableToTypeOf(core.Finished{}))
+		Expect(end.(core.Finished).Status).To(Equal(http.StatusConflict))
+	})
+
 	DescribeTable("that may not be whole is a failure", func(head, body, reason string) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/transport/dialer/send.go
+++ b/transport/dialer/send.go
@@ -61,7 +61,7 @@
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return "refused", true
-	case http.StatusConflict:
+	case http.StatusPreconditionFailed:
 		return "fenced", true
 	}
 	return "", false
