Fetch the next configuration as soon as the last is in force

Cause: a node waited 200 ms after each request for the configuration, also when the answer had come long before, so that changes in close order were late.

--- a/node/config.go
+++ b/node/config.go
@@ -74,6 +74,10 @@
 	}
 	n.mu.Unlock()
 	if newer {
+		select {
+		case n.caught <- struct{}{}:
+		default:
+		}
 		n.keepConfig(data)
 		n.announce()
 		n.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -118,7 +122,11 @@
 		}
 		n.send(sources[tries%len(sources)], frame.TopicWant, frame.Want{Revision: revision})
 		tries++
-		sleep(ctx, chasePause)
+		select {
+		case <-ctx.Done():
+		case <-n.caught:
+		case <-time.After(chasePause):
+		}
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,8 @@
 	revisions map[string]uint64
 	// behind wakes the loop that fetches the configuration from a peer.
 	behind chan struct{}
+	// caught tells that loop that a newer configuration is in force.
+	caught chan struct{}
 	// away is what this node reads in the host list, nil while it does not.
 	away map[string]string
 	// departing are the names that get nothing new, as last told to the core.
@@ -169,6 +171,7 @@
 
 		revisions: map[string]uint64{},
 		behind:    make(chan struct{}, 1),
+		caught:    make(chan struct{}, 1),
 		limits:    newLimits(),
 		observer:  newObserver(s.Node.Name),
 	}
