--- a/bench/client/client.go
+++ b/bench/client/client.go
@@ -235,17 +235,37 @@
 	return r, errors.New("client: the stream was cut")
 }
 
-// End ends a program.
+// End ends a program. An end without an answer is asked for again, through the
+// next node.
 func (c *Client) End(ctx context.Context, program string) error {
+	var last error
+	for tries := 1; tries <= maxTries; tries++ {
+		if last = c.end(ctx, program, tries); last == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryPause):
+		}
+	}
+	return last
+}
+
+func (c *Client) end(ctx context.Context, program string, tries int) error {
 	addr := c.addr()
 	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr+"/v1/programs/"+program, nil)
 	if err != nil {
 		return errors.Wrap(err, "client: request")
 	}
-	c.headers(request.Header, Request{}, 1)
+	c.headers(request.Header, Request{}, tries)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "client: end")
 	}
-	return response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("X-Outcome") != string(answer.Done) {
+		return errors.Newf("client: end: status %d", response.StatusCode)
+	}
+	return nil
 }
