Keep dialling silent nodes for an hour

Cause: two nodes that were cut off from each other for a minute gave each other up; a node without a lease was then found again by nobody. Result: the specs pass, also under -race; a cut of more than a minute was not run.

--- a/node/node.go
+++ b/node/node.go
@@ -140,8 +140,10 @@
 const mailboxLength = 65536
 
 const (
-	// patience is how long a silent node stays suspect before it is given up.
-	patience = time.Minute
+	// patience is how long a silent node stays suspect, and is dialled, before
+	// it is given up. It outlasts the cuts between regions: nodes that gave each
+	// other up would find each other again through the store only.
+	patience = time.Hour
 	// refusal is how long an endpoint's refusal holds without further news.
 	refusal = 30 * time.Second
 )
