Give a shard back although its standbys change meanwhile

Change: the hand-over reads again after a conflict; a node takes back what names itself, then balance moves it on; a node that owns shards looks at the claims also when it may own none. Links count as signs of life, with the pause that a large fleet allows; moved shards are announced once more.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -141,8 +141,13 @@
 // either the store or the links show it alive, so that an outage of the store
 // moves nothing.
 func (v View) Free(c Claim) bool {
-	if v.Draining || v.Open || v.Preferred != v.Self {
+	if v.Draining || v.Open {
 		return false
 	}
-	return c.Node == "" || c.Node == v.Self || !v.Leased && v.Silent
+	if c.Node == v.Self {
+		// Nobody else takes what names a living node, so it does, whoever is
+		// preferred; balance moves the shard on.
+		return true
+	}
+	return v.Preferred == v.Self && (c.Node == "" || !v.Leased && v.Silent)
 }
--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -82,5 +82,7 @@
 		c.view.Self, c.view.Preferred = "a", "a"
 		NewWithT(t).Expect(c.view.Free(c.claim)).To(Equal(c.free), name)
 	}
-	NewWithT(t).Expect(claim.View{Self: "a", Preferred: "b"}.Free(claim.Claim{})).To(BeFalse())
+	other := claim.View{Self: "a", Preferred: "b"}
+	NewWithT(t).Expect(other.Free(claim.Claim{})).To(BeFalse())
+	NewWithT(t).Expect(other.Free(claim.Claim{Node: "a"})).To(BeTrue(), "its own former life names it")
 }
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -42,6 +42,8 @@
 	// start bounds the silence of nodes never heard: a node that has just begun
 	// to listen judges nobody.
 	start time.Time
+	// pause is how long living nodes may say nothing; it can exceed duration.
+	pause time.Duration
 	heard map[string]time.Time
 }
 
@@ -60,8 +62,14 @@
 // Forget drops a node that is gone for good.
 func (w *Watch) Forget(node string) { delete(w.heard, node) }
 
-// Silent tells whether a node gave no sign of life for a whole lease.
-func (w *Watch) Silent(now time.Time, node string) bool { return w.quiet(now, node) >= w.duration }
+// Expect says how long living nodes may say nothing, which grows with a fleet.
+func (w *Watch) Expect(pause time.Duration) { w.pause = pause }
+
+// Silent tells whether a node gave no sign of life for a whole lease, and for
+// longer than is usual.
+func (w *Watch) Silent(now time.Time, node string) bool {
+	return w.quiet(now, node) >= max(w.duration, w.pause)
+}
 
 func (w *Watch) quiet(now time.Time, node string) time.Duration {
 	last := w.start
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -32,4 +32,8 @@
 	g.Expect(w.Silent(start.Add(duration), "a")).To(BeFalse())
 	w.Forget("a")
 	g.Expect(w.Silent(start.Add(duration), "a")).To(BeTrue())
+	w.Heard(start.Add(10*time.Second), "b")
+	w.Expect(5 * time.Second)
+	g.Expect(w.Silent(start.Add(14*time.Second), "b")).To(BeFalse(), "the fleet is large")
+	g.Expect(w.Silent(start.Add(15*time.Second), "b")).To(BeTrue())
 }
--- a/node/claims.go
+++ b/node/claims.go
@@ -84,6 +84,20 @@
 	n.signs.Heard(now, name)
 }
 
+// alive notes that a node was heard on a link, with gossip or without.
+func (n *Node) alive(at time.Time, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.signs.Heard(at, name)
+}
+
+// expect says how long living nodes may be silent on their links.
+func (n *Node) expect(pause time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.signs.Expect(pause)
+}
+
 // keepLease renews the node's lease in the store while it may own shards.
 func (n *Node) keepLease(ctx context.Context) {
 	var lease string
@@ -141,7 +155,7 @@
 
 // claims takes the shards that fall to the node. The store is asked once in a
 // third of a lease, sooner when an owner fell silent or gave a shard back, and
-// not at all by nodes that own nothing and may not.
+// not at all by nodes that own nothing and may not own anything.
 func (n *Node) claims(ctx context.Context) {
 	n.wait.Go(func() { n.keepLease(ctx) })
 	random := rand.New(rand.NewPCG(n.settings.Policy.Seed, n.settings.Policy.Seed))
@@ -152,17 +166,24 @@
 	}
 	start := time.Now().Add(firstLook)
 	var next, choose time.Time
+	// looked tells whether the claims were read since the node began: they may
+	// name its former life.
+	looked := false
 	for {
 		now := time.Now()
-		if n.candidate(now) && !now.Before(start) && (!now.Before(next) || n.orphaned(now)) {
-			if err := n.balance(ctx); err != nil {
+		concerned := !looked || n.candidate(now) || n.owned() > 0
+		if concerned && !now.Before(start) && (!now.Before(next) || n.orphaned(now)) {
+			err := n.balance(ctx)
+			if err != nil {
 				n.log.Warn().Err(err).Msg("claims not read; trying again")
 			}
+			looked = looked || err == nil
 			next = time.Now().Add(n.settings.Store.Lease/3 + below(random, n.settings.Store.Lease/12))
 		}
 		n.setReady()
 		if !now.Before(choose) {
 			n.chooseStandbys(now)
+			n.retell()
 			choose = now.Add(n.settings.Store.Lease / 3)
 		}
 		select {
@@ -225,6 +246,18 @@
 	return nil
 }
 
+// retell announces shards that moved lately once more: a link that came up in
+// that moment may have missed it.
+func (n *Node) retell() {
+	n.mu.Lock()
+	moved := n.moved
+	n.moved = false
+	n.mu.Unlock()
+	if moved {
+		n.announce()
+	}
+}
+
 // level gives up one shard that falls to another node, which has been there
 // for a lease and has its own lease in the store. The next follows only once
 // this one has moved.
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -32,8 +32,11 @@
 		now := time.Now()
 		for name, at := range n.links.Heard() {
 			n.view.Heard(at, name)
+			n.alive(at, name)
 		}
-		n.view.Quiet(n.settings.Links.Silence + n.links.Slowest() - n.settings.Links.Ping)
+		pause := n.settings.Links.Silence + n.links.Slowest() - n.settings.Links.Ping
+		n.view.Quiet(pause)
+		n.expect(pause)
 		if !n.large() || now.Sub(meshed) >= largeInterval {
 			n.mesh(now)
 			meshed = now
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,8 @@
 	draining bool
 	// known are the hosts heard of.
 	known map[string]seen
+	// moved tells whether a shard came or went since the last poll.
+	moved bool
 	// moving is the shard handed over last for balance.
 	moving moving
 	// polled is when the leases were last read from the store.
--- a/node/owner_test.go
+++ b/node/owner_test.go
@@ -34,7 +34,10 @@
 	RunSpecs(t, "node")
 }
 
-func start(nodes int) *local.Deployment {
+func start(nodes int) *local.Deployment { return startWith(nodes, func(*setup.Settings) {}) }
+
+// startWith starts nodes with settings that adjust changes further.
+func startWith(nodes int, adjust func(s *setup.Settings)) *local.Deployment {
 	text, err := examples.Files.ReadFile("brennecke/001-start.ini")
 	Expect(err).NotTo(HaveOccurred())
 	d, err := local.Start(local.Options{
@@ -43,6 +46,7 @@
 		Desk:   desk.Options{Latency: time.Millisecond},
 		Adjust: func(s *setup.Settings) {
 			s.Store.Lease, s.Store.Timeout = 900*time.Millisecond, 300*time.Millisecond
+			adjust(s)
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -192,3 +196,40 @@
 		Expect(effects(d)).To(BeEquivalentTo(bookings))
 	})
 })
+
+var _ = Describe("the bound on owners", func() {
+	It("lets two of four nodes own shards, and only these call the store for it", func() {
+		d := startWith(4, func(s *setup.Settings) { s.Shards.Owners = 2 })
+		hosts := map[string]claim.Host{}
+		for i := range 4 {
+			name := fmt.Sprintf("node-%d", i+1)
+			hosts[name] = claim.Host{Name: name}
+		}
+		owners := claim.Owners(hosts, 2)
+		Eventually(func(g Gomega) {
+			for shard, c := range records(d) {
+				g.Expect(c.Node).To(Equal(claim.Preferred(shard, owners)))
+				g.Expect(c.Standbys).To(HaveLen(3))
+			}
+			g.Expect(members(d)).To(HaveLen(2), "the leases of the others lapse")
+		}, 30*time.Second).Should(Succeed())
+		for _, addr := range d.Addrs() {
+			a, err := client.New("brennecke", []string{addr}).Do(context.Background(), client.Request{
+				Program: "p-" + addr, Service: "booking", Text: "Two flatbeds.",
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.Outcome).To(Equal(answer.Done), a.Reason)
+		}
+	})
+})
+
+// members returns the keys of the leases that stand.
+func members(d *local.Deployment) []string {
+	pairs, err := store.New(d.Store(), time.Second).List(context.Background(), "node/", "", 0)
+	Expect(err).NotTo(HaveOccurred())
+	var keys []string
+	for _, p := range pairs {
+		keys = append(keys, p.Key)
+	}
+	return keys
+}
--- a/node/shards.go
+++ b/node/shards.go
@@ -67,6 +67,7 @@
 	running, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
 	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, standbys: c.Standbys, cancel: cancel}
+	n.moved = true
 	n.mu.Unlock()
 	n.wait.Go(func() {
 		j.Run(running)
@@ -111,14 +112,18 @@
 	o.journal.Flush(ctx)
 	for ctx.Err() == nil {
 		err := n.unclaim(ctx, y)
-		if err == nil || errors.Is(err, store.ErrConflict) {
+		if err == nil {
 			break
 		}
-		time.Sleep(100 * time.Millisecond)
+		if !errors.Is(err, store.ErrConflict) {
+			// A conflict is a change of the standbys that came between: try at once.
+			time.Sleep(100 * time.Millisecond)
+		}
 	}
 	o.cancel()
 	n.mu.Lock()
 	delete(n.journals, y.Shard)
+	n.moved = true
 	n.mu.Unlock()
 	n.see(y.Shard, ownership{epoch: y.Epoch})
 	n.gossipTo(n.links.Live(), n.news(map[int]uint64{y.Shard: y.Epoch}))
