--- a/proof/callers_test.go
+++ b/proof/callers_test.go
@@ -251,3 +251,10 @@
 	}
 	return false
 }
+
+// leave notes that an endpoint begins to leave now.
+func (c *callers) leave(endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left[endpoint] = time.Now()
+}
--- a/proof/owner_test.go
+++ b/proof/owner_test.go
@@ -37,6 +37,7 @@
 		killed := time.Now()
 		var r client.Result
 		Eventually(done, bound).Should(Receive(&r))
+		AddReportEntry("whole answer after the kill", time.Since(killed).String())
 		Expect(r.Outcome).To(Equal(answer.Done), f.log.outcomes())
 		Expect(time.Since(killed)).To(BeNumerically("<", takeover+time.Second))
 		Expect(p.say("And the gate?").Outcome).To(Equal(answer.Done), f.log.outcomes())
