--- a/proof/fence_test.go
+++ b/proof/fence_test.go
@@ -58,7 +58,7 @@
 		pausedBooking(options{tells: true})
 	})
 
-	It("under load, each node in turn: nothing twice, nothing mixed", Label("red"), func() {
+	It("under load, each node in turn: nothing twice, nothing mixed", func() {
 		f := launch(options{nodes: 3})
 		c := f.crowd(6)
 		for _, h := range f.hosts {
