One pace for a node's journals; a second signal ends a planned stop

A second SIGTERM was swallowed, so a stop could not be hastened and said nothing. Change: the journals of a node share one limiter, sized by the shards it owns; the second signal ends the stop and logs the callers and shards that it abandons. A proof spec for the second signal passes (4.2 s).

--- a/cmd/cowslipstage/cmds/serve.go
+++ b/cmd/cowslipstage/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,12 +23,27 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return node.New(s, logger(level)).Run(ctx)
+			return serve(c.Context(), node.New(s, logger(level)))
 		},
 	}
 	c.Flags().StringVar(&file, "config", "node.ini", "settings file")
 	c.Flags().StringVar(&level, "log", "info", "log level")
 	return c
 }
+
+// serve runs a node until the first signal; a second one ends the planned stop
+// that the first began.
+func serve(ctx context.Context, n *node.Node) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		n.Abandon()
+	}()
+	return n.Run(ctx)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
@@ -50,6 +51,10 @@
 	metrics  *metrics.Set
 	router   *message.Router
 	servers  []*http.Server
+	// pace bounds the writes of all journals of the node together.
+	pace *rate.Limiter
+	// abandon is closed when the operator will not wait for a planned stop.
+	abandon chan struct{}
 	// opened are the listeners that were open before the node ran.
 	opened map[string]net.Listener
 	wait   sync.WaitGroup
@@ -160,6 +165,8 @@
 		mailbox:  make(chan core.Event, mailboxLength),
 		idle:     make(chan struct{}),
 		opened:   map[string]net.Listener{},
+		pace:     rate.NewLimiter(rate.Limit(s.Store.Writes), max(1, s.Store.Writes)),
+		abandon:  make(chan struct{}),
 		owners:   map[int]ownership{},
 		journals: map[int]*opened{},
 		config:   config.New(),
@@ -332,7 +339,10 @@
 	for {
 		select {
 		case <-end:
-			n.log.Warn().Int("callers", n.edge.Waiting()).Msg("grace period over; abandoning what is left")
+			n.abandoned("grace period over")
+			return
+		case <-n.abandon:
+			n.abandoned("second signal")
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
@@ -342,6 +352,15 @@
 	}
 }
 
+// Abandon ends a planned stop at once; what is cut off is logged.
+func (n *Node) Abandon() { close(n.abandon) }
+
+// abandoned says what a stop cuts off.
+func (n *Node) abandoned(reason string) {
+	n.log.Warn().Str("reason", reason).Int("callers", n.edge.Waiting()).Int("shards", n.owned()).
+		Msg("stopping now; callers without an answer and shards not handed over are abandoned")
+}
+
 func (n *Node) owned() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/shards.go
+++ b/node/shards.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
 	"github.com/cowslipstage/cowslipstage/coordination/core"
@@ -43,6 +44,15 @@
 	return n.store.Put(ctx, claimKey(shard), data, version, "")
 }
 
+// setPace gives the node's journals together the part of all writes that its
+// shards have of all shards; a second's worth may come at once. The caller
+// holds the lock.
+func (n *Node) setPace(now time.Time) {
+	limit := n.settings.Store.Writes * len(n.journals) / n.settings.Shards.Count
+	n.pace.SetLimitAt(now, rate.Limit(max(1, limit)))
+	n.pace.SetBurstAt(now, max(1, limit))
+}
+
 func (n *Node) open(ctx context.Context, shard int, c claim.Claim, version uint64) error {
 	if _, err := n.putClaim(ctx, shard, c, version); err != nil {
 		return err
@@ -50,7 +60,7 @@
 	s := n.settings
 	j := jrnl.New(jrnl.Options{
 		Store: n.store, Peers: peers{n}, Shard: shard, Epoch: c.Epoch, Standbys: c.Standbys,
-		Delay: s.Store.Delay, Bound: s.Store.Bound, Pace: float64(s.Store.Writes) / float64(s.Shards.Count), Abandon: s.Store.Abandon,
+		Delay: s.Store.Delay, Bound: s.Store.Bound, Pace: n.pace, Abandon: s.Store.Abandon,
 		Retention: snap.Retention{Answers: s.Shards.Answers, Keys: s.Shards.Keys},
 		Metrics:   n.metrics, Log: n.log,
 	})
@@ -67,6 +77,7 @@
 	running, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
 	n.journals[shard] = &opened{journal: j, epoch: c.Epoch, standbys: c.Standbys, cancel: cancel}
+	n.setPace(time.Now())
 	n.moved = true
 	n.mu.Unlock()
 	n.wait.Go(func() {
@@ -87,6 +98,7 @@
 	n.mu.Lock()
 	if o := n.journals[shard]; o != nil && o.epoch == epoch {
 		delete(n.journals, shard)
+		n.setPace(time.Now())
 	}
 	n.mu.Unlock()
 	n.emit(core.Lost{Shard: shard, Epoch: epoch})
@@ -123,6 +135,7 @@
 	o.cancel()
 	n.mu.Lock()
 	delete(n.journals, y.Shard)
+	n.setPace(time.Now())
 	n.moved = true
 	n.mu.Unlock()
 	n.see(y.Shard, ownership{epoch: y.Epoch})
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -89,4 +90,28 @@
 		p.end()
 		f.log.check()
 	})
+
+	It("that waits for a hanging booking ends at a second signal, and says what it abandons", func() {
+		f := launch(options{nodes: 3, latency: "15s"})
+		p := f.log.person("p1", "booking")
+		Expect(p.say("Space near the north shore?").Outcome).To(Equal(answer.Done))
+		o := f.owner("p1")
+		p.client = f.log.through(f.others(o)...)
+		heard := make(chan answer.Outcome, 1)
+		go func() {
+			defer GinkgoRecover()
+			r, key := p.run("book", `{"yard":"north"}`)
+			Expect(f.effects(key)).To(Equal(1))
+			heard <- r.Outcome
+		}()
+		Eventually(func() bool { return f.intended("p1") }, bound).Should(BeTrue())
+		o.signal(syscall.SIGTERM)
+		Eventually(func() string { return o.log.last(40) }, bound).Should(ContainSubstring("planned stop"))
+		Consistently(o.done).ShouldNot(BeClosed())
+		o.signal(syscall.SIGTERM)
+		Eventually(o.done, bound).Should(BeClosed())
+		Expect(o.log.last(40)).To(ContainSubstring("second signal"))
+		Eventually(heard, 2*bound).Should(Receive(Equal(answer.Unknown)))
+		f.log.check()
+	})
 })
--- a/transport/jrnl/bench_test.go
+++ b/transport/jrnl/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/cowslipstage/cowslipstage/standin/keyval"
 	"github.com/cowslipstage/cowslipstage/state/snap"
@@ -33,9 +34,13 @@
 	server := httptest.NewServer(k)
 	defer server.Close()
 	s := newStandbys()
+	limit := rate.NewLimiter(rate.Inf, 1)
+	if pace > 0 {
+		limit = rate.NewLimiter(rate.Limit(pace), int(pace))
+	}
 	j := jrnl.New(jrnl.Options{
 		Store: store.New(strings.TrimPrefix(server.URL, "http://"), 10*time.Second), Peers: s,
-		Shard: 3, Epoch: 1, Standbys: three(), Pace: pace, Delay: 50 * time.Millisecond, Bound: 1 << 30,
+		Shard: 3, Epoch: 1, Standbys: three(), Pace: limit, Delay: 50 * time.Millisecond, Bound: 1 << 30,
 		Retention: snap.Retention{Answers: time.Hour, Keys: time.Hour}, Log: zerolog.Nop(),
 	})
 	s.journals = append(s.journals, j)
--- a/transport/jrnl/jrnl.go
+++ b/transport/jrnl/jrnl.go
@@ -53,8 +53,9 @@
 	Standbys []claim.Standby
 	// Delay is how long the store may take before the standbys are asked.
 	Delay time.Duration
-	// Pace is how many batches a second may be written to the store; 0 is no bound.
-	Pace float64
+	// Pace bounds the batches written to the store; the journals of a node
+	// share it. Nil is no bound.
+	Pace *rate.Limiter
 	// Bound is how many bytes may wait for the store.
 	Bound int
 	// Abandon is how long a standby that shows no sign of life is waited for.
@@ -138,22 +139,17 @@
 
 // New returns a journal that is to be opened, once.
 func New(o Options) *Journal {
+	if o.Pace == nil {
+		o.Pace = rate.NewLimiter(rate.Inf, 1)
+	}
 	return &Journal{
-		options: o, pace: newPace(o.Pace), closed: make(chan struct{}), standbys: o.Standbys,
+		options: o, pace: o.Pace, closed: make(chan struct{}), standbys: o.Standbys,
 		sealed: make(chan sealed, 64), held: make(chan held, 1024), wanted: make(chan []claim.Standby, 1),
 		stored: make(chan result, 1), renamed: make(chan renamed, 1), cut: make(chan snapshot, 1),
 		more: make(chan struct{}, 1),
 	}
 }
 
-// newPace allows bursts of a second's worth, so that only lasting load is paced.
-func newPace(limit float64) *rate.Limiter {
-	if limit == 0 {
-		return rate.NewLimiter(rate.Inf, 1)
-	}
-	return rate.NewLimiter(rate.Limit(limit), max(1, int(limit)))
-}
-
 // Append queues records; done is called once they are safe, or with ErrDeposed.
 // It never blocks.
 func (j *Journal) Append(records []record.Record, done func(error)) {
