A test for the cost of failed attempts

Cause: the guard that counts a broken attempt's reservation as spent had no test that fell without it. Change: a program whose every attempt breaks off is refused before its attempts together exceed the budget.

--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -384,4 +384,22 @@
 		Expect(r.last().Reason).To(Equal("key"))
 		Expect(r.dispatches).To(HaveLen(1))
 	})
+
+	It("counts failed attempts against the budget, whose cost nobody reports", func() {
+		const attempt = 10 + 50
+		for i := range 200 {
+			before := len(r.dispatches)
+			r.submit(chat(fmt.Sprint("x", i), 0))
+			for before < len(r.dispatches) {
+				before++
+				r.step(core.Failed{Flight: r.dispatches[before-1].Flight, Reason: "cut"})
+				r.commit()
+			}
+			if r.last().Reason == "budget" {
+				break
+			}
+		}
+		Expect(r.last().Reason).To(Equal("budget"))
+		Expect(attempt * len(r.dispatches)).To(BeNumerically("<=", 4000))
+	})
 })
