--- a/node/control.go
+++ b/node/control.go
@@ -55,7 +55,7 @@
 	case core.Dispatch:
 		n.metrics.GetOrCreateCounter("dispatches_total").Inc()
 		n.shares.begin(a.Flight, a.Endpoint)
-		n.wait.Go(func() { n.dialer.Run(ctx, a) })
+		n.wait.Go(n.dialer.Prepare(ctx, a))
 	case core.Abort:
 		n.shares.end(a.Flight)
 		n.dialer.Abort(a.Flight)
--- a/node/node.go
+++ b/node/node.go
@@ -68,8 +68,6 @@
 	shares *shares
 	// start rises with each start of the node's process.
 	start uint64
-	// idle is closed when a draining node owns nothing any more.
-	idle chan struct{}
 
 	// files guards the data folder.
 	files sync.Mutex
@@ -163,7 +161,6 @@
 		store:    store.New(s.Store.Addr, s.Store.Timeout),
 		metrics:  metrics.NewSet(),
 		mailbox:  make(chan core.Event, mailboxLength),
-		idle:     make(chan struct{}),
 		opened:   map[string]net.Listener{},
 		pace:     rate.NewLimiter(rate.Limit(s.Store.Writes), max(1, s.Store.Writes)),
 		abandon:  make(chan struct{}),
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -66,23 +66,29 @@
 	}
 }
 
-// Run performs one dispatch and reports its end as Finished or Failed.
-func (d *Dialer) Run(ctx context.Context, a core.Dispatch) {
+// Prepare returns what performs one dispatch and reports its end as Finished or
+// Failed. From the call of Prepare on, Abort finds the dispatch.
+func (d *Dialer) Prepare(ctx context.Context, a core.Dispatch) func() {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
-	defer cancel()
 	d.mu.Lock()
 	d.cancels[a.Flight] = cancel
 	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		delete(d.cancels, a.Flight)
-		d.mu.Unlock()
-	}()
-	if a.Call.Kind == call.Chat {
-		d.chat(ctx, cancel, a)
-		return
+	return func() {
+		defer d.forget(a.Flight)
+		if a.Call.Kind == call.Chat {
+			d.chat(ctx, cancel, a)
+			return
+		}
+		d.plain(ctx, a)
 	}
-	d.plain(ctx, a)
+}
+
+// forget ends what a dispatch holds.
+func (d *Dialer) forget(flight uint64) {
+	d.Abort(flight)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.cancels, flight)
 }
 
 // Abort cancels a dispatch.
--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -34,7 +34,7 @@
 func run(o dialer.Options, a core.Dispatch) core.Event {
 	var last core.Event
 	d := dialer.New(o, func(e core.Event) { last = e })
-	d.Run(context.Background(), a)
+	d.Prepare(context.Background(), a)()
 	return last
 }
 
@@ -93,10 +93,10 @@
 		func(repeatable bool, body string) {
 			var last core.Event
 			d := dialer.New(dialer.Options{}, func(e core.Event) { last = e })
-			d.Run(context.Background(), plain(addr, true, body))
+			d.Prepare(context.Background(), plain(addr, true, body))()
 			Expect(last).To(BeAssignableToTypeOf(core.Finished{}))
 			Expect(runs.Load()).To(BeEquivalentTo(1))
-			d.Run(context.Background(), plain(addr, repeatable, body))
+			d.Prepare(context.Background(), plain(addr, repeatable, body))()
 			Expect(runs.Load()).To(BeEquivalentTo(2))
 			if repeatable {
 				Expect(last).To(Equal(core.Failed{Flight: 7, Reason: "connection"}))
@@ -189,6 +189,20 @@
 	)
 })
 
+var _ = Describe("an abort", func() {
+	It("finds a dispatch that has not begun", func() {
+		calls := 0
+		addr := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls++ }))
+		var end core.Event
+		d := dialer.New(dialer.Options{}, func(e core.Event) { end = e })
+		run := d.Prepare(context.Background(), chat(addr))
+		d.Abort(7)
+		run()
+		Expect(end).To(HaveField("Untouched", true))
+		Expect(calls).To(BeZero())
+	})
+})
+
 var _ = Describe("a plain answer", func() {
 	It("with the status of a conflict is the endpoint's word, not a refusal", func() {
 		addr := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -281,7 +295,7 @@
 				ended <- e
 			}
 		})
-		d.Run(context.Background(), chat(addr))
+		d.Prepare(context.Background(), chat(addr))()
 		Eventually(ended).Should(Receive(Equal(core.Failed{Flight: 7, Reason: "cut"})))
 		Eventually(gone).Should(BeClosed())
 	})
@@ -312,7 +326,7 @@
 		d := dialer.New(dialer.Options{}, func(e core.Event) { events <- e })
 		a := chat(addr)
 		a.Call.Messages[0].Content = strings.Repeat("word ", 100) + speech.Mark(3)
-		d.Run(ctx, a)
+		d.Prepare(ctx, a)()
 		following, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go d.Follow(following, "e1", addr)
