--- a/cmd/cowslipstage/cmds/ticket.go
+++ b/cmd/cowslipstage/cmds/ticket.go
@@ -71,6 +71,16 @@
 	return c
 }
 
+// read returns the tickets in files and folders, and a client of the store.
+func (p *storeFlags) read(c *cobra.Command, paths []string) ([]*ticket.Ticket, *store.Client, error) {
+	all, err := tickets(c, paths)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := p.open()
+	return all, s, err
+}
+
 func applyCommand(p *storeFlags) *cobra.Command {
 	var dry bool
 	c := &cobra.Command{
@@ -78,11 +88,7 @@
 		Short: "Apply tickets that are not applied yet, by number",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			tickets, err := tickets(c, args)
-			if err != nil {
-				return err
-			}
-			s, err := p.open()
+			tickets, s, err := p.read(c, args)
 			if err != nil {
 				return err
 			}
@@ -255,11 +261,7 @@
 		Short: "Print what a ticket would change, and change nothing",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			tickets, err := tickets(c, args)
-			if err != nil {
-				return err
-			}
-			s, err := p.open()
+			tickets, s, err := p.read(c, args)
 			if err != nil {
 				return err
 			}
