--- /dev/null
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -0,0 +1,153 @@
+package cmds
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"github.com/cowslipstage/cowslipstage/gate"
+	"github.com/cowslipstage/cowslipstage/platform"
+	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/vault"
+)
+
+const (
+	// logLines bounds the log lines that wait to be written; more are dropped
+	// and counted.
+	logLines = 4096
+	// logPoll is how often the log's writer looks for lines.
+	logPoll = 50 * time.Millisecond
+	// memoryShare is the part of a process's memory that the collector aims to
+	// stay below; the rest is for stacks, buffers of sockets and bursts.
+	memoryShare = 0.6
+)
+
+func gateCommand() *cobra.Command {
+	o := &roleOptions{}
+	c := &cobra.Command{
+		Use:   "gate",
+		Short: "Serve callers on the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.run(c.Context(), "gate", func(r *role) error {
+				g := gate.New(r.site, platform.Dialect{}, platform.NewRegistry(r.store), r.set, r.log)
+				go platform.Follow(r.context, r.store, g, r.log)
+				return g.Run(r.context)
+			})
+		},
+	}
+	o.flags(c)
+	return c
+}
+
+func vaultCommand() *cobra.Command {
+	o := &roleOptions{}
+	c := &cobra.Command{
+		Use:   "vault",
+		Short: "Keep chains of turns and accounts on the platform's disks",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.run(c.Context(), "vault", func(r *role) error {
+				v, err := vault.New(r.site, platform.NewRegistry(r.store), r.set, r.log)
+				if err != nil {
+					return err
+				}
+				return v.Run(r.context)
+			})
+		},
+	}
+	o.flags(c)
+	return c
+}
+
+// roleOptions are the flags of the platform's roles.
+type roleOptions struct {
+	settings string
+	level    string
+	metrics  string
+}
+
+func (o *roleOptions) flags(c *cobra.Command) {
+	c.Flags().StringVar(&o.settings, "settings", platform.SettingsFile(), "the platform's settings file")
+	c.Flags().StringVar(&o.level, "log", "info", "log level")
+	c.Flags().StringVar(&o.metrics, "metrics", "", "port for /metrics; empty serves none")
+}
+
+// role is what both roles start from.
+type role struct {
+	context context.Context
+	site    *site.Site
+	store   *platform.Store
+	set     *metrics.Set
+	log     zerolog.Logger
+}
+
+func (o *roleOptions) run(ctx context.Context, name string, body func(*role) error) error {
+	s, err := platform.Load(o.settings)
+	if err != nil {
+		return err
+	}
+	set := metrics.NewSet()
+	dropped := set.NewCounter("cowslipstage_log_lines_dropped_total")
+	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(n int) { dropped.Add(n) })
+	defer func() { _ = out.Close() }() // nothing is left to log with
+	level, err := zerolog.ParseLevel(o.level)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", s.Node).Logger()
+	if s.Memory > 0 && s.Memory < math.MaxInt64/2 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go o.reload(ctx, s, log)
+	if o.metrics != "" {
+		go serveMetrics(s.IP+":"+o.metrics, set, log)
+	}
+	log.Info().Str("role", name).Str("centre", s.Centre).Bool("fresh", s.Fresh).Int("losses", s.Losses).Msg("starting")
+	err = body(&role{context: ctx, site: s, store: platform.NewStore(s.Store, set), set: set, log: log})
+	log.Info().Err(err).Msg("ended")
+	return err
+}
+
+// reload checks the settings again on SIGHUP. What they hold is fixed for a
+// process's life; a change of it is logged.
+func (o *roleOptions) reload(ctx context.Context, old *site.Site, log zerolog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		s, err := platform.Load(o.settings)
+		if err != nil {
+			log.Error().Err(err).Msg("settings not reloaded; the old ones stand")
+			continue
+		}
+		log.Info().Bool("changed", *s != *old).Msg("settings reloaded; changes take effect at the next start")
+	}
+}
+
+func serveMetrics(addr string, set *metrics.Set, log zerolog.Logger) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	server := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
+	log.Warn().Err(server.ListenAndServe()).Msg("metrics are not served")
+}
--- a/cmd/cowslipstage/cmds/root.go
+++ b/cmd/cowslipstage/cmds/root.go
@@ -30,7 +30,7 @@
 		SilenceErrors: false,
 	}
 	root.SetOut(os.Stdout)
-	root.AddCommand(serveCommand(), demoCommand(), versionCommand(), ticketCommand(), reportCommand(), traceCommand(), checkCommand(), standinCommand(), benchCommand())
+	root.AddCommand(serveCommand(), demoCommand(), versionCommand(), ticketCommand(), reportCommand(), traceCommand(), checkCommand(), standinCommand(), benchCommand(), gateCommand(), vaultCommand())
 	return root
 }
 
--- /dev/null
+++ b/coordination/assign/assign.go
@@ -0,0 +1,83 @@
+// Package assign (coordination layer) chooses the endpoint for a request of the
+// platform's kinds. It answers bursts that fill engines unevenly: every gate
+// sees only its own calls and what the others said some moments ago.
+package assign
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Choice is one endpoint that may take the request.
+type Choice struct {
+	ID string
+	// Mine is the calls that this gate has there now, Others what the other
+	// gates said they have.
+	Mine   int
+	Others int
+	Slots  int
+	// Near endpoints are in this gate's data centre.
+	Near bool
+	// Cached endpoints ran the chain's last turn.
+	Cached bool
+	// Slow is how much longer the endpoint takes than its pool; 1 is usual.
+	Slow float64
+	// Share is the part of its slots that the endpoint may use, from 0 to 1.
+	Share float64
+	// Cold is how much longer the endpoint is slow after its start.
+	Cold time.Duration
+}
+
+const (
+	// batchWeight is how much longer a call takes at a full engine than at an
+	// idle one; engines' steps grow by about half of that from one call to all.
+	batchWeight = 1.0
+	// waitWeight is the cost of a slot's worth of waiting calls.
+	waitWeight = 3.0
+	// missCost is the cost of reading a prompt of a thousand tokens anew,
+	// against a usual call's time.
+	missCost = 0.04
+	// farCost is the cost of another data centre: its way and the bytes' price.
+	farCost = 0.15
+	// coldCost is the cost of an endpoint that has just started.
+	coldCost = 0.5
+	// ejectedCost keeps ejected endpoints for when there is no other.
+	ejectedCost = 100
+)
+
+// Pick returns the index of the endpoint with the least expected cost for a
+// prompt of so many tokens, or -1 if there is none. Ties are broken by random,
+// so that gates that know the same do not all choose the same.
+func Pick(choices []Choice, prompt int, random *rand.Rand) int {
+	best, least := -1, 0.0
+	for i, c := range choices {
+		cost := c.cost(prompt) + random.Float64()*0.02
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+func (c Choice) cost(prompt int) float64 {
+	slots := float64(max(1, c.Slots)) * max(0.05, c.Share)
+	calls := float64(c.Mine + c.Others)
+	slow := max(1, c.Slow)
+	cost := slow * (1 + batchWeight*calls/slots)
+	if over := calls + 1 - slots; over > 0 {
+		cost += slow * waitWeight * over / slots
+	}
+	if !c.Cached {
+		cost += missCost * float64(prompt) / 1000
+	}
+	if !c.Near {
+		cost += farCost
+	}
+	if c.Cold > 0 {
+		cost += coldCost
+	}
+	if c.Share <= 0 {
+		cost += ejectedCost
+	}
+	return cost
+}
--- /dev/null
+++ b/coordination/seats/seats.go
@@ -0,0 +1,118 @@
+// Package seats (coordination layer) decides which hosts with disks count as
+// copies, and how many of them must have a record before it counts as kept.
+package seats
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Seat is one place for a copy and the host that has it.
+type Seat struct {
+	Node   string `cbor:"1,keyasint" json:"node"`
+	Addr   string `cbor:"2,keyasint" json:"addr"`
+	Centre string `cbor:"3,keyasint" json:"centre"`
+	// Since is the roster's version at which the host got the seat. What the
+	// host kept from before that does not make it a copy.
+	Since uint64 `cbor:"4,keyasint" json:"since"`
+}
+
+// Roster is one version of who has the seats. Versions are agreed on by
+// compare-and-swap; a holder that knows a newer one refuses an older one.
+type Roster struct {
+	Version uint64 `cbor:"1,keyasint" json:"version"`
+	Seats   []Seat `cbor:"2,keyasint" json:"seats"`
+	// Losses is how many of the seats may be lost at once.
+	Losses int `cbor:"3,keyasint" json:"losses"`
+}
+
+// Wanted is the number of seats: with so many lost, as many are left as are
+// needed for every record to have outlasted them.
+func Wanted(losses int) int { return 2*losses + 1 }
+
+// Quorum is how many seats must have a record: more than may be lost, and so
+// many that any two quorums share a seat.
+func (r *Roster) Quorum() int { return max(r.Losses+1, len(r.Seats)/2+1) }
+
+// Find returns the seat of a node, or nil.
+func (r *Roster) Find(node string) *Seat {
+	for i := range r.Seats {
+		if r.Seats[i].Node == node {
+			return &r.Seats[i]
+		}
+	}
+	return nil
+}
+
+// Order returns the seats in the order in which a host in a data centre tries
+// them for a key: its own data centre first, then spread by key.
+func (r *Roster) Order(centre, key string) []Seat {
+	order := slices.Clone(r.Seats)
+	rank := func(s Seat) uint64 { return xxhash.Sum64String(key + "/" + s.Node) }
+	slices.SortFunc(order, func(a, b Seat) int {
+		if near, other := a.Centre == centre, b.Centre == centre; near != other {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(rank(a), rank(b))
+	})
+	return order
+}
+
+// Claim returns the roster in which a host has a free seat or that of a lost
+// one, or false if there is none for it. A host that moved keeps its seat.
+func (r *Roster) Claim(host Seat, losses int, lost func(node string) bool) (*Roster, bool) {
+	next := &Roster{Version: r.Version + 1, Seats: slices.Clone(r.Seats), Losses: losses}
+	host.Since = next.Version
+	if old := next.Find(host.Node); old != nil {
+		if old.Addr == host.Addr {
+			return nil, false
+		}
+		*old = host
+		return next, true
+	}
+	if len(next.Seats) < Wanted(losses) {
+		next.Seats = append(next.Seats, host)
+		return next, true
+	}
+	for i := range next.Seats {
+		if lost(next.Seats[i].Node) {
+			next.Seats[i] = host
+			return next, true
+		}
+	}
+	return nil, false
+}
+
+// Leave returns the roster without a node; its seat goes to heir if there is one.
+func (r *Roster) Leave(node string, heir *Seat) (*Roster, bool) {
+	if r.Find(node) == nil {
+		return nil, false
+	}
+	next := &Roster{Version: r.Version + 1, Losses: r.Losses}
+	for _, s := range r.Seats {
+		if s.Node != node {
+			next.Seats = append(next.Seats, s)
+		}
+	}
+	if heir != nil {
+		taken := *heir
+		taken.Since = next.Version
+		next.Seats = append(next.Seats, taken)
+	}
+	return next, true
+}
+
+// String names a roster in logs.
+func (r *Roster) String() string {
+	name := "v" + strconv.FormatUint(r.Version, 10)
+	for _, s := range r.Seats {
+		name += " " + s.Node
+	}
+	return name
+}
--- /dev/null
+++ b/gate/bank.go
@@ -0,0 +1,521 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/state/spend"
+	"github.com/cowslipstage/cowslipstage/transport/calls"
+)
+
+// The ways in which the vaults decline.
+var (
+	errUncertain = errors.New("gate: too few vaults answered")
+	errUnknown   = errors.New("gate: no such turn")
+	errSpent     = errors.New("gate: the budget is spent")
+)
+
+const (
+	// hedgeTime is how long a vault may take before another is asked as well:
+	// several times a slow disk's sync and the way.
+	hedgeTime = 40 * time.Millisecond
+	// rosterFirst and rosterEvery are the pauses between questions for the
+	// roster until it is known, and while vaults fail.
+	rosterFirst = 100 * time.Millisecond
+	rosterEvery = time.Second
+	// othersAge is how long the other gates' load is believed.
+	othersAge = time.Second
+	// loadEvery bounds how often this gate's load goes to one vault.
+	loadEvery = 100 * time.Millisecond
+	// cacheShare is the part of the memory for chains kept at the gate.
+	cacheShare = 0.15
+	// keepFactor is how many times the retention an account is kept: a program
+	// that was stopped may come back within the retention.
+	keepFactor = 2
+	// lagWeight is the weight of a vault's newest time in its mean.
+	lagWeight = 0.2
+	// lagAge is how long a slow or failed vault goes last before it is tried again.
+	lagAge = time.Second
+)
+
+// bank is a gate's side of the vaults.
+type bank struct {
+	site    *site.Site
+	rosters Rosters
+	log     zerolog.Logger
+	begins  *metrics.Histogram
+	ends    *metrics.Histogram
+	missed  *metrics.Counter
+	// running returns this gate's calls by endpoint.
+	running func() map[string]int
+
+	mu      sync.Mutex
+	roster  *seats.Roster
+	clients map[string]*calls.Client
+	// lags is each vault's usual time to answer, as of lagged; failed ones get a
+	// large one.
+	lags   map[string]time.Duration
+	lagged map[string]time.Time
+	// told is when each vault got this gate's load.
+	told map[string]time.Time
+	// load is the other gates' calls by endpoint, as of loaded.
+	load   map[string]int
+	loaded time.Time
+	// cache holds chains by turn; cached is its size in bytes.
+	cache  *simplelru.LRU[string, *chains.Turn]
+	cached int64
+	wake   chan struct{}
+}
+
+func newBank(s *site.Site, r Rosters, set *metrics.Set, log zerolog.Logger) *bank {
+	b := &bank{
+		site: s, rosters: r, log: log, roster: &seats.Roster{}, clients: map[string]*calls.Client{},
+		lags: map[string]time.Duration{}, lagged: map[string]time.Time{}, told: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		begins: set.NewHistogram("cowslipstage_gate_vault_begin_seconds"),
+		ends:   set.NewHistogram("cowslipstage_gate_vault_end_seconds"),
+		missed: set.NewCounter("cowslipstage_gate_chains_fetched_total"),
+	}
+	// The number of entries is bounded by their bytes.
+	b.cache, _ = simplelru.NewLRU(1<<20, func(_ string, t *chains.Turn) { b.cached -= weight(t) })
+	return b
+}
+
+func weight(t *chains.Turn) int64 { return int64(len(t.Input)+len(t.Output)) + 256 }
+
+// run learns the roster while it is not known or vaults fail.
+func (b *bank) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := rosterEvery
+		if r, _, err := b.rosters.Roster(ctx); err != nil {
+			b.log.Warn().Err(err).Msg("roster not read")
+		} else if b.adopt(r); len(r.Seats) < seats.Wanted(b.site.Losses) {
+			pause = rosterFirst
+		} else {
+			select {
+			case <-b.wake:
+			case <-ctx.Done():
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// doubt asks for a newer roster.
+func (b *bank) doubt() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *bank) adopt(r *seats.Roster) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r == nil || r.Version <= b.roster.Version {
+		return
+	}
+	b.log.Info().Stringer("old", b.roster).Stringer("new", r).Msg("roster adopted")
+	b.roster = r
+}
+
+func (b *bank) current() *seats.Roster {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster
+}
+
+// order returns the seats, the promptest first among equals in place.
+func (b *bank) order(r *seats.Roster, key string) []seats.Seat {
+	order := r.Order(b.site.Centre, key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var prompt, slow []seats.Seat
+	for _, s := range order {
+		if b.lags[s.Addr] > hedgeTime && time.Since(b.lagged[s.Addr]) < lagAge {
+			slow = append(slow, s)
+		} else {
+			prompt = append(prompt, s)
+		}
+	}
+	return append(prompt, slow...)
+}
+
+func (b *bank) client(addr string) *calls.Client {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.clients[addr]
+	if c == nil {
+		c = calls.NewClient(addr)
+		b.clients[addr] = c
+	}
+	return c
+}
+
+// call asks one vault and notes how long it took.
+func (b *bank) call(ctx context.Context, addr string, m vaults.Message) (vaults.Message, error) {
+	begun := time.Now()
+	answer, err := b.client(addr).Call(ctx, m)
+	took := time.Since(begun)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, err
+	}
+	old := b.lags[addr]
+	b.lagged[addr] = time.Now()
+	if err != nil {
+		b.lags[addr] = 2 * hedgeTime
+		return nil, err
+	}
+	b.lags[addr] = old + time.Duration(lagWeight*float64(took-old))
+	return answer, nil
+}
+
+// reply is one vault's answer or failure.
+type reply struct {
+	seat   seats.Seat
+	answer vaults.Message
+	err    error
+}
+
+// gather asks seats in order, as many at once as are needed, and one more each
+// time that one declines or is late, until enough have said yes. take tells
+// whether an answer is a yes.
+func (b *bank) gather(ctx context.Context, order []seats.Seat, needed int, message func(i int, s seats.Seat) vaults.Message, take func(seats.Seat, vaults.Message) bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan reply, len(order))
+	next, under, yes := 0, 0, 0
+	ask := func() {
+		if next < len(order) {
+			s, m := order[next], message(next, order[next])
+			next++
+			under++
+			go func() {
+				answer, err := b.call(ctx, s.Addr, m)
+				replies <- reply{s, answer, err}
+			}()
+		}
+	}
+	for range needed {
+		ask()
+	}
+	hedge := time.NewTicker(hedgeTime)
+	defer hedge.Stop()
+	for yes < needed {
+		if under == 0 {
+			return errors.Wrapf(errUncertain, "%d of %d", yes, needed)
+		}
+		select {
+		case r := <-replies:
+			under--
+			if r.err == nil && take(r.seat, r.answer) {
+				yes++
+				continue
+			}
+			ask()
+		case <-hedge.C:
+			ask()
+		case <-ctx.Done():
+			return errors.Mark(errors.Wrap(ctx.Err(), "waiting for vaults"), errUncertain)
+		}
+	}
+	return nil
+}
+
+// rounds is how often a step is begun anew because the roster changed.
+const rounds = 4
+
+// opened is what the vaults said of a turn that is to run.
+type opened struct {
+	// turns is the chain, oldest first.
+	turns []*chains.Turn
+}
+
+// open notes what a turn may spend and returns its chain. budget is negative
+// for a turn without one.
+func (b *bank) open(ctx context.Context, hold *chains.Hold, budget int, previous string) (opened, error) {
+	begun := time.Now()
+	defer b.begins.UpdateDuration(begun)
+	chain, held := b.held(previous)
+	if budget < 0 && held {
+		return opened{turns: chain}, nil
+	}
+	var found []*chains.Turn
+	wanted := ""
+	if !held {
+		wanted = previous
+		b.missed.Inc()
+	}
+	err := b.inRounds(ctx, func(roster *seats.Roster) error {
+		var err error
+		found, err = b.begin(ctx, roster, hold, budget, wanted)
+		return err
+	})
+	if err != nil {
+		return opened{}, err
+	}
+	if held {
+		return opened{turns: chain}, nil
+	}
+	b.remember(found...)
+	if chain, held = b.held(previous); held {
+		return opened{turns: chain}, nil
+	}
+	chain, err = b.fetch(ctx, previous)
+	return opened{turns: chain}, err
+}
+
+// inRounds repeats a step while the roster changes under it.
+func (b *bank) inRounds(ctx context.Context, step func(*seats.Roster) error) error {
+	for range rounds {
+		roster := b.current()
+		if len(roster.Seats) < roster.Quorum() {
+			b.doubt()
+			return errors.Wrap(errUncertain, "no roster with a quorum")
+		}
+		err := step(roster)
+		if err == nil || !errors.Is(err, errUncertain) {
+			return err
+		}
+		if b.current().Version == roster.Version || ctx.Err() != nil {
+			b.doubt()
+			return err
+		}
+	}
+	return errors.Wrap(errUncertain, "the roster keeps changing")
+}
+
+// begin asks a quorum to note the hold; it returns what they hold of the chain.
+func (b *bank) begin(ctx context.Context, roster *seats.Roster, hold *chains.Hold, budget int, wanted string) ([]*chains.Turn, error) {
+	var turns []*chains.Turn
+	account, short := spend.New(), false
+	message := func(i int, s seats.Seat) vaults.Message {
+		m := &vaults.Begin{Version: roster.Version, Budget: budget}
+		if budget >= 0 {
+			copied := *hold
+			m.Hold = &copied
+		}
+		if i == 0 {
+			m.Chain = wanted
+		}
+		m.Load, m.Node = b.tell(s.Addr)
+		return m
+	}
+	needed := roster.Quorum()
+	if budget < 0 {
+		needed = 1
+	}
+	order := b.order(roster, hold.Program)
+	err := b.gather(ctx, order, needed, message, func(s seats.Seat, m vaults.Message) bool {
+		a, ok := m.(*vaults.Began)
+		if !ok || !b.accepted(s, a.Status, a.Roster) {
+			return false
+		}
+		b.heard(a.Load)
+		turns = append(turns, a.Turns...)
+		if a.Account != nil {
+			short = true
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !short {
+		return turns, nil
+	}
+	// One copy may not know yet what another knows to be settled.
+	err = b.gather(ctx, order, needed, func(int, seats.Seat) vaults.Message {
+		copied := *hold
+		return &vaults.Begin{Version: roster.Version, Hold: &copied, Budget: 0}
+	}, func(s seats.Seat, m vaults.Message) bool {
+		a, ok := m.(*vaults.Began)
+		if !ok || !b.accepted(s, a.Status, a.Roster) {
+			return false
+		}
+		for id, e := range a.Account {
+			account.Merge(id, e)
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !account.Holds(hold.Turn, hold.Most, budget) {
+		return nil, errors.Wrapf(errSpent, "%d spent or held, %d wanted, %d allowed", account.Others(hold.Turn), hold.Most, budget)
+	}
+	return turns, nil
+}
+
+// accepted takes a vault's status; a newer roster is adopted, and a vault with
+// an older one is told.
+func (b *bank) accepted(seat seats.Seat, s vaults.Status, r *seats.Roster) bool {
+	switch s {
+	case vaults.Stale:
+		b.adopt(r)
+	case vaults.Behind:
+		roster := b.current()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), rosterEvery)
+			defer cancel()
+			if _, err := b.call(ctx, seat.Addr, &vaults.Adopt{Roster: roster}); err != nil {
+				b.log.Info().Err(err).Str("vault", seat.Node).Msg("vault not told of the roster")
+			}
+		}()
+	}
+	return s == vaults.Done
+}
+
+// tell returns this gate's load if the vault has not had it lately.
+func (b *bank) tell(addr string) (map[string]int, string) {
+	now := time.Now()
+	b.mu.Lock()
+	due := now.Sub(b.told[addr]) >= loadEvery
+	if due {
+		b.told[addr] = now
+	}
+	b.mu.Unlock()
+	if !due || b.running == nil {
+		return nil, ""
+	}
+	return b.running(), b.site.Node
+}
+
+func (b *bank) heard(load map[string]int) {
+	if load == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load, b.loaded = load, time.Now()
+}
+
+// others returns the other gates' calls by endpoint as last heard.
+func (b *bank) others(now time.Time) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.loaded) > othersAge {
+		return nil
+	}
+	return b.load
+}
+
+// fetch asks all seats for a chain. Only when all that count lack it, it is
+// certain that there is none.
+func (b *bank) fetch(ctx context.Context, previous string) ([]*chains.Turn, error) {
+	var chain []*chains.Turn
+	err := b.inRounds(ctx, func(roster *seats.Roster) error {
+		replies := make(chan reply, len(roster.Seats))
+		for _, s := range roster.Seats {
+			go func() {
+				answer, err := b.call(ctx, s.Addr, &vaults.Fetch{Chain: previous})
+				replies <- reply{s, answer, err}
+			}()
+		}
+		certain := 0
+		for range roster.Seats {
+			r := <-replies
+			f, ok := r.answer.(*vaults.Fetched)
+			if r.err != nil || !ok {
+				continue
+			}
+			b.remember(f.Turns...)
+			var held bool
+			if chain, held = b.held(previous); held {
+				return nil
+			}
+			if f.Certain && f.Version == roster.Version {
+				certain++
+			}
+		}
+		if certain == len(roster.Seats) && certain >= seats.Wanted(b.site.Losses) {
+			return errors.Wrapf(errUnknown, "%s at %s", previous, roster)
+		}
+		return errors.Wrapf(errUncertain, "%d of %d vaults lack the turn %s", certain, len(roster.Seats), previous)
+	})
+	return chain, err
+}
+
+// record makes an ended turn last; only then may its answer end.
+func (b *bank) record(ctx context.Context, t *chains.Turn) error {
+	begun := time.Now()
+	defer b.ends.UpdateDuration(begun)
+	err := b.end(ctx, t.Program, func(version uint64) *vaults.End {
+		copied := *t
+		return &vaults.End{Version: version, Turn: &copied}
+	})
+	if err == nil {
+		b.remember(t)
+	}
+	return err
+}
+
+// settle notes what a turn has spent that did not end whole.
+func (b *bank) settle(ctx context.Context, s *chains.Spent) error {
+	return b.end(ctx, s.Program, func(version uint64) *vaults.End {
+		copied := *s
+		return &vaults.End{Version: version, Spent: &copied}
+	})
+}
+
+func (b *bank) end(ctx context.Context, key string, message func(version uint64) *vaults.End) error {
+	return b.inRounds(ctx, func(roster *seats.Roster) error {
+		return b.gather(ctx, b.order(roster, key), roster.Quorum(), func(int, seats.Seat) vaults.Message {
+			return message(roster.Version)
+		}, func(s seats.Seat, m vaults.Message) bool {
+			a, ok := m.(*vaults.Ended)
+			return ok && b.accepted(s, a.Status, a.Roster)
+		})
+	})
+}
+
+// held returns the chain up to a turn, oldest first, if all of it is here.
+func (b *bank) held(id string) ([]*chains.Turn, bool) {
+	if id == "" {
+		return nil, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var chain []*chains.Turn
+	for id != "" {
+		t, ok := b.cache.Get(id)
+		if !ok {
+			return nil, false
+		}
+		chain = append(chain, t)
+		id = t.Previous
+	}
+	for i, j := 0, len(chain)-1; i < j; i, j = i+1, j-1 {
+		chain[i], chain[j] = chain[j], chain[i]
+	}
+	return chain, true
+}
+
+func (b *bank) remember(turns ...*chains.Turn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range turns {
+		if b.cache.Contains(t.ID) {
+			continue
+		}
+		b.cache.Add(t.ID, t)
+		b.cached += weight(t)
+	}
+	for b.cached > int64(cacheShare*float64(b.site.Memory)) {
+		b.cache.RemoveOldest()
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,188 @@
+// Package gate wires one entry host of the platform together: callers'
+// requests, the operators' routes, belief about endpoints, and the vaults that
+// keep chains and accounts.
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/eject"
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/talk"
+	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/transport/pool"
+)
+
+const (
+	// noticeTime is how long a stopping gate still takes new connections: the
+	// balancer asks once a second and believes the second miss.
+	noticeTime = 2500 * time.Millisecond
+	// graceShare is the part of the grace after which what is left is cut, so
+	// that this is done in order before the kill.
+	graceShare = 0.9
+	// sweepEvery is the pause between two looks at idle connections.
+	sweepEvery = 2 * time.Second
+	// headerTime and idleTime bound callers until the operators' limits are
+	// known; callers stay within those.
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second
+	maxHeader  = 64 << 10
+)
+
+// Rosters is where a gate learns who keeps chains.
+type Rosters interface {
+	Roster(ctx context.Context) (*seats.Roster, int64, error)
+}
+
+// Gate is one running entry host.
+type Gate struct {
+	site    *site.Site
+	dialect talk.Dialect
+	log     zerolog.Logger
+	meters  *meters
+	pool    *pool.Pool
+	bank    *bank
+	fleet   *fleet.Fleet
+	table   atomic.Pointer[table.Table]
+	ready   atomic.Bool
+	// active counts requests under way.
+	active atomic.Int64
+
+	mu sync.Mutex
+	// judge and loads are what calls have shown of the endpoints.
+	judge  *eject.Judge
+	loads  map[string]*load
+	random *rand.Rand
+}
+
+// New returns a gate.
+func New(s *site.Site, d talk.Dialect, r Rosters, set *metrics.Set, log zerolog.Logger) *Gate {
+	g := &Gate{
+		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
+		judge: eject.New(), loads: map[string]*load{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	g.bank = newBank(s, r, set, log)
+	g.bank.running = g.running
+	return g
+}
+
+// Configured takes a version of the routes; an older one than is known is
+// ignored.
+func (g *Gate) Configured(t *table.Table) {
+	old := g.table.Load()
+	if old != nil && t.Version() <= old.Version() {
+		return
+	}
+	g.table.Store(t)
+	g.ready.Store(true)
+	g.log.Info().Uint64("version", t.Version()).Msg("configuration in force")
+}
+
+// Listed takes the whole list of endpoints.
+func (g *Gate) Listed(entries []fleet.Entry, outage bool) {
+	g.fleet.List(time.Now(), entries, outage)
+	g.log.Info().Int("endpoints", len(entries)).Bool("outage", outage).Msg("endpoints listed")
+}
+
+// Entered takes an endpoint's entry.
+func (g *Gate) Entered(e fleet.Entry) {
+	g.fleet.Put(e)
+	g.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("addr", e.Addr).Bool("leaving", e.Leaving).Msg("endpoint entered")
+}
+
+// Left takes the end of an endpoint's entry.
+func (g *Gate) Left(id string, outage bool) {
+	g.fleet.Remove(time.Now(), id, outage)
+	g.log.Info().Str("endpoint", id).Bool("outage", outage).Msg("endpoint left")
+}
+
+// Lost notes that the key-value service went out of view.
+func (g *Gate) Lost(what string, err error) {
+	g.log.Warn().Err(err).Str("keys", what).Msg("key-value service lost; what is known stands")
+}
+
+// Regained notes that the key-value service is back.
+func (g *Gate) Regained(what string, away time.Duration) {
+	g.log.Info().Str("keys", what).Dur("away", away).Msg("key-value service regained")
+}
+
+// Run serves until ctx ends, then stops without cutting what is under way.
+func (g *Gate) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", g.site.Frontend)
+	if err != nil {
+		return errors.Wrap(err, "gate: listening for callers")
+	}
+	ready, err := net.Listen("tcp", g.site.Ready)
+	if err != nil {
+		return errors.Wrap(err, "gate: listening for the balancer")
+	}
+	callers := &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+	}
+	balancer := &http.Server{Handler: g.balancer(), ReadHeaderTimeout: headerTime}
+	go g.listen(callers, front)
+	go g.listen(balancer, ready)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go g.bank.run(background)
+	go g.sweep(background)
+	<-ctx.Done()
+	g.stop(callers)
+	return balancer.Close()
+}
+
+func (g *Gate) listen(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error().Err(err).Msg("no longer listening")
+	}
+}
+
+func (g *Gate) balancer() http.Handler {
+	r := chi.NewRouter()
+	r.Get(g.dialect.Ready(), func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// stop ends a planned stop: no longer ready, then no kept connections, then the
+// rest of what is under way.
+func (g *Gate) stop(callers *http.Server) {
+	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
+	g.ready.Store(false)
+	end := time.Now().Add(time.Duration(float64(g.site.Grace) * graceShare))
+	time.Sleep(min(noticeTime, g.site.Grace/3))
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	g.log.Info().Err(err).Int64("cut", g.active.Load()).Msg("stopped")
+}
+
+func (g *Gate) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			g.pool.Forget(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/gate/load.go
@@ -0,0 +1,131 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/assign"
+	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/table"
+)
+
+// load is what this gate's calls have shown of one endpoint.
+type load struct {
+	calls int
+	// pace is the mean time of a step there: the pause between two events of a
+	// stream, or the time of a call, in seconds; 0 when not known.
+	pace float64
+	// seen is when pace was last measured; an old one says little.
+	seen time.Time
+}
+
+const (
+	// paceWeight is the weight of the newest measurement in the mean.
+	paceWeight = 0.15
+	// paceAge is how long a measurement counts; a slow endpoint that gets no
+	// calls is tried again after it.
+	paceAge = 3 * time.Second
+)
+
+func (g *Gate) loadOf(id string) *load {
+	l := g.loads[id]
+	if l == nil {
+		l = &load{}
+		g.loads[id] = l
+	}
+	return l
+}
+
+// choose picks an endpoint of a service that is not among those tried, and
+// counts the call there until release.
+func (g *Gate) choose(now time.Time, service table.Service, prompt int, cached string, tried map[string]bool) (fleet.Entry, bool) {
+	usable := g.fleet.Usable(now, service.Name)
+	others := g.bank.others(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usual := g.usualPace(now, usable)
+	var entries []fleet.Entry
+	var choices []assign.Choice
+	for _, e := range usable {
+		if tried[e.ID] {
+			continue
+		}
+		l := g.loadOf(e.ID)
+		c := assign.Choice{
+			ID: e.ID, Mine: l.calls, Others: others[e.ID], Slots: e.Slots, Near: e.Centre == g.site.Centre,
+			Cached: e.ID == cached, Slow: 1, Share: g.judge.Share(now, e.ID), Cold: e.Cold,
+		}
+		if usual > 0 && l.pace > 0 && now.Sub(l.seen) < paceAge {
+			c.Slow = l.pace / usual
+		}
+		entries = append(entries, e)
+		choices = append(choices, c)
+	}
+	i := assign.Pick(choices, prompt, g.random)
+	if i < 0 {
+		return fleet.Entry{}, false
+	}
+	g.loadOf(entries[i].ID).calls++
+	return entries[i], true
+}
+
+// usualPace returns the mean pace of the endpoints, or 0 if none is known.
+func (g *Gate) usualPace(now time.Time, entries []fleet.Entry) float64 {
+	total, known := 0.0, 0
+	for _, e := range entries {
+		if l := g.loads[e.ID]; l != nil && l.pace > 0 && now.Sub(l.seen) < paceAge {
+			total += l.pace
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return total / float64(known)
+}
+
+func (g *Gate) release(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loadOf(id).calls--
+}
+
+// running returns this gate's calls by endpoint, for the other gates.
+func (g *Gate) running() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	calls := map[string]int{}
+	for id, l := range g.loads {
+		if l.calls > 0 {
+			calls[id] = l.calls
+		}
+	}
+	return calls
+}
+
+// paced notes how long a step took at an endpoint.
+func (g *Gate) paced(now time.Time, id string, step time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.loadOf(id)
+	if l.pace == 0 || now.Sub(l.seen) > paceAge {
+		l.pace = step.Seconds()
+	} else {
+		l.pace += paceWeight * (step.Seconds() - l.pace)
+	}
+	l.seen = now
+}
+
+// judged notes whether an endpoint answered as it should.
+func (g *Gate) judged(now time.Time, service, id string, ok bool) {
+	var names []string
+	for _, e := range g.fleet.Usable(now, service) {
+		names = append(names, e.ID)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ok {
+		g.judge.Succeed(id)
+		return
+	}
+	g.judge.Fail(now, id, names)
+}
--- /dev/null
+++ b/protocol/talk/talk.go
@@ -0,0 +1,69 @@
+// Package talk (protocol layer) says what callers, this system and endpoints
+// tell each other around a request, whatever the headers are called.
+package talk
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrHeader means that a header holds no usable value.
+var ErrHeader = errors.New("talk: unusable header")
+
+// Asked is what a caller says of a request.
+type Asked struct {
+	// ID names the attempt; each attempt has its own.
+	ID string
+	// Left is how long the caller waits; 0 when not said.
+	Left time.Duration
+	// Program and Session name the program and its line of turns.
+	Program string
+	Session string
+	// Finish is the time in which the whole program should end; 0 when not said.
+	Finish time.Duration
+	// Budget bounds the tokens that the program may be given; -1 when not said.
+	Budget int
+	// Prompt and Most are the tokens read and the most that are generated.
+	Prompt int
+	Most   int
+	// Previous is the ID of the turn that this one goes on from.
+	Previous string
+}
+
+// Sent is what this system tells the endpoint beside what the caller said.
+type Sent struct {
+	// Endpoint is the one meant; another one refuses.
+	Endpoint string
+	// Left is how long the endpoint may work; 0 says nothing.
+	Left time.Duration
+	// Urgency is from 0, the most urgent, to 9; -1 says nothing.
+	Urgency int
+}
+
+// Answer is what an endpoint says around its answer.
+type Answer struct {
+	// ID is that of the request that is answered; "" when not said.
+	ID string
+	// NotRun says that the request has not run and will not.
+	NotRun bool
+	// Moved says that another endpoint has the address now.
+	Moved bool
+	// Sealed says that the answer bears the endpoint's mark.
+	Sealed bool
+}
+
+// Dialect reads and writes the headers of one platform.
+type Dialect interface {
+	// Asked reads a caller's headers; ErrHeader marks unusable ones.
+	Asked(h http.Header) (Asked, error)
+	// Forward turns a caller's headers into those for the endpoint.
+	Forward(h http.Header, s Sent)
+	// Answer reads an endpoint's status and headers.
+	Answer(status int, h http.Header) Answer
+	// Back names the header by which callers learn when to come again.
+	Back() string
+	// Ready is the path of the balancer's question.
+	Ready() string
+}
--- /dev/null
+++ b/protocol/vaults/vaults.go
@@ -0,0 +1,203 @@
+// Package vaults (protocol layer) is what gates and vaults say to each other, as
+// CBOR over a WebSocket.
+package vaults
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/spend"
+)
+
+// Message is one of the messages below.
+type Message interface{ kind() uint8 }
+
+// Status says how a vault took a message.
+type Status uint8
+
+// The ways to take a message.
+const (
+	// Done: what was asked is done, and on disk where that matters.
+	Done Status = iota
+	// Stale: the sender's roster is older than the vault's; nothing was done.
+	Stale
+	// Behind: the vault's roster is older than the sender's; nothing was done.
+	Behind
+	// Unseated: the vault has no seat, or has not caught up; it does not count
+	// as a copy.
+	Unseated
+	// Failed: the disk refused.
+	Failed
+)
+
+// Begin notes what a turn may spend before it runs, and asks for its chain.
+type Begin struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Hold is nil for a turn without a budget.
+	Hold   *chains.Hold `cbor:"2,keyasint,omitempty"`
+	Budget int          `cbor:"3,keyasint,omitempty"`
+	// Chain is the turn whose chain is wanted; "" wants none.
+	Chain string `cbor:"4,keyasint,omitempty"`
+	// Load is the sender's count of running calls by endpoint.
+	Load map[string]int `cbor:"5,keyasint,omitempty"`
+	Node string         `cbor:"6,keyasint,omitempty"`
+}
+
+// Began answers Begin.
+type Began struct {
+	Status Status        `cbor:"1,keyasint"`
+	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
+	// Account is the program's entries if the budget seems spent.
+	Account map[string]spend.Entry `cbor:"3,keyasint,omitempty"`
+	// Turns is the chain as far as it is here, newest first; Whole says that it
+	// reaches its first turn.
+	Turns []*chains.Turn `cbor:"4,keyasint,omitempty"`
+	Whole bool           `cbor:"5,keyasint,omitempty"`
+	// Load is the count of running calls by endpoint of all other senders.
+	Load map[string]int `cbor:"6,keyasint,omitempty"`
+}
+
+// End notes what a turn has spent, or the whole turn.
+type End struct {
+	Version uint64        `cbor:"1,keyasint"`
+	Turn    *chains.Turn  `cbor:"2,keyasint,omitempty"`
+	Spent   *chains.Spent `cbor:"3,keyasint,omitempty"`
+}
+
+// Ended answers End.
+type Ended struct {
+	Status Status        `cbor:"1,keyasint"`
+	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
+}
+
+// Fetch asks for a chain, from a vault that may have no seat any more.
+type Fetch struct {
+	Chain string `cbor:"1,keyasint"`
+}
+
+// Fetched answers Fetch. Certain says that the vault counts as a copy, so that
+// what it lacks was not kept there.
+type Fetched struct {
+	Turns   []*chains.Turn `cbor:"1,keyasint,omitempty"`
+	Whole   bool           `cbor:"2,keyasint,omitempty"`
+	Certain bool           `cbor:"3,keyasint,omitempty"`
+	Version uint64         `cbor:"4,keyasint,omitempty"`
+}
+
+// List asks for records in the order in which they came, turns without texts.
+type List struct {
+	Cursor uint64 `cbor:"1,keyasint,omitempty"`
+	// Roster is the asker's; an older one at the vault is replaced.
+	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
+}
+
+// Listed answers List.
+type Listed struct {
+	Status  Status        `cbor:"1,keyasint"`
+	Roster  *seats.Roster `cbor:"2,keyasint,omitempty"`
+	Records [][]byte      `cbor:"3,keyasint,omitempty"`
+	Turns   []string      `cbor:"4,keyasint,omitempty"`
+	Next    uint64        `cbor:"5,keyasint,omitempty"`
+	More    bool          `cbor:"6,keyasint,omitempty"`
+	// Caught says that the vault itself counts as a copy.
+	Caught bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Get asks for turns with their texts.
+type Get struct {
+	Turns []string `cbor:"1,keyasint"`
+}
+
+// Got answers Get.
+type Got struct {
+	Turns []*chains.Turn `cbor:"1,keyasint,omitempty"`
+}
+
+// Adopt tells a vault of a roster.
+type Adopt struct {
+	Roster *seats.Roster `cbor:"1,keyasint"`
+	// Sync asks the vault to catch up with all others before it answers.
+	Sync bool `cbor:"2,keyasint,omitempty"`
+	// Source is one more host to catch up from, which has no seat any more.
+	Source *seats.Seat `cbor:"3,keyasint,omitempty"`
+}
+
+// Adopted answers Adopt.
+type Adopted struct {
+	Status  Status `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Caught  bool   `cbor:"3,keyasint,omitempty"`
+}
+
+func (*Begin) kind() uint8   { return 1 }
+func (*Began) kind() uint8   { return 2 }
+func (*End) kind() uint8     { return 3 }
+func (*Ended) kind() uint8   { return 4 }
+func (*Fetch) kind() uint8   { return 5 }
+func (*Fetched) kind() uint8 { return 6 }
+func (*List) kind() uint8    { return 7 }
+func (*Listed) kind() uint8  { return 8 }
+func (*Get) kind() uint8     { return 9 }
+func (*Got) kind() uint8     { return 10 }
+func (*Adopt) kind() uint8   { return 11 }
+func (*Adopted) kind() uint8 { return 12 }
+
+// ErrMessage means that bytes are no message.
+var ErrMessage = errors.New("vaults: no message")
+
+// Encode returns a message as bytes.
+func Encode(m Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "vaults: encoding")
+	}
+	return append([]byte{m.kind()}, data...), nil
+}
+
+// Decode returns the message of bytes.
+func Decode(data []byte) (Message, error) {
+	if len(data) == 0 {
+		return nil, errors.Wrap(ErrMessage, "empty")
+	}
+	m := empty(data[0])
+	if m == nil {
+		return nil, errors.Wrapf(ErrMessage, "kind %d", data[0])
+	}
+	if err := cbor.Unmarshal(data[1:], m); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "vaults: decoding"), ErrMessage)
+	}
+	return m, nil
+}
+
+// empty returns a message of a kind to decode into, or nil.
+func empty(kind uint8) Message {
+	switch kind {
+	case (*Begin)(nil).kind():
+		return &Begin{}
+	case (*Began)(nil).kind():
+		return &Began{}
+	case (*End)(nil).kind():
+		return &End{}
+	case (*Ended)(nil).kind():
+		return &Ended{}
+	case (*Fetch)(nil).kind():
+		return &Fetch{}
+	case (*Fetched)(nil).kind():
+		return &Fetched{}
+	case (*List)(nil).kind():
+		return &List{}
+	case (*Listed)(nil).kind():
+		return &Listed{}
+	case (*Get)(nil).kind():
+		return &Get{}
+	case (*Got)(nil).kind():
+		return &Got{}
+	case (*Adopt)(nil).kind():
+		return &Adopt{}
+	case (*Adopted)(nil).kind():
+		return &Adopted{}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/spend/spend.go
@@ -0,0 +1,71 @@
+// Package spend (state layer) adds up the tokens that one program has been
+// given and may yet be given.
+package spend
+
+// Entry is the account of one turn.
+type Entry struct {
+	// Most is what the turn may generate; it counts until Settled.
+	Most int `cbor:"1,keyasint"`
+	// Used is what was handed out, once Settled.
+	Used int `cbor:"2,keyasint,omitempty"`
+	// Settled entries do not go back to open.
+	Settled bool `cbor:"3,keyasint,omitempty"`
+}
+
+// cost is what an entry counts against the budget.
+func (e Entry) cost() int {
+	if e.Settled {
+		return e.Used
+	}
+	return e.Most
+}
+
+// Account holds the turns of one program. Merging entries in any order, and any
+// number of times, gives the same account.
+type Account struct {
+	entries map[string]Entry
+}
+
+// New returns an empty account.
+func New() *Account { return &Account{entries: map[string]Entry{}} }
+
+// Merge notes an entry and tells whether the account changed.
+func (a *Account) Merge(turn string, e Entry) bool {
+	old, ok := a.entries[turn]
+	switch {
+	case !ok:
+	case old.Settled && !e.Settled:
+		return false
+	case old.Settled && e.Settled:
+		e.Used = max(old.Used, e.Used)
+	case !old.Settled && !e.Settled:
+		e.Most = max(old.Most, e.Most)
+	}
+	a.entries[turn] = e
+	return !ok || old != e
+}
+
+// Others returns what all turns but one count.
+func (a *Account) Others(turn string) int {
+	total := 0
+	for id, e := range a.entries {
+		if id != turn {
+			total += e.cost()
+		}
+	}
+	return total
+}
+
+// Holds tells whether the budget holds one more turn beside the others.
+func (a *Account) Holds(turn string, most, budget int) bool {
+	return a.Others(turn)+most <= budget
+}
+
+// Entries returns a copy of the entries by turn.
+func (a *Account) Entries() map[string]Entry {
+	copied := make(map[string]Entry, len(a.entries))
+	for id, e := range a.entries {
+		copied[id] = e
+	}
+	return copied
+}
--- /dev/null
+++ b/transport/calls/server.go
@@ -0,0 +1,77 @@
+package calls
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+)
+
+// Handler takes a message and calls answer once, now or later, from any
+// goroutine. It must not block.
+type Handler func(m vaults.Message, answer func(vaults.Message))
+
+// Serve returns what takes connections from clients.
+func Serve(handle Handler, log zerolog.Logger) http.Handler {
+	r := chi.NewRouter()
+	r.Get(path, func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("connection refused")
+			return
+		}
+		conn.SetReadLimit(maxMessage)
+		ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+		defer cancel()
+		serve(ctx, conn, handle, log)
+	})
+	return r
+}
+
+func serve(ctx context.Context, conn *websocket.Conn, handle Handler, log zerolog.Logger) {
+	defer func() { _ = conn.CloseNow() }() // the reader has ended
+	out := make(chan []byte, queue)
+	go func() {
+		for {
+			select {
+			case data := <-out:
+				if conn.Write(ctx, websocket.MessageBinary, data) != nil {
+					_ = conn.CloseNow() // the reader notices
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil || len(data) < numberBytes {
+			return
+		}
+		m, err := vaults.Decode(data[numberBytes:])
+		if err != nil {
+			log.Warn().Err(err).Msg("unreadable message; connection closed")
+			return
+		}
+		number := binary.LittleEndian.Uint64(data)
+		handle(m, func(answer vaults.Message) {
+			encoded, err := vaults.Encode(answer)
+			if err != nil {
+				log.Error().Err(err).Msg("answer not encoded")
+				return
+			}
+			select {
+			case out <- numbered(number, encoded):
+			case <-ctx.Done():
+			default:
+				log.Warn().Msg("answer dropped: the peer does not read")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/transport/pool/pool.go
@@ -0,0 +1,324 @@
+// Package pool (transport layer) sends requests to endpoints over HTTP/1.1 on
+// kept connections, and tells surely unsent requests from those that may have
+// run. The standard library's client repeats requests by itself and takes an
+// answer that came late for the next request's, so neither can be told with it.
+package pool
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+// The ways in which a request can fail.
+var (
+	// ErrUnsent means that nothing of the request left this host.
+	ErrUnsent = errors.New("pool: not sent")
+	// ErrBroken means that the request may have run.
+	ErrBroken = errors.New("pool: no usable answer")
+)
+
+const (
+	// dialTime bounds a new connection. A dropped opening packet is sent again
+	// after a second; another endpoint is better than waiting for that.
+	dialTime = 500 * time.Millisecond
+	// keepTime is how long an idle connection is kept where the endpoint names
+	// no time of its own; keepShare is the part used of the time that it names.
+	keepTime  = 3 * time.Second
+	keepShare = 0.7
+	// freshTime is the age up to which an idle connection is good enough for a
+	// request that must not run twice: an endpoint may drop idle ones unseen.
+	freshTime = time.Second
+	// aliveIdle, aliveEvery and aliveCount are the TCP probes by which a host
+	// without power is noticed within some two seconds.
+	aliveIdle  = time.Second
+	aliveEvery = time.Second
+	aliveCount = 2
+	// inlineBytes is the largest body that is written before the answer is
+	// read; it fits the smallest windows.
+	inlineBytes = 8 << 10
+	// strangers bounds the answers to earlier requests that are skipped.
+	strangers   = 3
+	bufferBytes = 4 << 10
+)
+
+// Request is one request to one endpoint.
+type Request struct {
+	Addr   string
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Once requests must not run twice.
+	Once bool
+	// Belongs tells whether an answer's headers are for this request.
+	Belongs func(h http.Header) bool
+}
+
+// Answer is an endpoint's answer. Close it when done.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF only when the answer is whole.
+	Body io.Reader
+
+	pool *Pool
+	addr string
+	conn *conn
+	// whole says that the body was read to its end.
+	whole bool
+	// framed says that the body's end does not need the connection's.
+	framed bool
+	closes bool
+	stop   func() bool
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	used   time.Time
+	keep   time.Duration
+	// writing is closed when the body has been written; nil when it is.
+	writing chan error
+}
+
+// Pool holds idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dialled *metrics.Counter
+	reused  *metrics.Counter
+	stale   *metrics.Counter
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// New returns an empty pool.
+func New(set *metrics.Set) *Pool {
+	return &Pool{
+		idle:    map[string][]*conn{},
+		dialled: set.NewCounter("cowslipstage_endpoint_connections_total"),
+		reused:  set.NewCounter("cowslipstage_endpoint_connections_reused_total"),
+		stale:   set.NewCounter("cowslipstage_endpoint_connections_stale_total"),
+	}
+}
+
+// Send sends a request and returns the head of its answer. The connection is
+// cut when ctx ends, also while the body is read.
+func (p *Pool) Send(ctx context.Context, r Request) (*Answer, error) {
+	c, err := p.take(ctx, r)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "pool: %s", r.Addr), ErrUnsent)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // whoever reads sees the end
+	if err := c.write(r); err != nil {
+		stop()
+		_ = c.Close() // the write's error is the one reported
+		return nil, errors.Mark(errors.Wrapf(err, "pool: writing to %s", r.Addr), ErrBroken)
+	}
+	a, err := c.read(r)
+	if err != nil {
+		stop()
+		_ = c.Close() // the read's error is the one reported
+		return nil, errors.Mark(errors.Wrapf(err, "pool: reading from %s", r.Addr), ErrBroken)
+	}
+	a.pool, a.addr, a.stop = p, r.Addr, stop
+	return a, nil
+}
+
+// take returns an idle connection that still lives, or a new one.
+func (p *Pool) take(ctx context.Context, r Request) (*conn, error) {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		held := p.idle[r.Addr]
+		if len(held) == 0 {
+			p.mu.Unlock()
+			break
+		}
+		c := held[len(held)-1]
+		p.idle[r.Addr] = held[:len(held)-1]
+		p.mu.Unlock()
+		age := now.Sub(c.used)
+		if age < c.keep && (!r.Once || age < freshTime) && c.alive() {
+			p.reused.Inc()
+			return c, nil
+		}
+		p.stale.Inc()
+		_ = c.Close() // it is not used any more
+	}
+	p.dialled.Inc()
+	d := net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: aliveIdle, Interval: aliveEvery, Count: aliveCount,
+	}}
+	n, err := d.DialContext(ctx, "tcp", r.Addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), keep: keepTime}, nil
+}
+
+// alive tells whether an idle connection is open and silent, as it should be.
+func (c *conn) alive() bool {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+func (c *conn) write(r Request) error {
+	head := make([]byte, 0, 1024)
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, r.Target...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, r.Host...)
+	head = append(head, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, v...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(r.Body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	if len(r.Body) <= inlineBytes {
+		_, err := c.Write(append(head, r.Body...))
+		return err
+	}
+	c.writing = make(chan error, 1)
+	go func() {
+		parts := net.Buffers{head, r.Body}
+		_, err := parts.WriteTo(c.Conn)
+		c.writing <- err
+	}()
+	return nil
+}
+
+// read returns the head of the answer that belongs to the request.
+func (c *conn) read(r Request) (*Answer, error) {
+	asked := &http.Request{Method: r.Method}
+	for range strangers {
+		response, err := http.ReadResponse(c.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		if r.Belongs != nil && !r.Belongs(response.Header) {
+			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+				return nil, errors.Newf("answered another request: %v", err)
+			}
+			continue
+		}
+		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+		a := &Answer{Status: response.StatusCode, Header: response.Header, conn: c, framed: framed, closes: response.Close || !framed}
+		a.Body = &body{answer: a, reader: response.Body}
+		c.keep = keepFor(response.Header)
+		return a, nil
+	}
+	return nil, errors.New("answers to other requests only")
+}
+
+// keepFor returns how long the endpoint lets an idle connection live.
+func keepFor(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if name, value, ok := strings.Cut(strings.TrimSpace(part), "="); ok && strings.EqualFold(name, "timeout") {
+			if n, err := strconv.ParseFloat(value, 64); err == nil && n >= 0 {
+				return time.Duration(n * keepShare * float64(time.Second))
+			}
+		}
+	}
+	return keepTime
+}
+
+// body notes whether it was read to its end.
+type body struct {
+	answer *Answer
+	reader io.Reader
+}
+
+func (b *body) Read(data []byte) (int, error) {
+	n, err := b.reader.Read(data)
+	if errors.Is(err, io.EOF) {
+		b.answer.whole = true
+		return n, io.EOF
+	}
+	if err != nil {
+		err = errors.Mark(errors.Wrap(err, "pool: body"), ErrBroken)
+	}
+	return n, err
+}
+
+// Close gives the connection back if it can be used again, and cuts it otherwise.
+func (a *Answer) Close() {
+	c := a.conn
+	written := c.writing == nil
+	if !written {
+		select {
+		case err := <-c.writing:
+			written, c.writing = err == nil, nil
+		default: // answered before it was read: the rest must not be followed by others
+		}
+	}
+	cut := !a.stop()
+	if cut || !a.whole || a.closes || !written || c.reader.Buffered() > 0 || c.keep <= 0 {
+		_ = c.Close() // it is not used any more
+		return
+	}
+	c.used = time.Now()
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.pool.idle[a.addr] = append(a.pool.idle[a.addr], c)
+}
+
+// Forget closes idle connections that are too old to be used.
+func (p *Pool) Forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, held := range p.idle {
+		var kept []*conn
+		for _, c := range held {
+			if now.Sub(c.used) < c.keep {
+				kept = append(kept, c)
+			} else {
+				_ = c.Close() // it is not used any more
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = kept
+		}
+	}
+}
--- a/transport/shelf/disk.go
+++ b/transport/shelf/disk.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cowslipstage/cowslipstage/coordination/hold"
+	"github.com/cowslipstage/cowslipstage/transport/files"
 )
 
 // disk keeps a shelf in a folder: the file boot, and for each shard a folder
@@ -22,7 +23,6 @@
 
 const (
 	folderMode = 0o700
-	fileMode   = 0o600
 )
 
 // openDisk opens or makes the folder; fresh is its name if it has none yet.
@@ -48,40 +48,15 @@
 	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
 		return errors.Mark(errors.Wrap(err, "shelf: folder"), ErrDisk)
 	}
-	if err := writeSynced(path+".new", data); err != nil {
+	if err := files.Replace(path, data); err != nil {
 		return errors.Mark(errors.Wrapf(err, "shelf: %s", name), ErrDisk)
 	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return errors.Mark(errors.Wrapf(err, "shelf: %s", name), ErrDisk)
-	}
-	for _, f := range []string{filepath.Dir(path), d.folder} {
-		if err := syncFolder(f); err != nil {
-			return errors.Mark(errors.Wrapf(err, "shelf: %s", f), ErrDisk)
-		}
+	if err := files.SyncFolder(d.folder); err != nil {
+		return errors.Mark(errors.Wrapf(err, "shelf: %s", d.folder), ErrDisk)
 	}
 	return nil
 }
 
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	return errors.CombineErrors(err, f.Close())
-}
-
-func syncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(f.Sync(), f.Close())
-}
-
 func batchName(shard int, b hold.Batch) string {
 	return filepath.Join(strconv.Itoa(shard), fmt.Sprintf("%d-%d", b.Epoch, b.Number))
 }
--- /dev/null
+++ b/transport/wallog/wallog.go
@@ -0,0 +1,245 @@
+// Package wallog (transport layer) keeps records in checksummed files that
+// outlast a loss of power.
+package wallog
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/transport/files"
+)
+
+// ErrDisk means that the disk refused or that the log is full.
+var ErrDisk = errors.New("wallog: the disk failed")
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+	// segmentBytes is the size at which the next file is begun: small enough
+	// that expired records give their space back soon.
+	segmentBytes = 4 << 20
+	// headBytes precede each record: its length and its checksum.
+	headBytes = 8
+	// maxRecord bounds a record; a length beyond it is damage.
+	maxRecord = 32 << 20
+	suffix    = ".wal"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// segment is one closed file.
+type segment struct {
+	path  string
+	bytes int64
+	// keep is when the last of its records expires.
+	keep time.Time
+}
+
+// Log is a folder of segments. One goroutine at a time may use it.
+type Log struct {
+	folder string
+	bound  int64
+	number int
+	closed []segment
+	// file is the open segment; nil after the disk refused.
+	file *os.File
+	open segment
+	// buffer holds what was added since the last Sync.
+	buffer []byte
+}
+
+// Open reads the records of a folder in the order in which they were added, and
+// returns a log that adds to them. What a loss of power tore at the end of a
+// file is left out. bound is the most bytes that the log may take.
+func Open(folder string, bound int64, each func(data []byte) (keep time.Time)) (*Log, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "wallog: folder"), ErrDisk)
+	}
+	if err := files.SyncFolder(filepath.Dir(folder)); err != nil {
+		return nil, errors.Mark(err, ErrDisk)
+	}
+	l := &Log{folder: folder, bound: bound}
+	names, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "wallog: listing"), ErrDisk)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s, err := read(name, each)
+		if err != nil {
+			return nil, err
+		}
+		l.closed = append(l.closed, s)
+		if _, err := fmt.Sscanf(strings.TrimSuffix(filepath.Base(name), suffix), "%d", &l.number); err != nil {
+			return nil, errors.Mark(errors.Newf("wallog: %s is no segment", name), ErrDisk)
+		}
+	}
+	return l, l.begin()
+}
+
+// read hands out the records of one file up to the first damage.
+func read(path string, each func([]byte) time.Time) (segment, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return segment{}, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	s := segment{path: path}
+	r := bufio.NewReaderSize(f, 1<<16)
+	for {
+		data, err := Next(r)
+		if errors.Is(err, io.EOF) || errors.Is(err, ErrDamage) {
+			return s, nil
+		}
+		if err != nil {
+			return s, errors.Mark(errors.Wrapf(err, "wallog: %s", path), ErrDisk)
+		}
+		s.bytes += int64(len(data)) + headBytes
+		if keep := each(data); keep.After(s.keep) {
+			s.keep = keep
+		}
+	}
+}
+
+// ErrDamage means that what follows is no whole record.
+var ErrDamage = errors.New("wallog: damaged record")
+
+// Next reads one record; io.EOF means the end, ErrDamage a torn or spoilt one.
+func Next(r io.Reader) ([]byte, error) {
+	var head [headBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, ErrDamage
+		}
+		return nil, err
+	}
+	size := binary.LittleEndian.Uint32(head[:4])
+	if size == 0 || size > maxRecord {
+		return nil, ErrDamage
+	}
+	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) < int(size) || crc32.Checksum(data, castagnoli) != binary.LittleEndian.Uint32(head[4:]) {
+		return nil, ErrDamage
+	}
+	return data, nil
+}
+
+// begin opens the next segment and makes its name last.
+func (l *Log) begin() error {
+	l.number++
+	path := filepath.Join(l.folder, fmt.Sprintf("%08d%s", l.number, suffix))
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "wallog: creating"), ErrDisk)
+	}
+	l.file, l.open = f, segment{path: path}
+	if err := files.SyncFolder(l.folder); err != nil {
+		return errors.Mark(err, ErrDisk)
+	}
+	return nil
+}
+
+// Add buffers a record that may be dropped after keep.
+func (l *Log) Add(data []byte, keep time.Time) {
+	var head [headBytes]byte
+	binary.LittleEndian.PutUint32(head[:4], uint32(len(data)))
+	binary.LittleEndian.PutUint32(head[4:], crc32.Checksum(data, castagnoli))
+	l.buffer = append(append(l.buffer, head[:]...), data...)
+	if keep.After(l.open.keep) {
+		l.open.keep = keep
+	}
+}
+
+// Sync returns once all that was added lasts. After an error the same records
+// are written again, to another file, by the next Sync.
+func (l *Log) Sync() error {
+	if l.Size()+int64(len(l.buffer)) > l.bound {
+		return errors.Mark(errors.Newf("wallog: full at %d bytes", l.Size()), ErrDisk)
+	}
+	if l.file == nil || l.open.bytes >= segmentBytes {
+		if err := l.turn(); err != nil {
+			return err
+		}
+	}
+	_, err := l.file.Write(l.buffer)
+	if err == nil {
+		err = l.file.Sync()
+	}
+	if err != nil {
+		l.retire(err)
+		return errors.Mark(errors.Wrap(err, "wallog: writing"), ErrDisk)
+	}
+	l.open.bytes += int64(len(l.buffer))
+	if cap(l.buffer) > segmentBytes {
+		l.buffer = nil
+	}
+	l.buffer = l.buffer[:0]
+	return nil
+}
+
+// retire closes the open segment after a failed write: what it holds beyond the
+// last sync is in doubt, so nothing is added to it.
+func (l *Log) retire(cause error) {
+	_ = errors.CombineErrors(cause, l.file.Close()) // the write's error is the one reported
+	l.closed = append(l.closed, l.open)
+	l.file = nil
+}
+
+// turn closes the open segment and begins the next.
+func (l *Log) turn() error {
+	keep := l.open.keep
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return errors.Mark(errors.Wrap(err, "wallog: closing"), ErrDisk)
+		}
+		l.closed = append(l.closed, l.open)
+		l.file = nil
+	}
+	err := l.begin()
+	l.open.keep = keep
+	return err
+}
+
+// Size returns the bytes on disk.
+func (l *Log) Size() int64 {
+	total := l.open.bytes
+	for _, s := range l.closed {
+		total += s.bytes
+	}
+	return total
+}
+
+// Expire removes the segments all of whose records have expired.
+func (l *Log) Expire(now time.Time) error {
+	var err error
+	l.closed = slices.DeleteFunc(l.closed, func(s segment) bool {
+		if !now.After(s.keep) {
+			return false
+		}
+		failed := os.Remove(s.path)
+		err = errors.CombineErrors(err, failed)
+		return failed == nil
+	})
+	return errors.Wrap(err, "wallog: removing")
+}
+
+// Close closes the open segment.
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	return errors.Wrap(l.file.Close(), "wallog: closing")
+}
--- /dev/null
+++ b/vault/answer.go
@@ -0,0 +1,194 @@
+package vault
+
+import (
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+)
+
+const (
+	// pageRecords is the most records in one page of a listing.
+	pageRecords = 2000
+	// chainBytes bounds the texts in one answer.
+	chainBytes = 8 << 20
+	// loadAge is how long a gate's count of running calls is believed; a gate
+	// under load sends several a second.
+	loadAge = 2 * time.Second
+)
+
+// load is a gate's count of running calls.
+type load struct {
+	calls map[string]int
+	at    time.Time
+}
+
+// answer takes a message on the control goroutine.
+func (v *Vault) answer(now time.Time, a asked) {
+	switch m := a.message.(type) {
+	case *vaults.Begin:
+		v.meters.begins.Inc()
+		v.begin(now, m, a.answer)
+	case *vaults.End:
+		v.meters.ends.Inc()
+		v.end(now, m, a.answer)
+	case *vaults.Fetch:
+		v.meters.fetches.Inc()
+		roster, counts := v.standing()
+		turns, whole := v.chains.Chain(m.Chain)
+		a.answer(&vaults.Fetched{Turns: turns, Whole: whole, Certain: counts, Version: roster.Version})
+	case *vaults.List:
+		v.list(m, a.answer)
+	case *vaults.Get:
+		v.get(m, a.answer)
+	}
+}
+
+// check tells how a message with a roster's version is to be taken.
+func (v *Vault) check(version uint64) (vaults.Status, *seats.Roster) {
+	roster, counts := v.standing()
+	switch {
+	case version < roster.Version:
+		return vaults.Stale, roster
+	case version > roster.Version:
+		return vaults.Behind, nil
+	case !counts:
+		return vaults.Unseated, nil
+	}
+	return vaults.Done, nil
+}
+
+func (v *Vault) begin(now time.Time, m *vaults.Begin, answer func(vaults.Message)) {
+	status, newer := v.check(m.Version)
+	b := &vaults.Began{Status: status, Roster: newer}
+	if status != vaults.Done {
+		answer(b)
+		return
+	}
+	b.Load = v.exchange(now, m.Node, m.Load)
+	if m.Chain != "" {
+		b.Turns, b.Whole = v.chains.Chain(m.Chain)
+	}
+	if m.Hold == nil {
+		answer(b)
+		return
+	}
+	m.Hold.Written = now.UnixMilli()
+	v.chains.Add(m.Hold)
+	if account := v.chains.Account(m.Hold.Program); !account.Holds(m.Hold.Turn, m.Hold.Most, m.Budget) {
+		b.Account = account.Entries()
+	}
+	v.writer.add(func(err error) {
+		if err != nil {
+			b = &vaults.Began{Status: vaults.Failed}
+		}
+		answer(b)
+	}, m.Hold)
+}
+
+// exchange notes a gate's load and returns that of all others.
+func (v *Vault) exchange(now time.Time, node string, calls map[string]int) map[string]int {
+	if node == "" {
+		return nil
+	}
+	v.loads[node] = load{calls: calls, at: now}
+	others := map[string]int{}
+	for name, l := range v.loads {
+		if now.Sub(l.at) > loadAge {
+			delete(v.loads, name)
+			continue
+		}
+		if name != node {
+			for endpoint, n := range l.calls {
+				others[endpoint] += n
+			}
+		}
+	}
+	return others
+}
+
+func (v *Vault) end(now time.Time, m *vaults.End, answer func(vaults.Message)) {
+	status, newer := v.check(m.Version)
+	if status != vaults.Done {
+		answer(&vaults.Ended{Status: status, Roster: newer})
+		return
+	}
+	var records []chains.Record
+	if m.Turn != nil {
+		m.Turn.Written = now.UnixMilli()
+		records = append(records, m.Turn)
+	}
+	if m.Spent != nil {
+		m.Spent.Written = now.UnixMilli()
+		records = append(records, m.Spent)
+	}
+	for _, r := range records {
+		v.chains.Add(r)
+	}
+	v.writer.add(func(err error) {
+		if err != nil {
+			answer(&vaults.Ended{Status: vaults.Failed})
+			return
+		}
+		answer(&vaults.Ended{})
+	}, records...)
+}
+
+func (v *Vault) list(m *vaults.List, answer func(vaults.Message)) {
+	roster, counts := v.standing()
+	if m.Roster != nil && m.Roster.Version > roster.Version {
+		roster = v.adopt(m.Roster)
+		_, counts = v.standing()
+	}
+	l := &vaults.Listed{Caught: counts}
+	if m.Roster != nil && m.Roster.Version < roster.Version {
+		l.Status, l.Roster = vaults.Stale, roster
+		answer(l)
+		return
+	}
+	records, next := v.chains.After(m.Cursor, pageRecords)
+	l.Next, l.More = next, len(records) == pageRecords
+	for _, r := range records {
+		if t, ok := r.(*chains.Turn); ok {
+			l.Turns = append(l.Turns, t.ID)
+			continue
+		}
+		data, err := chains.Encode(nil, r)
+		if err != nil {
+			v.log.Error().Err(err).Msg("record not listed")
+			answer(&vaults.Listed{Status: vaults.Failed})
+			return
+		}
+		l.Records = append(l.Records, data)
+	}
+	answer(l)
+}
+
+func (v *Vault) get(m *vaults.Get, answer func(vaults.Message)) {
+	g := &vaults.Got{}
+	size := 0
+	for _, id := range m.Turns {
+		t := v.chains.Turn(id)
+		if t == nil {
+			continue
+		}
+		if size += len(t.Input) + len(t.Output); size > chainBytes {
+			break
+		}
+		g.Turns = append(g.Turns, t)
+	}
+	answer(g)
+}
+
+// missing returns those of the turns that are not here. It runs on the control
+// goroutine.
+func (v *Vault) missing(turns []string) []string {
+	var missing []string
+	for _, id := range turns {
+		if v.chains.Turn(id) == nil {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/vault/seat.go
@@ -0,0 +1,335 @@
+package vault
+
+import (
+	"context"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/transport/calls"
+	"github.com/cowslipstage/cowslipstage/transport/files"
+)
+
+const (
+	// seatEvery is the pause between two looks at the roster while this host
+	// has no seat or does not count; it is a fraction of the time to catch up.
+	seatEvery = 200 * time.Millisecond
+	// settledEvery is the pause once it counts. Newer rosters also come from
+	// gates and other vaults.
+	settledEvery = 2 * time.Second
+	// lostAfter is how long a seat's holder must be silent before its seat may
+	// go to another host: longer than a restart's dark moment, well within the
+	// time to catch up.
+	lostAfter = 1500 * time.Millisecond
+	// askTime bounds a question to another vault.
+	askTime = 600 * time.Millisecond
+	// pageTime bounds one page of catching up.
+	pageTime = 2 * time.Second
+	// getTurns is how many turns are asked for at once.
+	getTurns = 500
+)
+
+// seatLoop keeps the roster known, takes a seat where there is one, and catches
+// up until this host counts as a copy.
+func (v *Vault) seatLoop(ctx context.Context) {
+	silent := map[string]time.Time{}
+	announced, refreshed := false, false
+	for ctx.Err() == nil {
+		pause := seatEvery
+		v.refresh(ctx)
+		roster, counts := v.standing()
+		switch {
+		case counts && !refreshed:
+			// What was missed while away is fetched in the background.
+			refreshed = v.catchUp(ctx, nil) == nil
+		case counts:
+			pause = settledEvery
+		case roster.Find(v.site.Node) != nil:
+			if err := v.catchUp(ctx, nil); err != nil {
+				v.log.Info().Err(err).Stringer("roster", roster).Msg("not caught up yet")
+			}
+		default:
+			v.watchSeats(ctx, roster, silent)
+			lost := func(node string) bool {
+				since, known := silent[node]
+				return known && time.Since(since) >= lostAfter
+			}
+			if _, free := roster.Claim(v.host(), v.site.Losses, lost); free {
+				v.claim(ctx, lost)
+			} else if !announced {
+				announced = v.announce(ctx)
+			}
+			if announced {
+				pause = lostAfter / 3
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// refresh learns the store's newest roster. Without the store the last one
+// known stands.
+func (v *Vault) refresh(ctx context.Context) {
+	known, counts := v.standing()
+	var roster *seats.Roster
+	var err error
+	if counts || (known.Version > 0 && known.Find(v.site.Node) == nil) {
+		roster, err = v.registry.RecentRoster(ctx)
+	} else {
+		roster, _, err = v.registry.Roster(ctx)
+	}
+	if err != nil {
+		v.log.Warn().Err(err).Msg("roster not read; the last one stands")
+		return
+	}
+	v.adopt(roster)
+}
+
+func (v *Vault) host() seats.Seat {
+	return seats.Seat{Node: v.site.Node, Addr: v.Addr(), Centre: v.site.Centre}
+}
+
+// announce lets a retiring host find this one.
+func (v *Vault) announce(ctx context.Context) bool {
+	if err := v.registry.PutSpare(ctx, v.host()); err != nil {
+		v.log.Warn().Err(err).Msg("not announced as a spare")
+		return false
+	}
+	v.log.Info().Msg("no free seat; waiting as a spare")
+	return true
+}
+
+// watchSeats asks the seats' holders for a sign of life.
+func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, silent map[string]time.Time) {
+	type sign struct {
+		node string
+		err  error
+	}
+	signs := make(chan sign, len(roster.Seats))
+	for _, s := range roster.Seats {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, askTime)
+			defer cancel()
+			_, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
+			signs <- sign{s.Node, err}
+		}()
+	}
+	for range roster.Seats {
+		s := <-signs
+		if s.err == nil {
+			delete(silent, s.node)
+		} else if silent[s.node].IsZero() {
+			silent[s.node] = time.Now()
+		}
+	}
+}
+
+// claim takes a free seat or that of a host that has been silent for long.
+func (v *Vault) claim(ctx context.Context, lost func(node string) bool) {
+	roster, revision, err := v.registry.Roster(ctx)
+	if err != nil {
+		v.log.Warn().Err(err).Msg("no seat claimed: the store does not answer")
+		return
+	}
+	next, ok := roster.Claim(v.host(), v.site.Losses, lost)
+	if !ok {
+		return
+	}
+	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
+		v.log.Info().Err(err).Stringer("roster", next).Msg("seat not claimed; looking again")
+		return
+	}
+	v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat claimed")
+	v.adopt(next)
+	if v.site.Fresh && v.chains.Size() == 0 {
+		// Nothing was kept anywhere before the first start.
+		v.settle(next)
+	}
+}
+
+// settle notes that this host holds all that its seat in a roster must.
+func (v *Vault) settle(roster *seats.Roster) {
+	seat := roster.Find(v.site.Node)
+	if seat == nil {
+		return
+	}
+	err := files.Replace(filepath.Join(v.site.Data, seatFile), strconv.AppendUint(nil, seat.Since, 10))
+	if err != nil {
+		v.log.Error().Err(err).Msg("does not count as a copy: the disk refused")
+		return
+	}
+	v.mu.Lock()
+	v.caught = seat.Since
+	v.mu.Unlock()
+	v.log.Info().Stringer("roster", roster).Uint64("since", seat.Since).Msg("counts as a copy")
+}
+
+var errCatchUp = errors.New("vault: not enough copies answered")
+
+// pulled says how catching up from one vault ended.
+type pulled struct {
+	err    error
+	caught bool
+}
+
+// catchUp fetches what the other copies hold, and source besides. It succeeds
+// once so many have been asked that every kept record must be among them.
+func (v *Vault) catchUp(ctx context.Context, source *seats.Seat) error {
+	v.syncing.Lock()
+	defer v.syncing.Unlock()
+	roster, _ := v.standing()
+	var others []seats.Seat
+	for _, s := range roster.Seats {
+		if s.Node != v.site.Node {
+			others = append(others, s)
+		}
+	}
+	results := make(chan pulled, len(others))
+	for _, s := range others {
+		go func() {
+			caught, err := v.pull(ctx, s.Addr, roster)
+			results <- pulled{err, caught}
+		}()
+	}
+	failed, behind := 0, 0
+	for range others {
+		switch r := <-results; {
+		case r.err != nil:
+			failed++
+			v.log.Info().Err(r.err).Msg("a copy did not answer while catching up")
+		case !r.caught:
+			behind++
+		}
+	}
+	if source != nil {
+		if _, err := v.pull(ctx, source.Addr, nil); err != nil {
+			return err
+		}
+	}
+	// A record is kept by a quorum; it cannot hide among fewer than that. Where
+	// no host counts any more, all of them together hold all there is.
+	nobody := failed == 0 && behind == len(others)
+	if failed+behind+1 >= roster.Quorum() && !nobody {
+		return errors.Wrapf(errCatchUp, "%d failed, %d behind, of %d others", failed, behind, len(others))
+	}
+	if now, _ := v.standing(); now.Version != roster.Version {
+		return errors.Wrap(errCatchUp, "the roster changed meanwhile")
+	}
+	v.settle(roster)
+	return nil
+}
+
+// pull fetches all that one vault holds and this one lacks.
+func (v *Vault) pull(ctx context.Context, addr string, roster *seats.Roster) (caught bool, err error) {
+	c := v.peer(addr)
+	cursor := uint64(0)
+	for {
+		m, err := call(ctx, c, &vaults.List{Cursor: cursor, Roster: roster})
+		if err != nil {
+			return false, err
+		}
+		page, ok := m.(*vaults.Listed)
+		if !ok || page.Status != vaults.Done {
+			if ok && page.Roster != nil {
+				v.adopt(page.Roster)
+			}
+			return false, errors.Wrapf(errCatchUp, "%s did not list", addr)
+		}
+		caught = page.Caught
+		if err := v.take(ctx, c, page); err != nil {
+			return false, err
+		}
+		if !page.More {
+			return caught, nil
+		}
+		cursor = page.Next
+	}
+}
+
+func call(ctx context.Context, c *calls.Client, m vaults.Message) (vaults.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTime)
+	defer cancel()
+	return c.Call(ctx, m)
+}
+
+// take puts a page's records on disk and into the chains.
+func (v *Vault) take(ctx context.Context, c *calls.Client, page *vaults.Listed) error {
+	var records []chains.Record
+	for _, data := range page.Records {
+		r, err := chains.Decode(data)
+		if err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	var wanted []string
+	if err := v.do(ctx, func() { wanted = v.missing(page.Turns) }); err != nil {
+		return err
+	}
+	for len(wanted) > 0 {
+		asked := wanted[:min(getTurns, len(wanted))]
+		m, err := call(ctx, c, &vaults.Get{Turns: asked})
+		if err != nil {
+			return err
+		}
+		got, ok := m.(*vaults.Got)
+		if !ok {
+			return errors.Wrap(errCatchUp, "unexpected answer")
+		}
+		for _, t := range got.Turns {
+			records = append(records, t)
+		}
+		if len(got.Turns) < len(asked) && len(got.Turns) > 0 {
+			asked = asked[:len(got.Turns)]
+		}
+		wanted = wanted[len(asked):]
+	}
+	return v.keep(ctx, records)
+}
+
+// keep makes records last here.
+func (v *Vault) keep(ctx context.Context, records []chains.Record) error {
+	var fresh []chains.Record
+	err := v.do(ctx, func() {
+		for _, r := range records {
+			if v.chains.Add(r) {
+				fresh = append(fresh, r)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	v.writer.add(func(err error) { done <- err }, fresh...)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// answerAdopt takes a roster from another host, and catches up if asked to.
+func (v *Vault) answerAdopt(m *vaults.Adopt, answer func(vaults.Message)) {
+	roster := v.adopt(m.Roster)
+	if m.Sync {
+		ctx, cancel := context.WithTimeout(context.Background(), pageTime)
+		defer cancel()
+		if err := v.catchUp(ctx, m.Source); err != nil {
+			v.log.Info().Err(err).Msg("not caught up for a leaving host yet")
+			answer(&vaults.Adopted{Status: vaults.Failed, Version: roster.Version})
+			return
+		}
+	}
+	_, counts := v.standing()
+	answer(&vaults.Adopted{Version: roster.Version, Caught: counts})
+}
