Fetch chains whose turns lie on different vaults turn by turn

Cause: after vaults were restarted, the turns of one chain lie on different pairs of vaults. Change: the gate asks again for the oldest gap until the chain is whole; a gap is only unknown if it is the turn that the caller named.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -414,42 +414,73 @@
 	return b.load
 }
 
-// fetch asks all seats for a chain. Only when all that count lack it, it is
-// certain that there is none.
+// fetch asks all seats for a chain, and again for what is before it: the turns
+// of one chain may lie on different seats. Only when all that count lack the
+// newest turn, it is certain that there is none.
 func (b *bank) fetch(ctx context.Context, previous string) ([]*chains.Turn, error) {
 	var chain []*chains.Turn
 	err := b.inRounds(ctx, func(roster *seats.Roster) error {
-		replies := make(chan reply, len(roster.Seats))
-		for _, s := range roster.Seats {
-			go func() {
-				answer, err := b.call(ctx, s.Addr, &vaults.Fetch{Chain: previous})
-				replies <- reply{s, answer, err}
-			}()
-		}
-		certain := 0
-		for range roster.Seats {
-			r := <-replies
-			f, ok := r.answer.(*vaults.Fetched)
-			if r.err != nil || !ok {
-				continue
-			}
-			b.remember(f.Turns...)
-			var held bool
-			if chain, held = b.held(previous); held {
+		for {
+			gap := b.gap(previous)
+			if gap == "" {
+				chain, _ = b.held(previous)
 				return nil
 			}
-			if f.Certain && f.Version == roster.Version {
-				certain++
+			certain := b.fetchOnce(ctx, roster, gap)
+			switch {
+			case b.gap(previous) != gap:
+			case gap == previous && certain == len(roster.Seats) && certain >= seats.Wanted(b.site.Losses):
+				return errors.Wrapf(errUnknown, "%s at %s", previous, roster)
+			default:
+				return errors.Wrapf(errUncertain, "%d of %d vaults lack the turn %s", certain, len(roster.Seats), gap)
 			}
 		}
-		if certain == len(roster.Seats) && certain >= seats.Wanted(b.site.Losses) {
-			return errors.Wrapf(errUnknown, "%s at %s", previous, roster)
-		}
-		return errors.Wrapf(errUncertain, "%d of %d vaults lack the turn %s", certain, len(roster.Seats), previous)
 	})
 	return chain, err
 }
 
+// fetchOnce asks all seats for the chain up to a turn until it is here, and
+// returns how many that count do not hold the turn.
+func (b *bank) fetchOnce(ctx context.Context, roster *seats.Roster, id string) int {
+	replies := make(chan reply, len(roster.Seats))
+	for _, s := range roster.Seats {
+		go func() {
+			answer, err := b.call(ctx, s.Addr, &vaults.Fetch{Chain: id})
+			replies <- reply{s, answer, err}
+		}()
+	}
+	certain := 0
+	for range roster.Seats {
+		r := <-replies
+		f, ok := r.answer.(*vaults.Fetched)
+		if r.err != nil || !ok {
+			continue
+		}
+		if len(f.Turns) > 0 {
+			b.remember(f.Turns...)
+			return 0
+		}
+		if f.Certain && f.Version == roster.Version {
+			certain++
+		}
+	}
+	return certain
+}
+
+// gap returns the newest turn of a chain that is not here, or "".
+func (b *bank) gap(id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id != "" {
+		t, ok := b.cache.Get(id)
+		if !ok {
+			return id
+		}
+		id = t.Previous
+	}
+	return ""
+}
+
 // record makes an ended turn last; only then may its answer end.
 func (b *bank) record(ctx context.Context, t *chains.Turn) error {
 	begun := time.Now()
--- /dev/null
+++ b/gate/bank_test.go
@@ -0,0 +1,174 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/standin/agreed"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/vault"
+)
+
+// rig is a set of vaults on loopback and a gate's bank before them.
+type rig struct {
+	t      *testing.T
+	g      *gomega.WithT
+	agreed *agreed.Agreed
+	bank   *bank
+	hosts  []*host
+}
+
+// host is one vault that can be stopped and started again.
+type host struct {
+	site   site.Site
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func freePort(g *gomega.WithT) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { g.Expect(l.Close()).To(gomega.Succeed()) }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newRig(t *testing.T, losses int) *rig {
+	r := &rig{t: t, g: gomega.NewWithT(t), agreed: agreed.New()}
+	for i := range seats.Wanted(losses) {
+		r.add(fmt.Sprintf("vault-%d", i), losses, true)
+	}
+	r.bank = r.newBank(losses)
+	r.g.Eventually(r.counting).WithTimeout(10 * time.Second).Should(gomega.Equal(len(r.hosts)))
+	return r
+}
+
+func (r *rig) newBank(losses int) *bank {
+	s := &site.Site{Node: "gate", Centre: "centre-0", Losses: losses, Memory: 64 << 20}
+	b := newBank(s, r.agreed, metrics.NewSet(), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	go b.run(ctx)
+	return b
+}
+
+// add starts one more vault.
+func (r *rig) add(name string, losses int, fresh bool) *host {
+	port := freePort(r.g)
+	h := &host{site: site.Site{
+		Node: name, Centre: "centre-" + strconv.Itoa(len(r.hosts)%3), IP: "127.0.0.1", FirstPort: port, LastPort: port,
+		Data: r.t.TempDir(), Disk: 64 << 20, Fresh: fresh, Losses: losses,
+	}}
+	r.hosts = append(r.hosts, h)
+	r.start(h)
+	r.t.Cleanup(func() { h.stop() })
+	return h
+}
+
+func (r *rig) start(h *host) {
+	s := h.site
+	v, err := vault.New(&s, r.agreed, metrics.NewSet(), zerolog.Nop())
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.done.Go(func() { _ = v.Run(ctx) })
+}
+
+func (h *host) stop() {
+	h.cancel()
+	h.done.Wait()
+}
+
+// counting returns how many seats count as copies of one roster.
+func (r *rig) counting() int {
+	roster, _, err := r.agreed.Roster(context.Background())
+	if err != nil {
+		return 0
+	}
+	counting := 0
+	for _, s := range roster.Seats {
+		m, err := r.ask(s.Addr, &vaults.Fetch{Chain: "none"})
+		if f, ok := m.(*vaults.Fetched); err == nil && ok && f.Certain && f.Version == roster.Version {
+			counting++
+		}
+	}
+	return counting
+}
+
+func (r *rig) ask(addr string, m vaults.Message) (vaults.Message, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return r.bank.client(addr).Call(ctx, m)
+}
+
+// put records a turn at some of the hosts only.
+func (r *rig) put(turn *chains.Turn, hosts ...int) {
+	roster, _, err := r.agreed.Roster(context.Background())
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, i := range hosts {
+		h := r.hosts[i]
+		m, err := r.ask(net.JoinHostPort(h.site.IP, strconv.Itoa(h.site.FirstPort)), &vaults.End{Version: roster.Version, Turn: turn})
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		r.g.Expect(m).To(gomega.Equal(&vaults.Ended{}))
+	}
+}
+
+func (r *rig) open(previous string) ([]*chains.Turn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	hold := &chains.Hold{Program: "p", Turn: "new", Most: 10, Keep: time.Minute}
+	o, err := r.bank.open(ctx, hold, 1000, previous)
+	return o.turns, err
+}
+
+func turnOf(id, previous string) *chains.Turn {
+	return &chains.Turn{ID: id, Previous: previous, Program: "p", Input: []byte("in " + id), Output: []byte("out " + id), Keep: time.Minute}
+}
+
+func ids(turns []*chains.Turn) []string {
+	var names []string
+	for _, t := range turns {
+		names = append(names, t.ID)
+	}
+	return names
+}
+
+// The copies of the turns of one chain lie on different pairs of vaults, as when
+// vaults are restarted during a program. No vault holds the whole chain.
+func TestChainIsFoundWhenNoVaultHoldsAllOfIt(t *testing.T) {
+	r := newRig(t, 1)
+	r.put(turnOf("a", ""), 0, 1)
+	r.put(turnOf("b", "a"), 1, 2)
+	r.put(turnOf("c", "b"), 2, 0)
+	r.put(turnOf("d", "c"), 1, 2)
+	chain, err := r.open("d")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a", "b", "c", "d"}))
+}
+
+func TestUnknownTurnIsCertainOnlyWhenAllSeatsAnswer(t *testing.T) {
+	r := newRig(t, 1)
+	_, err := r.open("never")
+	r.g.Expect(err).To(gomega.MatchError(errUnknown))
+	r.hosts[2].stop()
+	_, err = r.open("never")
+	r.g.Expect(err).To(gomega.MatchError(errUncertain))
+}
+
+func TestAChainWithAHoleIsUncertainNotUnknown(t *testing.T) {
+	r := newRig(t, 1)
+	r.put(turnOf("b", "lost"), 0, 1)
+	_, err := r.open("b")
+	r.g.Expect(err).To(gomega.MatchError(errUncertain))
+}
--- /dev/null
+++ b/standin/agreed/agreed.go
@@ -0,0 +1,136 @@
+// Package agreed stands in for the platform's key-value service as far as vaults
+// and gates agree on things there.
+package agreed
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+)
+
+// The errors of the stand-in.
+var (
+	// ErrDown means that the service does not answer.
+	ErrDown = errors.New("agreed: down")
+	// ErrConflict means that another write came first.
+	ErrConflict = errors.New("agreed: conflict")
+)
+
+// Agreed holds what is agreed on. It is safe for concurrent use.
+type Agreed struct {
+	mu       sync.Mutex
+	down     bool
+	roster   seats.Roster
+	revision int64
+	spares   []seats.Seat
+	// retiring are the hosts to be emptied; retired those that said they are.
+	retiring map[string]bool
+	retired  map[string]bool
+}
+
+// New returns a service that has agreed on nothing.
+func New() *Agreed {
+	return &Agreed{retiring: map[string]bool{}, retired: map[string]bool{}}
+}
+
+// SetDown takes the service away or brings it back.
+func (a *Agreed) SetDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+}
+
+// Retire asks for a host to be emptied.
+func (a *Agreed) Retire(node string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retiring[node] = true
+}
+
+// Retired tells whether a host said that it is empty.
+func (a *Agreed) Retired(node string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.retired[node]
+}
+
+// Roster returns the newest roster and its revision.
+func (a *Agreed) Roster(context.Context) (*seats.Roster, int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return nil, 0, ErrDown
+	}
+	r := a.roster
+	r.Seats = slices.Clone(r.Seats)
+	return &r, a.revision, nil
+}
+
+// RecentRoster returns the newest roster.
+func (a *Agreed) RecentRoster(ctx context.Context) (*seats.Roster, error) {
+	r, _, err := a.Roster(ctx)
+	return r, err
+}
+
+// PutRoster replaces the roster at a revision.
+func (a *Agreed) PutRoster(_ context.Context, r *seats.Roster, revision int64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.down:
+		return ErrDown
+	case revision != a.revision:
+		return ErrConflict
+	}
+	a.roster = *r
+	a.revision++
+	return nil
+}
+
+// Spares returns the hosts that wait for a seat.
+func (a *Agreed) Spares(context.Context) ([]seats.Seat, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return nil, ErrDown
+	}
+	return slices.Clone(a.spares), nil
+}
+
+// PutSpare adds a host that waits for a seat.
+func (a *Agreed) PutSpare(_ context.Context, s seats.Seat) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return ErrDown
+	}
+	if !slices.Contains(a.spares, s) {
+		a.spares = append(a.spares, s)
+	}
+	return nil
+}
+
+// Retiring tells whether a host is to be emptied.
+func (a *Agreed) Retiring(_ context.Context, node string) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return false, ErrDown
+	}
+	return a.retiring[node], nil
+}
+
+// PutRetired notes how far the emptying of a host is.
+func (a *Agreed) PutRetired(_ context.Context, node string, done bool) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return ErrDown
+	}
+	a.retired[node] = done
+	return nil
+}
