End idle connections of a stopping gate without cutting what was just read

Change: package front ends the pending read of an idle connection; bytes that came at that moment win. From SIGTERM on answers say that the connection closes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/transport/front"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
 
@@ -33,6 +34,8 @@
 	// graceShare is the part of the grace after which what is left is cut, so
 	// that this is done in order before the kill.
 	graceShare = 0.9
+	// endEvery is the pause between two looks for connections to end.
+	endEvery = 50 * time.Millisecond
 	// sweepEvery is the pause between two looks at idle connections.
 	sweepEvery = 2 * time.Second
 	// headerTime and idleTime bound callers until the operators' limits are
@@ -58,6 +61,8 @@
 	fleet   *fleet.Fleet
 	table   atomic.Pointer[table.Table]
 	ready   atomic.Bool
+	// stopping says that callers are to use other connections.
+	stopping atomic.Bool
 	// active counts requests under way.
 	active atomic.Int64
 
@@ -87,7 +92,7 @@
 		return
 	}
 	g.table.Store(t)
-	g.ready.Store(true)
+	g.ready.Store(!g.stopping.Load())
 	g.log.Info().Uint64("version", t.Version()).Msg("configuration in force")
 }
 
@@ -121,26 +126,28 @@
 
 // Run serves until ctx ends, then stops without cutting what is under way.
 func (g *Gate) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", g.site.Frontend)
+	listener, err := net.Listen("tcp", g.site.Frontend)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for callers")
 	}
+	ends := front.New(listener)
 	ready, err := net.Listen("tcp", g.site.Ready)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for the balancer")
 	}
 	callers := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		ConnState: ends.State,
 	}
 	balancer := &http.Server{Handler: g.balancer(), ReadHeaderTimeout: headerTime}
-	go g.listen(callers, front)
+	go g.listen(callers, ends)
 	go g.listen(balancer, ready)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go g.bank.run(background)
 	go g.sweep(background)
 	<-ctx.Done()
-	g.stop(callers)
+	g.stop(ends)
 	return balancer.Close()
 }
 
@@ -160,18 +167,22 @@
 	return r
 }
 
-// stop ends a planned stop: no longer ready, then no kept connections, then the
+// stop ends a planned stop: no longer ready, then no idle connections, then the
 // rest of what is under way.
-func (g *Gate) stop(callers *http.Server) {
+func (g *Gate) stop(ends *front.Listener) {
 	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
+	begun := time.Now()
+	g.stopping.Store(true)
 	g.ready.Store(false)
-	end := time.Now().Add(time.Duration(float64(g.site.Grace) * graceShare))
+	end := begun.Add(time.Duration(float64(g.site.Grace) * graceShare))
 	time.Sleep(min(noticeTime, g.site.Grace/3))
-	callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	g.log.Info().Err(err).Int64("cut", g.active.Load()).Msg("stopped")
+	for time.Now().Before(end) {
+		if ends.EndIdle() == 0 && g.active.Load() == 0 {
+			break
+		}
+		time.Sleep(endEvery)
+	}
+	g.log.Info().Int64("cut", g.active.Load()).Dur("took", time.Since(begun)).Msg("stopped")
 }
 
 func (g *Gate) sweep(ctx context.Context) {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +50,9 @@
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	q := &request{caller: r, writer: w, begun: time.Now(), tried: map[string]bool{}}
 	t := g.table.Load()
 	if t == nil {
@@ -158,10 +162,9 @@
 // copyHeader gives the caller the endpoint's headers.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range hop {
-		to.Del(name)
+		if !slices.Contains(hop, name) {
+			to[name] = values
+		}
 	}
 }
 
