Vaults keep views of the key-value service for gates that cannot reach it

Change: vaults keep configuration and endpoints as last seen, on disk; gates find them by the control addresses of their settings and take newer views while the store is out of view.

--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -41,7 +42,7 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			return o.run(c.Context(), "gate", func(r *role) error {
 				g := gate.New(r.site, platform.Dialect{}, platform.NewRegistry(r.store), r.set, r.log)
-				go platform.Follow(r.context, r.store, g, r.log)
+				go platform.Follow(r.context, r.store, g, g.Views(), r.log)
 				return g.Run(r.context)
 			})
 		},
@@ -138,7 +139,7 @@
 			log.Error().Err(err).Msg("settings not reloaded; the old ones stand")
 			continue
 		}
-		log.Info().Bool("changed", *s != *old).Msg("settings reloaded; changes take effect at the next start")
+		log.Info().Bool("changed", !reflect.DeepEqual(s, old)).Msg("settings reloaded; changes take effect at the next start")
 	}
 }
 
--- /dev/null
+++ b/coordination/seats/seats_test.go
@@ -0,0 +1,86 @@
+package seats_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+)
+
+func nobody(string) bool { return false }
+
+func full(losses int) *seats.Roster {
+	r := &seats.Roster{}
+	for i := range seats.Wanted(losses) {
+		r, _ = r.Claim(seats.Seat{Node: fmt.Sprintf("n%d", i), Addr: "a", Centre: fmt.Sprintf("c%d", i%3)}, losses, nobody)
+	}
+	return r
+}
+
+// Whatever seats a quorum takes: it outlasts the losses, and any two share one.
+func TestQuorumsOutlastLossesAndMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		losses := rapid.IntRange(0, 4).Draw(t, "losses")
+		r := full(losses)
+		r.Seats = r.Seats[:rapid.IntRange(min(losses+1, len(r.Seats)), len(r.Seats)).Draw(t, "seats")]
+		g.Expect(r.Quorum()).To(gomega.BeNumerically(">", losses))
+		g.Expect(2 * r.Quorum()).To(gomega.BeNumerically(">", len(r.Seats)))
+		g.Expect(r.Quorum()).To(gomega.BeNumerically("<=", len(r.Seats)))
+		if len(r.Seats) == seats.Wanted(losses) {
+			g.Expect(len(r.Seats) - losses).To(gomega.BeNumerically(">=", r.Quorum()))
+		}
+	})
+}
+
+func TestAHostTakesAFreeSeatThenThatOfALostOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := full(1)
+	g.Expect(r.String()).To(gomega.Equal("v3 n0 n1 n2"))
+	late := seats.Seat{Node: "late", Addr: "b"}
+	_, ok := r.Claim(late, 1, nobody)
+	g.Expect(ok).To(gomega.BeFalse())
+	next, ok := r.Claim(late, 1, func(n string) bool { return n == "n1" })
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next.String()).To(gomega.Equal("v4 n0 late n2"))
+	g.Expect(next.Find("late").Since).To(gomega.Equal(uint64(4)))
+	g.Expect(r.String()).To(gomega.Equal("v3 n0 n1 n2"), "rosters do not change")
+}
+
+func TestAHostThatMovedGetsItsSeatAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := full(1)
+	moved := *r.Find("n2")
+	_, ok := r.Claim(moved, 1, nobody)
+	g.Expect(ok).To(gomega.BeFalse())
+	moved.Addr = "elsewhere"
+	next, ok := r.Claim(moved, 1, nobody)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next.Find("n2").Since).To(gomega.Equal(next.Version))
+}
+
+func TestALeavingHostsSeatGoesToItsHeir(t *testing.T) {
+	g := gomega.NewWithT(t)
+	next, ok := full(1).Leave("n0", &seats.Seat{Node: "heir"})
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next.String()).To(gomega.Equal("v4 n1 n2 heir"))
+	alone, _ := full(1).Leave("n0", nil)
+	g.Expect(alone.Quorum()).To(gomega.Equal(2))
+}
+
+func TestTheNearestSeatComesFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := full(1)
+	first := map[string]int{}
+	for i := range 100 {
+		order := r.Order("c1", fmt.Sprint(i))
+		g.Expect(order[0].Node).To(gomega.Equal("n1"))
+		g.Expect(slices.IndexFunc(order, func(s seats.Seat) bool { return s.Node == "n0" })).To(gomega.BeNumerically(">", 0))
+		first[order[1].Node]++
+	}
+	g.Expect(first["n0"]).To(gomega.BeNumerically("~", 50, 20))
+}
--- a/gate/bank.go
+++ b/gate/bank.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -481,6 +482,42 @@
 	return ""
 }
 
+// View asks the vaults for what the key-value service holds below a prefix. It
+// returns nil if they know nothing newer than a revision.
+func (b *bank) View(ctx context.Context, prefix string, after int64) (*vaults.View, error) {
+	addrs := slices.Clone(b.site.Seeds)
+	for _, s := range b.current().Seats {
+		if !slices.Contains(addrs, s.Addr) {
+			addrs = append(addrs, s.Addr)
+		}
+	}
+	replies := make(chan reply, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			answer, err := b.call(ctx, addr, &vaults.Brief{Prefix: prefix, After: after})
+			replies <- reply{seats.Seat{Addr: addr}, answer, err}
+		}()
+	}
+	var newest *vaults.View
+	answered := 0
+	for range addrs {
+		r := <-replies
+		m, ok := r.answer.(*vaults.Briefed)
+		if r.err != nil || !ok {
+			continue
+		}
+		answered++
+		b.adopt(m.Roster)
+		if m.View != nil && (newest == nil || m.View.Revision > newest.Revision) {
+			newest = m.View
+		}
+	}
+	if answered == 0 {
+		return nil, errors.Wrapf(errUncertain, "none of %d", len(addrs))
+	}
+	return newest, nil
+}
+
 // record makes an ended turn last; only then may its answer end.
 func (b *bank) record(ctx context.Context, t *chains.Turn) error {
 	begun := time.Now()
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -172,3 +172,33 @@
 	_, err := r.open("b")
 	r.g.Expect(err).To(gomega.MatchError(errUncertain))
 }
+
+// All processes were killed while the key-value service is down. A gate knows
+// only the addresses of its settings; the vaults kept the service's last view.
+func TestViewsOutlastARestartWithoutTheService(t *testing.T) {
+	r := newRig(t, 1)
+	view := &vaults.View{Prefix: "routes", Revision: 7, Notes: []vaults.Note{{Key: "routes", Value: []byte("v"), Revision: 7}}}
+	r.agreed.SetView(view)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	seen := func(b *bank) *vaults.View {
+		v, err := b.View(ctx, "routes", 0)
+		if err != nil {
+			return nil
+		}
+		return v
+	}
+	r.g.Eventually(func() *vaults.View { return seen(r.bank) }).WithTimeout(5 * time.Second).Should(gomega.Equal(view))
+	r.agreed.SetDown(true)
+	for _, h := range r.hosts {
+		h.stop()
+		r.start(h)
+	}
+	restarted := r.newBank(1)
+	restarted.site.Seeds = []string{net.JoinHostPort("127.0.0.1", strconv.Itoa(r.hosts[0].site.FirstPort))}
+	r.g.Eventually(func() *vaults.View { return seen(restarted) }).WithTimeout(5 * time.Second).Should(gomega.Equal(view))
+	r.g.Expect(restarted.current().Seats).To(gomega.HaveLen(3))
+	newer, err := restarted.View(ctx, "routes", 7)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(newer).To(gomega.BeNil())
+}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -131,6 +131,34 @@
 	Caught  bool   `cbor:"3,keyasint,omitempty"`
 }
 
+// Note is one key of the platform's key-value service as it was written. Vaults
+// carry notes unread.
+type Note struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint"`
+	Revision int64  `cbor:"3,keyasint"`
+}
+
+// View is all keys below a prefix as of a revision.
+type View struct {
+	Prefix   string `cbor:"1,keyasint"`
+	Revision int64  `cbor:"2,keyasint"`
+	Notes    []Note `cbor:"3,keyasint"`
+}
+
+// Brief asks for a view, by gates that cannot reach the service themselves.
+type Brief struct {
+	Prefix string `cbor:"1,keyasint"`
+	// After is the revision that the asker knows.
+	After int64 `cbor:"2,keyasint"`
+}
+
+// Briefed answers Brief. View is nil if the vault knows nothing newer.
+type Briefed struct {
+	View   *View         `cbor:"1,keyasint,omitempty"`
+	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
+}
+
 func (*Begin) kind() uint8   { return 1 }
 func (*Began) kind() uint8   { return 2 }
 func (*End) kind() uint8     { return 3 }
@@ -143,6 +171,8 @@
 func (*Got) kind() uint8     { return 10 }
 func (*Adopt) kind() uint8   { return 11 }
 func (*Adopted) kind() uint8 { return 12 }
+func (*Brief) kind() uint8   { return 13 }
+func (*Briefed) kind() uint8 { return 14 }
 
 // ErrMessage means that bytes are no message.
 var ErrMessage = errors.New("vaults: no message")
@@ -198,6 +228,10 @@
 		return &Adopt{}
 	case (*Adopted)(nil).kind():
 		return &Adopted{}
+	case (*Brief)(nil).kind():
+		return &Brief{}
+	case (*Briefed)(nil).kind():
+		return &Briefed{}
 	}
 	return nil
 }
--- a/standin/agreed/agreed.go
+++ b/standin/agreed/agreed.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 )
 
 // The errors of the stand-in.
@@ -30,11 +31,13 @@
 	// retiring are the hosts to be emptied; retired those that said they are.
 	retiring map[string]bool
 	retired  map[string]bool
+	prefixes []string
+	views    map[string]*vaults.View
 }
 
 // New returns a service that has agreed on nothing.
 func New() *Agreed {
-	return &Agreed{retiring: map[string]bool{}, retired: map[string]bool{}}
+	return &Agreed{retiring: map[string]bool{}, retired: map[string]bool{}, views: map[string]*vaults.View{}}
 }
 
 // SetDown takes the service away or brings it back.
@@ -134,3 +137,30 @@
 	a.retired[node] = done
 	return nil
 }
+
+// Prefixes returns those of the views that were set.
+func (a *Agreed) Prefixes() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.prefixes)
+}
+
+// SetView makes what is below a prefix known.
+func (a *Agreed) SetView(v *vaults.View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.Contains(a.prefixes, v.Prefix) {
+		a.prefixes = append(a.prefixes, v.Prefix)
+	}
+	a.views[v.Prefix] = v
+}
+
+// View returns what is below a prefix.
+func (a *Agreed) View(_ context.Context, prefix string) (*vaults.View, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down || a.views[prefix] == nil {
+		return nil, ErrDown
+	}
+	return a.views[prefix], nil
+}
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -13,6 +13,11 @@
 	// question; both are empty where callers do not come.
 	Frontend string
 	Ready    string
+	// Control is the IP:port at which other processes know this one from their
+	// settings; "" where there is none.
+	Control string
+	// Seeds are some such addresses; the processes there may be gone.
+	Seeds []string
 	// FirstPort and LastPort bound the ports for other processes of the system.
 	FirstPort int
 	LastPort  int
--- /dev/null
+++ b/state/spend/spend_test.go
@@ -0,0 +1,67 @@
+package spend_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipstage/cowslipstage/state/spend"
+)
+
+type fact struct {
+	turn  string
+	entry spend.Entry
+}
+
+func facts(t *rapid.T) []fact {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fact {
+		settled := rapid.Bool().Draw(t, "settled")
+		f := fact{turn: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "turn")}
+		if settled {
+			f.entry = spend.Entry{Used: rapid.IntRange(0, 9).Draw(t, "used"), Settled: true}
+		} else {
+			f.entry = spend.Entry{Most: 10}
+		}
+		return f
+	}), 1, 20).Draw(t, "facts")
+}
+
+// Copies hear facts in different orders and more than once; they must agree.
+func TestTheOrderOfFactsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		heard := facts(t)
+		one, other := spend.New(), spend.New()
+		for _, f := range heard {
+			one.Merge(f.turn, f.entry)
+		}
+		for _, i := range rapid.Permutation(indexes(len(heard))).Draw(t, "order") {
+			other.Merge(heard[i].turn, heard[i].entry)
+			other.Merge(heard[i].turn, heard[i].entry)
+		}
+		g.Expect(other.Others("none")).To(gomega.Equal(one.Others("none")))
+	})
+}
+
+// A settled turn never goes back to its most, and one that is in doubt counts
+// at its most.
+func TestWhatIsInDoubtCountsAtItsMost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := spend.New()
+	a.Merge("a", spend.Entry{Most: 100})
+	g.Expect(a.Holds("b", 50, 149)).To(gomega.BeFalse())
+	g.Expect(a.Holds("b", 50, 150)).To(gomega.BeTrue())
+	a.Merge("a", spend.Entry{Used: 10, Settled: true})
+	a.Merge("a", spend.Entry{Most: 100})
+	g.Expect(a.Others("b")).To(gomega.Equal(10))
+	g.Expect(a.Holds("a", 150, 150)).To(gomega.BeTrue(), "a turn does not count against itself")
+}
+
+func indexes(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- /dev/null
+++ b/transport/pool/pool_test.go
@@ -0,0 +1,152 @@
+package pool_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/transport/pool"
+)
+
+// endpoint answers each connection's requests with raw bytes, in turn.
+func endpoint(t *testing.T, answers ...string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go speak(c, answers)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func speak(c net.Conn, answers []string) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for _, a := range answers {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, a)
+	}
+}
+
+func request(addr, id string) pool.Request {
+	return pool.Request{
+		Addr: addr, Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Belongs: func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id },
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func get(p *pool.Pool, r pool.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := p.Send(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	data, err := io.ReadAll(a.Body)
+	return string(data), err
+}
+
+func TestAnAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New(metrics.NewSet())
+	addr := endpoint(t, answer("1", "one"), answer("1", "late")+answer("2", "two"))
+	g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"))
+	g.Expect(get(p, request(addr, "2"))).To(gomega.Equal("two"))
+}
+
+func TestAConnectionWithBytesTooManyIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New(metrics.NewSet())
+	addr := endpoint(t, answer("1", "one")+answer("1", "one"), answer("2", "bad"))
+	g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"))
+	time.Sleep(20 * time.Millisecond) // the second answer is on its way
+	g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"), "on a new connection")
+}
+
+func TestABrokenAnswerIsNotWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New(metrics.NewSet())
+	for _, broken := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"HTTP/1.1 200 OK\r\nConte",
+		"no answer at all\r\n\r\n",
+		"",
+	} {
+		_, err := get(p, request(endpoint(t, broken), "1"))
+		g.Expect(errors.Is(err, pool.ErrBroken)).To(gomega.BeTrue(), "%q: %v", broken, err)
+	}
+}
+
+func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr := endpoint(t, "HTTP/1.1 200 OK\r\n\r\nto the end")
+	g.Expect(get(pool.New(metrics.NewSet()), request(addr, "1"))).To(gomega.Equal("to the end"))
+}
+
+func TestARequestThatNobodyTookIsUnsent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(l.Close()).To(gomega.Succeed())
+	_, err = get(pool.New(metrics.NewSet()), request(l.Addr().String(), "1"))
+	g.Expect(errors.Is(err, pool.ErrUnsent)).To(gomega.BeTrue(), "%v", err)
+}
+
+// The endpoint answers before it has read a long body. The rest of the body must
+// not be followed by another request.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	heads := make(chan string, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			line, err := bufio.NewReader(c).ReadString('\n')
+			if err != nil {
+				continue
+			}
+			heads <- strings.TrimSpace(line)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	p := pool.New(metrics.NewSet())
+	for range 2 {
+		r := request(l.Addr().String(), "1")
+		r.Body = make([]byte, 8<<20)
+		_, err := get(p, r)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(heads).To(gomega.Receive(gomega.Equal("POST /a HTTP/1.1")))
+	}
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -36,6 +36,8 @@
 	PutSpare(ctx context.Context, s seats.Seat) error
 	Retiring(ctx context.Context, node string) (bool, error)
 	PutRetired(ctx context.Context, node string, done bool) error
+	Prefixes() []string
+	View(ctx context.Context, prefix string) (*vaults.View, error)
 }
 
 const (
@@ -94,6 +96,8 @@
 	caught uint64
 	// peers are the clients of other vaults by address.
 	peers map[string]*calls.Client
+	// views are what the service held below each prefix, as last seen.
+	views map[string]*vaults.View
 	// syncing allows one catching up at a time.
 	syncing sync.Mutex
 }
@@ -108,7 +112,7 @@
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
 		mailbox: make(chan event, mailboxSize), chains: chains.New(), loads: map[string]load{},
-		roster: &seats.Roster{}, peers: map[string]*calls.Client{},
+		roster: &seats.Roster{}, peers: map[string]*calls.Client{}, views: map[string]*vaults.View{},
 	}
 	v.meters = meters{
 		begins: set.NewCounter("cowslipstage_vault_begins_total"), ends: set.NewCounter("cowslipstage_vault_ends_total"),
@@ -150,13 +154,19 @@
 			v.log.Warn().Err(err).Msg("seat file unreadable; catching up")
 		}
 	}
+	v.loadViews()
 	v.log.Info().Int("records", v.chains.Size()).Int("unreadable", unreadable).Uint64("caught", v.caught).
 		Stringer("roster", v.roster).Bool("fresh", v.site.Fresh).Msg("data folder read")
 	return nil
 }
 
 // Addr returns where other processes reach this vault.
-func (v *Vault) Addr() string { return net.JoinHostPort(v.site.IP, strconv.Itoa(v.site.FirstPort)) }
+func (v *Vault) Addr() string {
+	if v.site.Control != "" {
+		return v.site.Control
+	}
+	return net.JoinHostPort(v.site.IP, strconv.Itoa(v.site.FirstPort))
+}
 
 // Run serves until ctx ends.
 func (v *Vault) Run(ctx context.Context) error {
@@ -173,6 +183,7 @@
 	go v.writer.run()
 	go v.seatLoop(ctx)
 	go v.retireLoop(ctx)
+	go v.viewLoop(ctx)
 	v.control(ctx)
 	_ = server.Close() // open calls fail over to other seats
 	return v.writer.stop()
@@ -183,6 +194,8 @@
 	switch m := m.(type) {
 	case *vaults.Adopt:
 		go v.answerAdopt(m, answer)
+	case *vaults.Brief:
+		answer(v.brief(m))
 	default:
 		select {
 		case v.mailbox <- asked{m, answer}:
