A gate cut off from the vaults says so at once

Change: a call of a vault is bounded; a silent connection is given up after 250 ms, and calls do not wait for one that cannot be dialled. A gate that reaches no vault is not ready, closes callers' connections with its answers and tells them to come back at once: their retries reach other gates.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -30,6 +30,11 @@
 	// hedgeTime is how long a vault may take before another is asked as well:
 	// several times a slow disk's sync and the way.
 	hedgeTime = 40 * time.Millisecond
+	// vaultTime bounds a call of one vault: beyond a slow disk's sync, a quarter
+	// of the shortest time in which a caller gives up.
+	vaultTime = 300 * time.Millisecond
+	// reachEvery is the pause between two tries to reach vaults that are cut off.
+	reachEvery = 200 * time.Millisecond
 	// rosterFirst and rosterEvery are the pauses between questions for the
 	// roster until it is known, and while vaults fail.
 	rosterFirst = 100 * time.Millisecond
@@ -114,6 +119,33 @@
 	}
 }
 
+// reach keeps trying vaults that cannot be reached, so that it is noticed without
+// callers when they can be.
+func (b *bank) reach(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, s := range b.current().Seats {
+			if c := b.client(s.Addr); !c.Live() {
+				c.Dial()
+			}
+		}
+		select {
+		case <-time.After(reachEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// cutOff tells whether none of the vaults can be reached.
+func (b *bank) cutOff() bool {
+	roster := b.current()
+	for _, s := range roster.Seats {
+		if !b.client(s.Addr).Failing() {
+			return false
+		}
+	}
+	return len(roster.Seats) > 0
+}
+
 // doubt asks for a newer roster.
 func (b *bank) doubt() {
 	select {
@@ -168,7 +200,9 @@
 // call asks one vault and notes how long it took.
 func (b *bank) call(ctx context.Context, addr string, m vaults.Message) (vaults.Message, error) {
 	begun := time.Now()
-	answer, err := b.client(addr).Call(ctx, m)
+	limited, cancel := context.WithTimeout(ctx, vaultTime)
+	defer cancel()
+	answer, err := b.client(addr).Call(limited, m)
 	took := time.Since(begun)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -202,3 +204,62 @@
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.g.Expect(newer).To(gomega.BeNil())
 }
+
+// reached returns a bank that reaches the vaults through proxies that can go
+// silent, and what silences them.
+func (r *rig) reached() (*bank, func(silent bool)) {
+	roster, _, err := r.agreed.Roster(context.Background())
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	proxied := agreed.New()
+	var proxies []*toxiproxy.Proxy
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	for i := range roster.Seats {
+		p := toxiproxy.NewProxy(server, roster.Seats[i].Node, "127.0.0.1:0", roster.Seats[i].Addr)
+		r.g.Expect(p.Start()).To(gomega.Succeed())
+		r.t.Cleanup(p.Stop)
+		roster.Seats[i].Addr = p.Listen
+		proxies = append(proxies, p)
+	}
+	r.g.Expect(proxied.PutRoster(context.Background(), roster, 0)).To(gomega.Succeed())
+	whole := r.agreed
+	r.agreed = proxied
+	b := r.newBank(1)
+	r.agreed = whole
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	go b.reach(ctx)
+	return b, func(silent bool) {
+		for _, p := range proxies {
+			if silent {
+				_, err := p.Toxics.AddToxicJson(strings.NewReader(`{"name":"silence","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`))
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			} else {
+				r.g.Expect(p.Toxics.RemoveToxic(context.Background(), "silence")).To(gomega.Succeed())
+			}
+		}
+	}
+}
+
+// A gate is cut off from all vaults, its connections silent. It must say so at
+// once, so that callers go to another gate, and notice when the way is open.
+func TestAGateCutOffFromTheVaultsSaysSoAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	b, silence := r.reached()
+	open := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, err := b.open(ctx, &chains.Hold{Program: "p", Turn: "t", Most: 1, Keep: time.Minute}, 100, "")
+		return err
+	}
+	r.g.Eventually(open).WithTimeout(5 * time.Second).Should(gomega.Succeed())
+	r.g.Expect(b.cutOff()).To(gomega.BeFalse())
+	silence(true)
+	r.g.Expect(open()).To(gomega.HaveOccurred())
+	r.g.Eventually(b.cutOff).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
+	begun := time.Now()
+	r.g.Expect(open()).To(gomega.HaveOccurred())
+	r.g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond), "a quarter of the shortest aim's half second")
+	silence(false)
+	r.g.Eventually(b.cutOff).WithTimeout(3 * time.Second).Should(gomega.BeFalse())
+	r.g.Eventually(open).WithTimeout(3 * time.Second).Should(gomega.Succeed())
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -155,12 +155,17 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go g.bank.run(background)
+	go g.bank.reach(background)
 	go g.sweep(background)
 	<-ctx.Done()
 	g.stop(ends)
 	return balancer.Close()
 }
 
+// takes tells whether new connections are welcome. Where no vault can be reached,
+// another gate serves callers better.
+func (g *Gate) takes() bool { return g.ready.Load() && !g.bank.cutOff() }
+
 func (g *Gate) listen(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		g.log.Error().Err(err).Msg("no longer listening")
@@ -170,7 +175,7 @@
 func (g *Gate) balancer() http.Handler {
 	r := chi.NewRouter()
 	r.Get(g.dialect.Ready(), func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready.Load() {
+		if !g.takes() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -22,6 +22,10 @@
 	// return together.
 	backFirst  = 100 * time.Millisecond
 	backSpread = 200 * time.Millisecond
+	// awayFirst and awaySpread are the same where only this gate cannot serve:
+	// callers come back through another one.
+	awayFirst  = 10 * time.Millisecond
+	awaySpread = 40 * time.Millisecond
 	// defaultBody bounds a body where the operators name no limit.
 	defaultBody = 4 << 20
 	// wayTime is kept from the time that an endpoint gets, for the answer's way.
@@ -50,7 +54,7 @@
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
+	if !g.takes() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{caller: r, writer: w, begun: time.Now(), tried: map[string]bool{}}
@@ -147,6 +151,9 @@
 	h := q.writer.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		wait := backFirst + time.Duration(g.draw()*float64(backSpread))
+		if !g.takes() {
+			wait = awayFirst + time.Duration(g.draw()*float64(awaySpread))
+		}
 		h.Set(g.dialect.Back(), strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain")
--- a/transport/calls/calls.go
+++ b/transport/calls/calls.go
@@ -27,13 +27,13 @@
 	// the longest program with room to spare.
 	maxMessage = 16 << 20
 	// dialTime bounds a new connection; the longest way is a few milliseconds.
-	dialTime = 800 * time.Millisecond
+	dialTime = 400 * time.Millisecond
 	// silence is how long a connection with calls under way may bring nothing
-	// before it is taken as dead: far beyond a disk's sync, well below the time
+	// before it is taken as dead: beyond a slow disk's sync, well below the time
 	// in which a caller gives up.
-	silence = 700 * time.Millisecond
+	silence = 250 * time.Millisecond
 	// redial is the pause after a failed dial, so that a dead host costs little.
-	redial = 250 * time.Millisecond
+	redial = 150 * time.Millisecond
 	// queue bounds the messages that wait to be written to one connection.
 	queue = 1024
 	// numberBytes precede each message: the number of the call.
@@ -51,6 +51,9 @@
 	dialled time.Time
 	// dialling is closed when the dial under way ends; nil when none is.
 	dialling chan struct{}
+	// failing says that the last connection went silent or the last dial failed;
+	// calls do not wait for the next one then.
+	failing bool
 }
 
 // line is one connection and the calls on it.
@@ -93,8 +96,46 @@
 	l.mu.Lock()
 	quiet := l.closed || time.Since(l.heard) > silence
 	l.mu.Unlock()
-	if quiet {
-		l.close()
+	if !quiet {
+		return
+	}
+	l.close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.line == l {
+		c.failing = true
+	}
+}
+
+// Live tells whether there is a connection that answers as far as is known.
+func (c *Client) Live() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.line != nil && !c.line.isClosed()
+}
+
+// Failing tells whether the vault could not be reached when last tried.
+func (c *Client) Failing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing
+}
+
+// Dial opens a connection in the background if there is none.
+func (c *Client) Dial() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.line == nil || c.line.isClosed() {
+		c.begin()
+	}
+}
+
+// begin dials in the background unless that is done already or was just now. It
+// is called with the mutex held.
+func (c *Client) begin() {
+	if c.dialling == nil && time.Since(c.dialled) >= redial {
+		c.dialling = make(chan struct{})
+		go c.dial(c.dialling)
 	}
 }
 
@@ -106,16 +147,12 @@
 			c.mu.Unlock()
 			return l, nil
 		}
-		if c.dialling == nil {
-			if time.Since(c.dialled) < redial {
-				c.mu.Unlock()
-				return nil, errors.Wrapf(ErrCall, "%s could not be dialled just now", c.addr)
-			}
-			c.dialling = make(chan struct{})
-			go c.dial(c.dialling)
-		}
-		wait := c.dialling
+		c.begin()
+		wait, failing := c.dialling, c.failing
 		c.mu.Unlock()
+		if failing || wait == nil {
+			return nil, errors.Wrapf(ErrCall, "%s is not reached", c.addr)
+		}
 		select {
 		case <-wait:
 		case <-ctx.Done():
@@ -136,6 +173,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dialling = nil
+	c.failing = err != nil
 	if err != nil {
 		c.dialled = time.Now()
 		return
