Note an ended turn until the vaults take it

Cause: while the roster changes, vaults with the old and the new one decline for some 100 ms. Change: ends and settlements are tried again until they are certain, openings for 100 ms.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -33,6 +33,12 @@
 	// vaultTime bounds a call of one vault: beyond a slow disk's sync, a quarter
 	// of the shortest time in which a caller gives up.
 	vaultTime = 300 * time.Millisecond
+	// persistEvery is the pause between two tries to note what has happened;
+	// short against the time in which a caller gives up a stream.
+	persistEvery = 30 * time.Millisecond
+	// openTime is how long a turn that has not run is tried again here; after
+	// that its caller does better through another gate.
+	openTime = 100 * time.Millisecond
 	// reachEvery is the pause between two tries to reach vaults that are cut off.
 	reachEvery = 200 * time.Millisecond
 	// rosterFirst and rosterEvery are the pauses between questions for the
@@ -295,10 +301,12 @@
 		wanted = previous
 		b.missed.Inc()
 	}
-	err := b.inRounds(ctx, func(roster *seats.Roster) error {
-		var err error
-		found, err = b.begin(ctx, roster, hold, budget, wanted)
-		return err
+	err := b.persist(ctx, openTime, func() error {
+		return b.inRounds(ctx, func(roster *seats.Roster) error {
+			var err error
+			found, err = b.begin(ctx, roster, hold, budget, wanted)
+			return err
+		})
 	})
 	if err != nil {
 		return opened{}, err
@@ -556,9 +564,11 @@
 func (b *bank) record(ctx context.Context, t *chains.Turn) error {
 	begun := time.Now()
 	defer b.ends.UpdateDuration(begun)
-	err := b.end(ctx, t.Program, func(version uint64) *vaults.End {
-		copied := *t
-		return &vaults.End{Version: version, Turn: &copied}
+	err := b.persist(ctx, settleTime, func() error {
+		return b.end(ctx, t.Program, func(version uint64) *vaults.End {
+			copied := *t
+			return &vaults.End{Version: version, Turn: &copied}
+		})
 	})
 	if err == nil {
 		b.remember(t)
@@ -568,12 +578,30 @@
 
 // settle notes what a turn has spent that did not end whole.
 func (b *bank) settle(ctx context.Context, s *chains.Spent) error {
-	return b.end(ctx, s.Program, func(version uint64) *vaults.End {
-		copied := *s
-		return &vaults.End{Version: version, Spent: &copied}
+	return b.persist(ctx, settleTime, func() error {
+		return b.end(ctx, s.Program, func(version uint64) *vaults.End {
+			copied := *s
+			return &vaults.End{Version: version, Spent: &copied}
+		})
 	})
 }
 
+// persist repeats a step until it is certain, ctx ends or a time has passed:
+// rosters change and vaults come back within moments.
+func (b *bank) persist(ctx context.Context, limit time.Duration, step func() error) error {
+	begun := time.Now()
+	for {
+		err := step()
+		if err == nil || !errors.Is(err, errUncertain) || ctx.Err() != nil || time.Since(begun) > limit {
+			return err
+		}
+		select {
+		case <-time.After(persistEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (b *bank) end(ctx context.Context, key string, message func(version uint64) *vaults.End) error {
 	return b.inRounds(ctx, func(roster *seats.Roster) error {
 		return b.gather(ctx, b.order(roster, key), roster.Quorum(), func(int, seats.Seat) vaults.Message {
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -263,3 +263,23 @@
 	r.g.Eventually(b.cutOff).WithTimeout(3 * time.Second).Should(gomega.BeFalse())
 	r.g.Eventually(open).WithTimeout(3 * time.Second).Should(gomega.Succeed())
 }
+
+// All vaults are away for a moment while an answer ends. Its turn is kept once
+// they are back, and the answer can end then.
+func TestAnEndedTurnIsKeptOnceTheVaultsAreBack(t *testing.T) {
+	r := newRig(t, 1)
+	b, silence := r.reached()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r.g.Eventually(func() error { return b.record(ctx, turnOf("a", "")) }).Should(gomega.Succeed())
+	silence(true)
+	kept := make(chan error)
+	go func() { kept <- b.record(ctx, turnOf("b", "a")) }()
+	r.g.Eventually(b.cutOff).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
+	r.g.Consistently(kept, "100ms").ShouldNot(gomega.Receive())
+	silence(false)
+	r.g.Eventually(kept).WithTimeout(3 * time.Second).Should(gomega.Receive(gomega.Succeed()))
+	chain, err := r.open("b")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a", "b"}))
+}
