--- a/gate/bank.go
+++ b/gate/bank.go
@@ -301,7 +301,11 @@
 		wanted = previous
 		b.missed.Inc()
 	}
-	err := b.persist(ctx, openTime, func() error {
+	limit := openTime
+	if b.cutOff() {
+		limit = 0
+	}
+	err := b.persist(ctx, limit, func() error {
 		return b.inRounds(ctx, func(roster *seats.Roster) error {
 			var err error
 			found, err = b.begin(ctx, roster, hold, budget, wanted)
