Vaults catch up only on what needs another copy

Change: a whole disk counts at once without fetching; an empty one fetches all accounts, and the texts of the turns that fewer others hold than a quorum.

--- a/vault/answer.go
+++ b/vault/answer.go
@@ -39,7 +39,7 @@
 		turns, whole := v.chains.Chain(m.Chain)
 		a.answer(&vaults.Fetched{Turns: turns, Whole: whole, Certain: counts, Version: roster.Version})
 	case *vaults.List:
-		v.list(m, a.answer)
+		v.answerList(m, a.answer)
 	case *vaults.Get:
 		v.get(m, a.answer)
 	}
@@ -135,7 +135,7 @@
 	}, records...)
 }
 
-func (v *Vault) list(m *vaults.List, answer func(vaults.Message)) {
+func (v *Vault) answerList(m *vaults.List, answer func(vaults.Message)) {
 	roster, counts := v.standing()
 	if m.Roster != nil && m.Roster.Version > roster.Version {
 		roster = v.adopt(m.Roster)
@@ -152,7 +152,11 @@
 	for _, r := range records {
 		if t, ok := r.(*chains.Turn); ok {
 			l.Turns = append(l.Turns, t.ID)
-			continue
+			if t.Program == "" {
+				continue
+			}
+			// What it spent counts also where its texts are not needed.
+			r = &chains.Spent{Program: t.Program, Turn: t.ID, Used: t.Used, Keep: t.Keep, Written: t.Written}
 		}
 		data, err := chains.Encode(nil, r)
 		if err != nil {
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -38,16 +38,14 @@
 // up until this host counts as a copy.
 func (v *Vault) seatLoop(ctx context.Context) {
 	silent := map[string]time.Time{}
-	announced, refreshed := false, false
+	announced := false
 	for ctx.Err() == nil {
 		pause := seatEvery
 		v.refresh(ctx)
 		roster, counts := v.standing()
 		switch {
-		case counts && !refreshed:
-			// What was missed while away is fetched in the background.
-			refreshed = v.catchUp(ctx, nil) == nil
 		case counts:
+			// What was missed while away is on a quorum of others.
 			pause = settledEvery
 		case roster.Find(v.site.Node) != nil:
 			if err := v.catchUp(ctx, nil); err != nil {
@@ -174,14 +172,10 @@
 
 var errCatchUp = errors.New("vault: not enough copies answered")
 
-// pulled says how catching up from one vault ended.
-type pulled struct {
-	err    error
-	caught bool
-}
-
-// catchUp fetches what the other copies hold, and source besides. It succeeds
-// once so many have been asked that every kept record must be among them.
+// catchUp fetches what needs another copy: all accounts, and the turns that
+// fewer other seats hold than a quorum has. source is asked besides; it counts
+// for no copy. It succeeds once so many have been asked that every kept record
+// must be among theirs.
 func (v *Vault) catchUp(ctx context.Context, source *seats.Seat) error {
 	v.syncing.Lock()
 	defer v.syncing.Unlock()
@@ -192,27 +186,31 @@
 			others = append(others, s)
 		}
 	}
-	results := make(chan pulled, len(others))
+	listings := make(chan listing, len(others)+1)
 	for _, s := range others {
-		go func() {
-			caught, err := v.pull(ctx, s.Addr, roster)
-			results <- pulled{err, caught}
-		}()
+		go func() { listings <- v.list(ctx, s.Addr, roster) }()
 	}
 	failed, behind := 0, 0
+	var all []listing
 	for range others {
-		switch r := <-results; {
-		case r.err != nil:
+		switch l := <-listings; {
+		case l.err != nil:
 			failed++
-			v.log.Info().Err(r.err).Msg("a copy did not answer while catching up")
-		case !r.caught:
-			behind++
+			v.log.Info().Err(l.err).Str("vault", l.addr).Msg("a copy did not answer while catching up")
+		default:
+			if !l.caught {
+				behind++
+			}
+			l.counts = true
+			all = append(all, l)
 		}
 	}
 	if source != nil {
-		if _, err := v.pull(ctx, source.Addr, nil); err != nil {
-			return err
+		l := v.list(ctx, source.Addr, nil)
+		if l.err != nil {
+			return l.err
 		}
+		all = append(all, l)
 	}
 	// A record is kept by a quorum; it cannot hide among fewer than that. Where
 	// no host counts any more, all of them together hold all there is.
@@ -220,6 +218,9 @@
 	if failed+behind+1 >= roster.Quorum() && !nobody {
 		return errors.Wrapf(errCatchUp, "%d failed, %d behind, of %d others", failed, behind, len(others))
 	}
+	if err := v.copyFrom(ctx, all, roster.Quorum()); err != nil {
+		return err
+	}
 	if now, _ := v.standing(); now.Version != roster.Version {
 		return errors.Wrap(errCatchUp, "the roster changed meanwhile")
 	}
@@ -227,31 +228,48 @@
 	return nil
 }
 
-// pull fetches all that one vault holds and this one lacks.
-func (v *Vault) pull(ctx context.Context, addr string, roster *seats.Roster) (caught bool, err error) {
-	c := v.peer(addr)
-	cursor := uint64(0)
-	for {
-		m, err := call(ctx, c, &vaults.List{Cursor: cursor, Roster: roster})
+// listing is what one other vault holds.
+type listing struct {
+	addr string
+	err  error
+	// caught says that the vault counts as a copy itself; counts that what it
+	// holds is a copy.
+	caught bool
+	counts bool
+	// records are the accounts' entries, turns the names of its turns.
+	records []chains.Record
+	turns   []string
+}
+
+// list asks one vault for all that it holds, texts left out.
+func (v *Vault) list(ctx context.Context, addr string, roster *seats.Roster) listing {
+	l := listing{addr: addr}
+	for cursor, more := uint64(0), true; more; {
+		m, err := call(ctx, v.peer(addr), &vaults.List{Cursor: cursor, Roster: roster})
 		if err != nil {
-			return false, err
+			l.err = err
+			return l
 		}
 		page, ok := m.(*vaults.Listed)
 		if !ok || page.Status != vaults.Done {
-			if ok && page.Roster != nil {
+			if ok {
 				v.adopt(page.Roster)
 			}
-			return false, errors.Wrapf(errCatchUp, "%s did not list", addr)
-		}
-		caught = page.Caught
-		if err := v.take(ctx, c, page); err != nil {
-			return false, err
+			l.err = errors.Wrapf(errCatchUp, "%s did not list", addr)
+			return l
 		}
-		if !page.More {
-			return caught, nil
+		for _, data := range page.Records {
+			r, err := chains.Decode(data)
+			if err != nil {
+				l.err = err
+				return l
+			}
+			l.records = append(l.records, r)
 		}
-		cursor = page.Next
+		l.turns = append(l.turns, page.Turns...)
+		l.caught, cursor, more = page.Caught, page.Next, page.More
 	}
+	return l
 }
 
 func call(ctx context.Context, c *calls.Client, m vaults.Message) (vaults.Message, error) {
@@ -260,23 +278,42 @@
 	return c.Call(ctx, m)
 }
 
-// take puts a page's records on disk and into the chains.
-func (v *Vault) take(ctx context.Context, c *calls.Client, page *vaults.Listed) error {
-	var records []chains.Record
-	for _, data := range page.Records {
-		r, err := chains.Decode(data)
-		if err != nil {
+// copyFrom fetches from the listed vaults what has fewer copies than wanted.
+func (v *Vault) copyFrom(ctx context.Context, all []listing, wanted int) error {
+	copies := map[string]int{}
+	for _, l := range all {
+		if err := v.keep(ctx, l.records); err != nil {
+			return err
+		}
+		for _, id := range l.turns {
+			if l.counts {
+				copies[id]++
+			}
+		}
+	}
+	for _, l := range all {
+		var short []string
+		for _, id := range l.turns {
+			if copies[id] < wanted {
+				short = append(short, id)
+			}
+		}
+		if err := v.fetch(ctx, l.addr, short); err != nil {
 			return err
 		}
-		records = append(records, r)
 	}
+	return nil
+}
+
+// fetch gets those of a vault's turns that are not here.
+func (v *Vault) fetch(ctx context.Context, addr string, turns []string) error {
 	var wanted []string
-	if err := v.do(ctx, func() { wanted = v.missing(page.Turns) }); err != nil {
+	if err := v.do(ctx, func() { wanted = v.missing(turns) }); err != nil {
 		return err
 	}
 	for len(wanted) > 0 {
 		asked := wanted[:min(getTurns, len(wanted))]
-		m, err := call(ctx, c, &vaults.Get{Turns: asked})
+		m, err := call(ctx, v.peer(addr), &vaults.Get{Turns: asked})
 		if err != nil {
 			return err
 		}
@@ -284,15 +321,21 @@
 		if !ok {
 			return errors.Wrap(errCatchUp, "unexpected answer")
 		}
+		records := make([]chains.Record, 0, len(got.Turns))
 		for _, t := range got.Turns {
 			records = append(records, t)
 		}
-		if len(got.Turns) < len(asked) && len(got.Turns) > 0 {
-			asked = asked[:len(got.Turns)]
+		if err := v.keep(ctx, records); err != nil {
+			return err
+		}
+		// An answer of bounded size may hold only the first of them; what is
+		// missing at its end has expired there.
+		if n := len(got.Turns); n > 0 && n < len(asked) {
+			asked = asked[:n]
 		}
 		wanted = wanted[len(asked):]
 	}
-	return v.keep(ctx, records)
+	return nil
 }
 
 // keep makes records last here.
