Stay in the data centre unless its endpoints are much fuller

Cause: bytes between data centres were the largest price on Aço e Pele: a call went far as soon as the near endpoints had two or three calls more. Change: farCost 0.15 to 0.5 of a call's time.

--- a/coordination/assign/assign.go
+++ b/coordination/assign/assign.go
@@ -37,8 +37,10 @@
 	// missCost is the cost of reading a prompt of a thousand tokens anew,
 	// against a usual call's time.
 	missCost = 0.04
-	// farCost is the cost of another data centre: its way and the bytes' price.
-	farCost = 0.15
+	// farCost is the cost of another data centre: its way, and the price of bytes
+	// that cross: half a call's time, so that a near endpoint is left only when it
+	// has half its slots more calls.
+	farCost = 0.5
 	// coldCost is the cost of an endpoint that has just started.
 	coldCost = 0.5
 	// ejectedCost keeps ejected endpoints for when there is no other.
