Reach for the vaults of the settings from the start

Change: addresses of the settings are dialled until a roster is known; a gate that knows nothing asks for a view at each try.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -129,8 +128,8 @@
 // callers when they can be.
 func (b *bank) reach(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, s := range b.current().Seats {
-			if c := b.client(s.Addr); !c.Live() {
+		for _, addr := range b.addrs() {
+			if c := b.client(addr); !c.Live() {
 				c.Dial()
 			}
 		}
@@ -528,15 +527,24 @@
 	return ""
 }
 
+// addrs returns where vaults may be: the seats, or the settings' addresses while
+// no seats are known.
+func (b *bank) addrs() []string {
+	roster := b.current()
+	if len(roster.Seats) == 0 {
+		return b.site.Seeds
+	}
+	var addrs []string
+	for _, s := range roster.Seats {
+		addrs = append(addrs, s.Addr)
+	}
+	return addrs
+}
+
 // View asks the vaults for what the key-value service holds below a prefix. It
 // returns nil if they know nothing newer than a revision.
 func (b *bank) View(ctx context.Context, prefix string, after int64) (*vaults.View, error) {
-	addrs := slices.Clone(b.site.Seeds)
-	for _, s := range b.current().Seats {
-		if !slices.Contains(addrs, s.Addr) {
-			addrs = append(addrs, s.Addr)
-		}
-	}
+	addrs := b.addrs()
 	replies := make(chan reply, len(addrs))
 	for _, addr := range addrs {
 		go func() {
