Gates listen to vaults instead of asking the key-value service

Change: vaults follow the service and answer gates' questions as soon as there is something newer, with the changes only; a gate asks the service itself only when no vault hears from it. Rosters come with the same answers.

--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -42,7 +42,11 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			return o.run(c.Context(), "gate", func(r *role) error {
 				g := gate.New(r.site, platform.Dialect{}, platform.NewRegistry(r.store), r.set, r.log)
-				go platform.Follow(r.context, r.store, g, g.Views(), r.log)
+				views := g.Views(platform.NewFeed(g, r.log))
+				views.Listen(r.context)
+				for _, prefix := range platform.Prefixes() {
+					go platform.Follow(r.context, r.store, prefix, views)
+				}
 				return g.Run(r.context)
 			})
 		},
--- a/gate/bank.go
+++ b/gate/bank.go
@@ -40,10 +40,9 @@
 	openTime = 100 * time.Millisecond
 	// reachEvery is the pause between two tries to reach vaults that are cut off.
 	reachEvery = 200 * time.Millisecond
-	// rosterFirst and rosterEvery are the pauses between questions for the
-	// roster until it is known, and while vaults fail.
-	rosterFirst = 100 * time.Millisecond
-	rosterEvery = time.Second
+	// rosterEvery is the pause between questions for the roster until it is known,
+	// and while vaults fail.
+	rosterEvery = 600 * time.Millisecond
 	// othersAge is how long the other gates' load is believed.
 	othersAge = time.Second
 	// loadEvery bounds how often this gate's load goes to one vault.
@@ -103,23 +102,26 @@
 
 func weight(t *chains.Turn) int64 { return int64(len(t.Input)+len(t.Output)) + 256 }
 
-// run learns the roster while it is not known or vaults fail.
+// run learns the roster from the key-value service where vaults have not told it,
+// and while they fail.
 func (b *bank) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := rosterEvery
-		if r, _, err := b.rosters.Roster(ctx); err != nil {
-			b.log.Warn().Err(err).Msg("roster not read")
-		} else if b.adopt(r); len(r.Seats) < seats.Wanted(b.site.Losses) {
-			pause = rosterFirst
-		} else {
+		select {
+		case <-time.After(rosterEvery):
+		case <-ctx.Done():
+			return
+		}
+		if len(b.current().Seats) >= seats.Wanted(b.site.Losses) {
 			select {
 			case <-b.wake:
 			case <-ctx.Done():
+				return
 			}
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if r, _, err := b.rosters.Roster(ctx); err != nil {
+			b.log.Warn().Err(err).Msg("roster not read")
+		} else {
+			b.adopt(r)
 		}
 	}
 }
@@ -128,7 +130,7 @@
 // callers when they can be.
 func (b *bank) reach(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, addr := range b.addrs() {
+		for _, addr := range b.nearest() {
 			if c := b.client(addr); !c.Live() {
 				c.Dial()
 			}
@@ -527,51 +529,19 @@
 	return ""
 }
 
-// addrs returns where vaults may be: the seats, or the settings' addresses while
-// no seats are known.
-func (b *bank) addrs() []string {
+// nearest returns where vaults may be, those in this data centre first.
+func (b *bank) nearest() []string {
 	roster := b.current()
 	if len(roster.Seats) == 0 {
 		return b.site.Seeds
 	}
 	var addrs []string
-	for _, s := range roster.Seats {
+	for _, s := range roster.Order(b.site.Centre, b.site.Node) {
 		addrs = append(addrs, s.Addr)
 	}
 	return addrs
 }
 
-// View asks the vaults for what the key-value service holds below a prefix. It
-// returns nil if they know nothing newer than a revision.
-func (b *bank) View(ctx context.Context, prefix string, after int64) (*vaults.View, error) {
-	addrs := b.addrs()
-	replies := make(chan reply, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			answer, err := b.call(ctx, addr, &vaults.Brief{Prefix: prefix, After: after})
-			replies <- reply{seats.Seat{Addr: addr}, answer, err}
-		}()
-	}
-	var newest *vaults.View
-	answered := 0
-	for range addrs {
-		r := <-replies
-		m, ok := r.answer.(*vaults.Briefed)
-		if r.err != nil || !ok {
-			continue
-		}
-		answered++
-		b.adopt(m.Roster)
-		if m.View != nil && (newest == nil || m.View.Revision > newest.Revision) {
-			newest = m.View
-		}
-	}
-	if answered == 0 {
-		return nil, errors.Wrapf(errUncertain, "none of %d", len(addrs))
-	}
-	return newest, nil
-}
-
 // record makes an ended turn last; only then may its answer end.
 func (b *bank) record(ctx context.Context, t *chains.Turn) error {
 	begun := time.Now()
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -53,6 +53,7 @@
 	}
 	r.bank = r.newBank(losses)
 	r.g.Eventually(r.counting).WithTimeout(10 * time.Second).Should(gomega.Equal(len(r.hosts)))
+	r.g.Eventually(func() int { return len(r.bank.current().Seats) }).WithTimeout(5 * time.Second).Should(gomega.Equal(len(r.hosts)))
 	return r
 }
 
@@ -175,34 +176,84 @@
 	r.g.Expect(err).To(gomega.MatchError(errUncertain))
 }
 
+// kept is a feed that keeps the newest view.
+type kept struct {
+	mu   sync.Mutex
+	view *vaults.View
+}
+
+func (k *kept) Prefixes() []string { return []string{"routes"} }
+
+func (k *kept) Applied(string) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view == nil {
+		return 0
+	}
+	return k.view.Revision
+}
+
+func (k *kept) Take(v *vaults.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.view = v
+}
+
+// listening returns a listener to the vaults and what it has told.
+func (r *rig) listening(b *bank) (*Views, *kept) {
+	k := &kept{}
+	v := (&Gate{bank: b, log: zerolog.Nop()}).Views(k)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	v.Listen(ctx)
+	return v, k
+}
+
+func routes(revision int64) *vaults.View {
+	return &vaults.View{Prefix: "routes", Revision: revision, Notes: []vaults.Note{{Key: "routes", Value: []byte("v"), Revision: revision}}}
+}
+
 // All processes were killed while the key-value service is down. A gate knows
 // only the addresses of its settings; the vaults kept the service's last view.
 func TestViewsOutlastARestartWithoutTheService(t *testing.T) {
 	r := newRig(t, 1)
-	view := &vaults.View{Prefix: "routes", Revision: 7, Notes: []vaults.Note{{Key: "routes", Value: []byte("v"), Revision: 7}}}
-	r.agreed.SetView(view)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	seen := func(b *bank) *vaults.View {
-		v, err := b.View(ctx, "routes", 0)
-		if err != nil {
-			return nil
-		}
-		return v
+	r.agreed.SetView(routes(7))
+	for _, h := range r.hosts {
+		h.stop()
+		r.start(h)
 	}
-	r.g.Eventually(func() *vaults.View { return seen(r.bank) }).WithTimeout(5 * time.Second).Should(gomega.Equal(view))
+	first, k := r.listening(r.bank)
+	r.g.Eventually(func() int64 { return k.Applied("") }).WithTimeout(5 * time.Second).Should(gomega.Equal(int64(7)))
+	r.g.Eventually(func() bool { return first.Idle("routes") }).Should(gomega.BeTrue(), "live vaults spare the service the question")
 	r.agreed.SetDown(true)
 	for _, h := range r.hosts {
 		h.stop()
 		r.start(h)
 	}
 	restarted := r.newBank(1)
-	restarted.site.Seeds = []string{net.JoinHostPort("127.0.0.1", strconv.Itoa(r.hosts[0].site.FirstPort))}
-	r.g.Eventually(func() *vaults.View { return seen(restarted) }).WithTimeout(5 * time.Second).Should(gomega.Equal(view))
+	restarted.site.Seeds = []string{
+		net.JoinHostPort("127.0.0.1", strconv.Itoa(r.hosts[0].site.FirstPort)),
+		net.JoinHostPort("127.0.0.1", strconv.Itoa(r.hosts[1].site.FirstPort)),
+	}
+	second, k := r.listening(restarted)
+	r.g.Eventually(func() int64 { return k.Applied("") }).WithTimeout(5 * time.Second).Should(gomega.Equal(int64(7)))
 	r.g.Expect(restarted.current().Seats).To(gomega.HaveLen(3))
-	newer, err := restarted.View(ctx, "routes", 7)
-	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	r.g.Expect(newer).To(gomega.BeNil())
+	time.Sleep(viewStart)
+	r.g.Expect(second.Idle("routes")).To(gomega.BeFalse(), "no vault hears from the service")
+}
+
+// A change reaches a gate that listens at once, not with its next question.
+func TestAChangeReachesListenersAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.agreed.SetView(routes(7))
+	for _, h := range r.hosts {
+		h.stop()
+		r.start(h)
+	}
+	_, k := r.listening(r.bank)
+	r.g.Eventually(func() int64 { return k.Applied("") }).WithTimeout(5 * time.Second).Should(gomega.Equal(int64(7)))
+	r.agreed.SetView(routes(8))
+	r.g.Eventually(func() int64 { return k.Applied("") }).WithTimeout(500 * time.Millisecond).Should(gomega.Equal(int64(8)))
 }
 
 // reached returns a bank that reaches the vaults through proxies that can go
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -20,7 +20,6 @@
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/talk"
-	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
@@ -51,11 +50,6 @@
 	Roster(ctx context.Context) (*seats.Roster, int64, error)
 }
 
-// Views is what the vaults know of the platform's key-value service.
-type Views interface {
-	View(ctx context.Context, prefix string, after int64) (*vaults.View, error)
-}
-
 // Gate is one running entry host.
 type Gate struct {
 	site    *site.Site
@@ -120,20 +114,6 @@
 	g.log.Info().Str("endpoint", id).Bool("outage", outage).Msg("endpoint left")
 }
 
-// Lost notes that the key-value service went out of view.
-func (g *Gate) Lost(what string, err error) {
-	g.log.Warn().Err(err).Str("keys", what).Msg("key-value service lost; what is known stands")
-}
-
-// Regained notes that the key-value service is back.
-func (g *Gate) Regained(what string, away time.Duration) {
-	g.log.Info().Str("keys", what).Dur("away", away).Msg("key-value service regained")
-}
-
-// Views returns where to learn what the key-value service holds while it cannot
-// be reached.
-func (g *Gate) Views() Views { return g.bank }
-
 // Run serves until ctx ends, then stops without cutting what is under way.
 func (g *Gate) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", g.site.Frontend)
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -3,6 +3,8 @@
 package vaults
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -135,28 +137,50 @@
 // carry notes unread.
 type Note struct {
 	Key      string `cbor:"1,keyasint"`
-	Value    []byte `cbor:"2,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
 	Revision int64  `cbor:"3,keyasint"`
+	// Gone says that the key was taken away.
+	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
-// View is all keys below a prefix as of a revision.
+// View is what the service holds below a prefix as of a revision: all keys, or
+// those that changed after an earlier revision.
 type View struct {
 	Prefix   string `cbor:"1,keyasint"`
 	Revision int64  `cbor:"2,keyasint"`
-	Notes    []Note `cbor:"3,keyasint"`
+	Notes    []Note `cbor:"3,keyasint,omitempty"`
+	// After is 0 where all keys are told.
+	After int64 `cbor:"4,keyasint,omitempty"`
+	// Outage says that the service was out of view before, so that what is gone
+	// may only have lapsed.
+	Outage bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Taker learns what the platform's key-value service holds below a prefix.
+type Taker interface {
+	// Applied returns the revision that is known; 0 asks for all keys.
+	Applied(prefix string) int64
+	// Idle tells whether the store need not be asked now.
+	Idle(prefix string) bool
+	Take(v *View)
+	// Lost and Regained tell of the store.
+	Lost(prefix string, err error)
+	Regained(prefix string, away time.Duration)
 }
 
-// Brief asks for a view, by gates that cannot reach the service themselves.
+// Brief asks for a view newer than a revision, and waits for one.
 type Brief struct {
-	Prefix string `cbor:"1,keyasint"`
-	// After is the revision that the asker knows.
-	After int64 `cbor:"2,keyasint"`
+	Prefix string        `cbor:"1,keyasint"`
+	After  int64         `cbor:"2,keyasint,omitempty"`
+	Wait   time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Briefed answers Brief. View is nil if the vault knows nothing newer.
 type Briefed struct {
 	View   *View         `cbor:"1,keyasint,omitempty"`
 	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
+	// Live says that the vault itself hears from the service.
+	Live bool `cbor:"3,keyasint,omitempty"`
 }
 
 func (*Begin) kind() uint8   { return 1 }
--- a/standin/agreed/agreed.go
+++ b/standin/agreed/agreed.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,9 @@
 	ErrConflict = errors.New("agreed: conflict")
 )
 
+// followEvery is the pause between two looks for a view.
+const followEvery = 20 * time.Millisecond
+
 // Agreed holds what is agreed on. It is safe for concurrent use.
 type Agreed struct {
 	mu       sync.Mutex
@@ -155,12 +159,21 @@
 	a.views[v.Prefix] = v
 }
 
-// View returns what is below a prefix.
-func (a *Agreed) View(_ context.Context, prefix string) (*vaults.View, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.down || a.views[prefix] == nil {
-		return nil, ErrDown
+// Follow tells taker of a view whenever another was set.
+func (a *Agreed) Follow(ctx context.Context, prefix string, taker vaults.Taker) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		view, down := a.views[prefix], a.down
+		a.mu.Unlock()
+		switch {
+		case down:
+			taker.Lost(prefix, ErrDown)
+		case view != nil && view.Revision > taker.Applied(prefix):
+			taker.Take(view)
+		}
+		select {
+		case <-time.After(followEvery):
+		case <-ctx.Done():
+		}
 	}
-	return a.views[prefix], nil
 }
--- a/transport/calls/calls.go
+++ b/transport/calls/calls.go
@@ -65,8 +65,7 @@
 	mu      sync.Mutex
 	next    uint64
 	pending map[uint64]chan vaults.Message
-	// heard is when the last message came, asked when the oldest unanswered
-	// call since then was sent.
+	// heard is when the last message came.
 	heard  time.Time
 	closed bool
 }
@@ -84,17 +83,23 @@
 	if err != nil {
 		return nil, err
 	}
+	begun := time.Now()
 	answer, err := l.call(ctx, data)
 	if err != nil {
-		c.suspect(l)
+		c.suspect(l, begun)
 	}
 	return answer, err
 }
 
-// suspect drops a line that brings nothing although it should.
-func (c *Client) suspect(l *line) {
+// suspect drops a line that has brought nothing since a call on it began, or for
+// long, although it should.
+func (c *Client) suspect(l *line, begun time.Time) {
 	l.mu.Lock()
-	quiet := l.closed || time.Since(l.heard) > silence
+	since := l.heard
+	if begun.After(since) {
+		since = begun
+	}
+	quiet := l.closed || time.Since(since) > silence
 	l.mu.Unlock()
 	if !quiet {
 		return
@@ -226,9 +231,6 @@
 		l.mu.Unlock()
 		return nil, errors.Wrap(ErrCall, "connection lost")
 	}
-	if len(l.pending) == 0 {
-		l.heard = time.Now()
-	}
 	l.next++
 	number := l.next
 	l.pending[number] = wait
--- a/transport/calls/server.go
+++ b/transport/calls/server.go
@@ -16,8 +16,8 @@
 // goroutine. It must not block.
 type Handler func(m vaults.Message, answer func(vaults.Message))
 
-// Serve returns what takes connections from clients.
-func Serve(handle Handler, log zerolog.Logger) http.Handler {
+// Serve returns what takes connections from clients until ctx ends.
+func Serve(ctx context.Context, handle Handler, log zerolog.Logger) http.Handler {
 	r := chi.NewRouter()
 	r.Get(path, func(w http.ResponseWriter, r *http.Request) {
 		conn, err := websocket.Accept(w, r, nil)
@@ -26,7 +26,7 @@
 			return
 		}
 		conn.SetReadLimit(maxMessage)
-		ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		serve(ctx, conn, handle, log)
 	})
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -37,7 +37,7 @@
 	Retiring(ctx context.Context, node string) (bool, error)
 	PutRetired(ctx context.Context, node string, done bool) error
 	Prefixes() []string
-	View(ctx context.Context, prefix string) (*vaults.View, error)
+	Follow(ctx context.Context, prefix string, taker vaults.Taker)
 }
 
 const (
@@ -96,8 +96,8 @@
 	caught uint64
 	// peers are the clients of other vaults by address.
 	peers map[string]*calls.Client
-	// views are what the service held below each prefix, as last seen.
-	views map[string]*vaults.View
+	// boards are what the key-value service holds below each prefix.
+	boards map[string]*board
 	// syncing allows one catching up at a time.
 	syncing sync.Mutex
 }
@@ -112,7 +112,7 @@
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
 		mailbox: make(chan event, mailboxSize), chains: chains.New(), loads: map[string]load{},
-		roster: &seats.Roster{}, peers: map[string]*calls.Client{}, views: map[string]*vaults.View{},
+		roster: &seats.Roster{}, peers: map[string]*calls.Client{}, boards: map[string]*board{},
 	}
 	v.meters = meters{
 		begins: set.NewCounter("cowslipstage_vault_begins_total"), ends: set.NewCounter("cowslipstage_vault_ends_total"),
@@ -174,7 +174,7 @@
 	if err != nil {
 		return errors.Wrap(err, "vault: listening")
 	}
-	server := &http.Server{Handler: calls.Serve(v.handle, v.log), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: calls.Serve(ctx, v.handle, v.log), ReadHeaderTimeout: time.Second}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			v.log.Error().Err(err).Msg("no longer listening")
@@ -183,7 +183,7 @@
 	go v.writer.run()
 	go v.seatLoop(ctx)
 	go v.retireLoop(ctx)
-	go v.viewLoop(ctx)
+	v.follow(ctx)
 	v.control(ctx)
 	_ = server.Close() // open calls fail over to other seats
 	return v.writer.stop()
@@ -195,7 +195,7 @@
 	case *vaults.Adopt:
 		go v.answerAdopt(m, answer)
 	case *vaults.Brief:
-		answer(v.brief(m))
+		go func() { answer(v.brief(m)) }()
 	default:
 		select {
 		case v.mailbox <- asked{m, answer}:
--- a/vault/view.go
+++ b/vault/view.go
@@ -14,10 +14,144 @@
 	"github.com/cowslipstage/cowslipstage/transport/files"
 )
 
-// viewEvery is the pause between two looks at what gates need of the service.
-// Gates learn changes from the service itself; a view only serves those that
-// cannot reach it, and may be a second old.
-const viewEvery = time.Second
+const (
+	// keptChanges is how many changes are kept to tell gates instead of all keys.
+	keptChanges = 256
+	// maxWait bounds how long a gate's question waits.
+	maxWait = 10 * time.Second
+)
+
+// board is what the key-value service holds below one prefix, as last seen. Its
+// fields are guarded by the mutex of Vault.
+type board struct {
+	whole *vaults.View
+	// changes are the last ones, oldest first; all after floor are among them.
+	changes []*vaults.View
+	floor   int64
+	// live says that the service answers.
+	live bool
+	// changed is closed when the view or live changes.
+	changed chan struct{}
+}
+
+func (b *board) announce() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// boards is the vault as one who follows the key-value service.
+type boards struct{ *Vault }
+
+// Applied returns the revision that is known.
+func (v boards) Applied(prefix string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.boards[prefix].whole.Revision
+}
+
+// Idle tells that a vault always follows the service.
+func (boards) Idle(string) bool { return false }
+
+// Lost notes that the service is out of view.
+func (v boards) Lost(prefix string, err error) {
+	v.log.Warn().Err(err).Str("keys", prefix).Msg("key-value service lost; what is known stands")
+	v.setLive(prefix, false)
+}
+
+// Regained notes that the service is back.
+func (v boards) Regained(prefix string, away time.Duration) {
+	v.log.Info().Str("keys", prefix).Dur("away", away).Msg("key-value service regained")
+	v.setLive(prefix, true)
+}
+
+func (v boards) setLive(prefix string, live bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b := v.boards[prefix]
+	b.live = live
+	b.announce()
+}
+
+// Take notes what the service holds, tells the gates that wait, and puts the
+// view on disk.
+func (v boards) Take(view *vaults.View) {
+	v.mu.Lock()
+	b := v.boards[view.Prefix]
+	b.take(view)
+	whole := *b.whole
+	v.mu.Unlock()
+	if len(view.Notes) == 0 {
+		return
+	}
+	data, err := cbor.Marshal(whole)
+	if err == nil {
+		err = files.Replace(v.viewFile(slices.Index(v.registry.Prefixes(), view.Prefix)), data)
+	}
+	if err != nil {
+		v.log.Warn().Err(err).Str("keys", view.Prefix).Msg("view not kept on disk")
+	}
+}
+
+func (b *board) take(view *vaults.View) {
+	fresh := !b.live
+	b.live = true
+	next := &vaults.View{Prefix: view.Prefix, Revision: view.Revision, Outage: view.Outage}
+	if view.After == 0 {
+		next.Notes = view.Notes
+		b.changes, b.floor = nil, view.Revision
+		b.whole = next
+		b.announce()
+		return
+	}
+	if len(view.Notes) == 0 {
+		next.Notes, next.Outage = b.whole.Notes, false
+		b.whole = next
+		if fresh {
+			b.announce()
+		}
+		return
+	}
+	for _, n := range b.whole.Notes {
+		if !slices.ContainsFunc(view.Notes, func(o vaults.Note) bool { return o.Key == n.Key }) {
+			next.Notes = append(next.Notes, n)
+		}
+	}
+	for i, n := range view.Notes {
+		later := slices.ContainsFunc(view.Notes[i+1:], func(o vaults.Note) bool { return o.Key == n.Key })
+		if !n.Gone && !later {
+			next.Notes = append(next.Notes, n)
+		}
+	}
+	next.Outage = false
+	b.whole = next
+	b.changes = append(b.changes, view)
+	if len(b.changes) > keptChanges {
+		b.floor = b.changes[0].Revision
+		b.changes = b.changes[1:]
+	}
+	b.announce()
+}
+
+// since returns what is newer than a revision, or nil.
+func (b *board) since(after int64) *vaults.View {
+	if b.whole.Revision <= after {
+		return nil
+	}
+	if after < b.floor || after == 0 {
+		return b.whole
+	}
+	v := &vaults.View{Prefix: b.whole.Prefix, After: after, Revision: b.whole.Revision}
+	for _, c := range b.changes {
+		if c.Revision > after {
+			v.Notes = append(v.Notes, c.Notes...)
+			v.Outage = v.Outage || c.Outage
+		}
+	}
+	if len(v.Notes) == 0 {
+		return nil
+	}
+	return v
+}
 
 // viewFile returns where the view of a prefix is kept.
 func (v *Vault) viewFile(i int) string {
@@ -28,6 +162,8 @@
 // out: a newer one follows.
 func (v *Vault) loadViews() {
 	for i, prefix := range v.registry.Prefixes() {
+		b := &board{whole: &vaults.View{Prefix: prefix}, changed: make(chan struct{})}
+		v.boards[prefix] = b
 		data, err := os.ReadFile(v.viewFile(i))
 		if os.IsNotExist(err) {
 			continue
@@ -40,59 +176,38 @@
 			v.log.Warn().Err(err).Str("keys", prefix).Msg("kept view unreadable")
 			continue
 		}
-		v.views[prefix] = view
+		b.whole, b.floor = view, view.Revision
 	}
 }
 
-// viewLoop keeps the views.
-func (v *Vault) viewLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		for i, prefix := range v.registry.Prefixes() {
-			view, err := v.registry.View(ctx, prefix)
-			if err != nil {
-				v.log.Debug().Err(err).Str("keys", prefix).Msg("no newer view")
-				continue
-			}
-			v.see(i, view)
+// brief tells a gate what is newer than it knows, once there is something.
+func (v *Vault) brief(m *vaults.Brief) *vaults.Briefed {
+	end := time.After(min(m.Wait, maxWait))
+	for {
+		v.mu.Lock()
+		answer := &vaults.Briefed{Roster: v.roster}
+		b := v.boards[m.Prefix]
+		if b == nil {
+			v.mu.Unlock()
+			return answer
+		}
+		answer.View, answer.Live = b.since(m.After), b.live
+		changed := b.changed
+		v.mu.Unlock()
+		if answer.View != nil || !answer.Live || m.Wait <= 0 {
+			return answer
 		}
 		select {
-		case <-time.After(viewEvery):
-		case <-ctx.Done():
+		case <-changed:
+		case <-end:
+			return answer
 		}
 	}
 }
 
-// see takes a view, and puts it on disk if a key has changed.
-func (v *Vault) see(i int, view *vaults.View) {
-	v.mu.Lock()
-	old := v.views[view.Prefix]
-	newer := old == nil || view.Revision > old.Revision
-	if newer {
-		v.views[view.Prefix] = view
-	}
-	v.mu.Unlock()
-	same := old != nil && slices.EqualFunc(old.Notes, view.Notes, func(a, b vaults.Note) bool {
-		return a.Key == b.Key && a.Revision == b.Revision
-	})
-	if !newer || same {
-		return
-	}
-	data, err := cbor.Marshal(view)
-	if err == nil {
-		err = files.Replace(v.viewFile(i), data)
-	}
-	if err != nil {
-		v.log.Warn().Err(err).Str("keys", view.Prefix).Msg("view not kept on disk")
-	}
-}
-
-// brief tells a gate what it may not be able to learn itself.
-func (v *Vault) brief(m *vaults.Brief) *vaults.Briefed {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	b := &vaults.Briefed{Roster: v.roster}
-	if view := v.views[m.Prefix]; view != nil && view.Revision > m.After {
-		b.View = view
+// follow keeps the views.
+func (v *Vault) follow(ctx context.Context) {
+	for _, prefix := range v.registry.Prefixes() {
+		go v.registry.Follow(ctx, prefix, boards{v})
 	}
-	return b
 }
