Notice dark endpoints; rank turns by what their programs can still earn

Turns of programs that can no longer end in time went before those that can. Changes: package pulse tells which endpoints bring nothing while calls wait; they get one call at a time. Sent bytes may stay unacknowledged for 600 ms. An endpoint that cannot be dialled is ejected at once. Package rank: by priority, programs under way first, late programs last.

--- a/coordination/eject/eject.go
+++ b/coordination/eject/eject.go
@@ -50,7 +50,24 @@
 		j.records[name] = r
 	}
 	r.failures++
-	if r.failures < tolerance || now.Before(r.until) || !j.mayEject(now, pool) {
+	if r.failures >= tolerance {
+		j.eject(now, r, pool)
+	}
+}
+
+// Lose notes that an endpoint could not be reached at all, which ejects it at
+// once: a call that cannot be sent is sure to fail.
+func (j *Judge) Lose(now time.Time, name string, pool []string) {
+	r := j.records[name]
+	if r == nil {
+		r = &record{}
+		j.records[name] = r
+	}
+	j.eject(now, r, pool)
+}
+
+func (j *Judge) eject(now time.Time, r *record, pool []string) {
+	if now.Before(r.until) || !j.mayEject(now, pool) {
 		return
 	}
 	r.failures = 0
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
+	"github.com/cowslipstage/cowslipstage/coordination/pulse"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/talk"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
@@ -69,6 +70,7 @@
 	mu sync.Mutex
 	// judge and loads are what calls have shown of the endpoints.
 	judge  *eject.Judge
+	pulse  *pulse.Pulse
 	loads  map[string]*load
 	random *rand.Rand
 }
@@ -77,7 +79,7 @@
 func New(s *site.Site, d talk.Dialect, r Rosters, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
-		judge: eject.New(), loads: map[string]*load{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		judge: eject.New(), pulse: pulse.New(), loads: map[string]*load{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.bank = newBank(s, r, set, log)
 	g.bank.running = g.running
--- a/gate/load.go
+++ b/gate/load.go
@@ -54,6 +54,9 @@
 			ID: e.ID, Mine: l.calls, Others: others[e.ID], Slots: e.Slots, Near: e.Centre == g.site.Centre,
 			Cached: e.ID == cached, Slow: 1, Share: g.judge.Share(now, e.ID), Cold: e.Cold,
 		}
+		if g.pulse.Silent(now, e.ID) {
+			c.Share = 0
+		}
 		if usual > 0 && l.pace > 0 && now.Sub(l.seen) < paceAge {
 			c.Slow = l.pace / usual
 		}
@@ -65,6 +68,7 @@
 		return fleet.Entry{}, false
 	}
 	g.loadOf(entries[i].ID).calls++
+	g.pulse.Sent(now, entries[i].ID)
 	return entries[i], true
 }
 
@@ -87,6 +91,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loadOf(id).calls--
+	g.pulse.Ended(time.Now(), id)
+}
+
+// heard notes a sign of life of an endpoint.
+func (g *Gate) heard(now time.Time, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pulse.Heard(now, id)
 }
 
 // running returns this gate's calls by endpoint, for the other gates.
@@ -129,3 +141,14 @@
 	}
 	g.judge.Fail(now, id, names)
 }
+
+// unreached notes that an endpoint could not even be sent a request.
+func (g *Gate) unreached(now time.Time, service, id string) {
+	var names []string
+	for _, e := range g.fleet.Usable(now, service) {
+		names = append(names, e.ID)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.judge.Lose(now, id, names)
+}
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -78,6 +78,7 @@
 	said := g.dialect.Answer(a.Status, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a.Body, holdBytes))
 	if said.NotRun {
+		g.heard(time.Now(), e.ID)
 		return nil, g.declined(q, e, a.Status, said)
 	}
 	if err != nil {
@@ -86,6 +87,7 @@
 	}
 	now := time.Now()
 	g.judged(now, e.Service, e.ID, true)
+	g.heard(now, e.ID)
 	g.paced(now, e.ID, now.Sub(begun))
 	g.meters.since(g.meters.plain, begun)
 	return &whole{a.Status, a.Header, body}, nil
@@ -105,7 +107,11 @@
 	if ctx.Err() != nil {
 		return
 	}
-	g.judged(time.Now(), e.Service, e.ID, false)
+	if errors.Is(err, pool.ErrUnsent) {
+		g.unreached(time.Now(), e.Service, e.ID)
+	} else {
+		g.judged(time.Now(), e.Service, e.ID, false)
+	}
 	g.log.Warn().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr).Msg("endpoint failed")
 }
 
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cowslipstage/cowslipstage/coordination/rank"
 	"github.com/cowslipstage/cowslipstage/protocol/events"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
@@ -95,14 +96,9 @@
 	return true
 }
 
-// urgency ranks a turn for the engine: by the route's priority, and programs
-// under way before those that begin, since an unfinished program is worth nothing.
+// urgency ranks a turn for the engine.
 func (t *turn) urgency() int {
-	u := 2 * t.route.Priority
-	if t.Previous == "" {
-		u++
-	}
-	return min(9, u)
+	return rank.Urgency(rank.Turn{Priority: t.route.Priority, Begins: t.Previous == "", Late: t.Late})
 }
 
 // run sends a turn to one endpoint and passes its events on. Without an error
@@ -159,6 +155,7 @@
 		n, err := a.Body.Read(buffer)
 		if whole, count := split.Add(buffer[:n]); count > 0 {
 			now := time.Now()
+			g.heard(now, e.ID)
 			if t.given == 0 {
 				copyHeader(t.writer.Header(), a.Header)
 				t.writer.WriteHeader(a.Status)
--- a/protocol/talk/talk.go
+++ b/protocol/talk/talk.go
@@ -22,7 +22,9 @@
 	Program string
 	Session string
 	// Finish is the time in which the whole program should end; 0 when not said.
+	// Late says that it has passed.
 	Finish time.Duration
+	Late   bool
 	// Budget bounds the tokens that the program may be given; -1 when not said.
 	Budget int
 	// Prompt and Most are the tokens read and the most that are generated.
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -11,7 +11,9 @@
 
 var now = time.Unix(1_800_000_000, 0)
 
-func entry(id string) fleet.Entry { return fleet.Entry{ID: id, Service: "s", Addr: "1.2.3.4:5", Slots: 1} }
+func entry(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Service: "s", Addr: "1.2.3.4:5", Slots: 1}
+}
 
 func names(entries []fleet.Entry) []string {
 	list := []string{}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // The ways in which a request can fail.
@@ -31,7 +32,7 @@
 const (
 	// dialTime bounds a new connection. A dropped opening packet is sent again
 	// after a second; another endpoint is better than waiting for that.
-	dialTime = 500 * time.Millisecond
+	dialTime = 250 * time.Millisecond
 	// keepTime is how long an idle connection is kept where the endpoint names
 	// no time of its own; keepShare is the part used of the time that it names.
 	keepTime  = 3 * time.Second
@@ -39,6 +40,9 @@
 	// freshTime is the age up to which an idle connection is good enough for a
 	// request that must not run twice: an endpoint may drop idle ones unseen.
 	freshTime = time.Second
+	// ackTime is how long sent bytes may stay unacknowledged. A host that is dark
+	// acknowledges nothing; one that is slow does at once.
+	ackTime = 600 * time.Millisecond
 	// aliveIdle, aliveEvery and aliveCount are the TCP probes by which a host
 	// without power is noticed within some two seconds.
 	aliveIdle  = time.Second
@@ -161,7 +165,7 @@
 	p.dialled.Inc()
 	d := net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: aliveIdle, Interval: aliveEvery, Count: aliveCount,
-	}}
+	}, Control: boundAcks}
 	n, err := d.DialContext(ctx, "tcp", r.Addr)
 	if err != nil {
 		return nil, err
@@ -169,6 +173,15 @@
 	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), keep: keepTime}, nil
 }
 
+// boundAcks bounds the time that sent bytes may stay unacknowledged.
+func boundAcks(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTime.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
 // alive tells whether an idle connection is open and silent, as it should be.
 func (c *conn) alive() bool {
 	t, ok := c.Conn.(*net.TCPConn)
