Log each placement with its inputs; read one request's story from logs

Each request's placement is logged with the inputs that decided it and their age, its end too; routine lines are bounded, failures never left out.

--- a/cmd/cowslipstage/cmds/trace.go
+++ b/cmd/cowslipstage/cmds/trace.go
@@ -15,13 +15,17 @@
 func traceCommand() *cobra.Command {
 	var n nodeFlags
 	var asJSON bool
+	var logs []string
 	c := &cobra.Command{
-		Use:   "trace KEY --nodes IP:port,...",
+		Use:   "trace KEY --nodes IP:port,... | --logs FILE,...",
 		Short: "Follow one program or call from node to node",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return traceLogs(c, args[0], logs)
+			}
 			if len(n.addrs) == 0 {
-				return errors.New("name the nodes by --nodes")
+				return errors.New("name the nodes by --nodes, or log files by --logs")
 			}
 			var all []trace.Event
 			err := n.ask(c, "/v1/trace/"+url.PathEscape(args[0]), func(d *json.Decoder) error {
@@ -40,6 +44,7 @@
 		},
 	}
 	n.register(c)
+	c.Flags().StringSliceVar(&logs, "logs", nil, "log files of gates and vaults to read instead; - is standard input")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
--- a/gate/bank.go
+++ b/gate/bank.go
@@ -452,14 +452,16 @@
 	b.load, b.loaded = load, time.Now()
 }
 
-// others returns the other gates' calls by endpoint as last heard.
-func (b *bank) others(now time.Time) map[string]int {
+// others returns the other gates' calls by endpoint as last heard, and how long
+// ago that was.
+func (b *bank) others(now time.Time) (map[string]int, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.loaded) > othersAge {
-		return nil
+	age := now.Sub(b.loaded)
+	if age > othersAge {
+		return nil, 0
 	}
-	return b.load
+	return b.load, age
 }
 
 // fetch asks all seats for a chain, and again for what is before it: the turns
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -44,6 +44,10 @@
 	headerTime = 5 * time.Second
 	idleTime   = 60 * time.Second
 	maxHeader  = 64 << 10
+	// routineLines is how many lines a second tell of requests that end well;
+	// beyond it one in routineShare does. A gate at today's peak writes some 300.
+	routineLines = 400
+	routineShare = 20
 )
 
 // Rosters is where a gate learns who keeps chains.
@@ -56,6 +60,9 @@
 	site    *site.Site
 	dialect talk.Dialect
 	log     zerolog.Logger
+	// routine takes the lines of requests that end well: all of them up to a
+	// rate, then one in some. Failures are never left out.
+	routine zerolog.Logger
 	meters  *meters
 	pool    *pool.Pool
 	bank    *bank
@@ -81,6 +88,9 @@
 		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
 		judge: eject.New(), pulse: pulse.New(), loads: map[string]*load{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.routine = log.Sample(&zerolog.BurstSampler{
+		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineShare},
+	})
 	g.bank = newBank(s, r, set, log)
 	g.bank.running = g.running
 	return g
--- a/gate/load.go
+++ b/gate/load.go
@@ -5,7 +5,6 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/assign"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
-	"github.com/cowslipstage/cowslipstage/state/table"
 )
 
 // load is what this gate's calls have shown of one endpoint.
@@ -35,18 +34,19 @@
 	return l
 }
 
-// choose picks an endpoint of a service that is not among those tried, and
-// counts the call there until release.
-func (g *Gate) choose(now time.Time, service table.Service, prompt int, cached string, tried map[string]bool) (fleet.Entry, bool) {
-	usable := g.fleet.Usable(now, service.Name)
-	others := g.bank.others(now)
+// choose picks an endpoint of the request's service that is not among those
+// tried, and counts the call there until release. cached is the one that ran the
+// chain's last turn.
+func (g *Gate) choose(now time.Time, q *request, cached string) (fleet.Entry, bool) {
+	usable := g.fleet.Usable(now, q.service.Name)
+	others, age := g.bank.others(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	usual := g.usualPace(now, usable)
 	var entries []fleet.Entry
 	var choices []assign.Choice
 	for _, e := range usable {
-		if tried[e.ID] {
+		if q.tried[e.ID] {
 			continue
 		}
 		l := g.loadOf(e.ID)
@@ -63,12 +63,16 @@
 		entries = append(entries, e)
 		choices = append(choices, c)
 	}
-	i := assign.Pick(choices, prompt, g.random)
+	i := assign.Pick(choices, q.Prompt, g.random)
 	if i < 0 {
 		return fleet.Entry{}, false
 	}
 	g.loadOf(entries[i].ID).calls++
 	g.pulse.Sent(now, entries[i].ID)
+	c := choices[i]
+	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
+		Str("service", q.service.Name).Str("endpoint", c.ID).Int("of", len(choices)).Int("mine", c.Mine).Int("others", c.Others).
+		Dur("othersAge", age).Float64("slow", c.Slow).Float64("share", c.Share).Bool("near", c.Near).Bool("cached", c.Cached).Msg("placed")
 	return entries[i], true
 }
 
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -32,7 +32,7 @@
 func (g *Gate) plain(ctx context.Context, q *request) {
 	runs := 0
 	for len(q.tried) < declines+q.route.Attempts {
-		e, ok := g.choose(time.Now(), q.service, 0, "", q.tried)
+		e, ok := g.choose(time.Now(), q, "")
 		if !ok {
 			break
 		}
@@ -118,7 +118,8 @@
 // deliver gives the caller a whole answer.
 func (g *Gate) deliver(q *request, e fleet.Entry, a *whole) {
 	g.meters.answered("done")
-	g.log.Debug().Str("request", q.ID).Str("endpoint", e.ID).Int("status", a.status).Dur("after", time.Since(q.begun)).Msg("answered")
+	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("endpoint", e.ID).Int("status", a.status).
+		Dur("after", time.Since(q.begun)).Msg("answered")
 	h := q.writer.Header()
 	copyHeader(h, a.header)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -46,7 +46,7 @@
 		return
 	}
 	for len(q.tried) < declines+q.route.Attempts {
-		e, ok := g.choose(time.Now(), q.service, q.Prompt, t.home, q.tried)
+		e, ok := g.choose(time.Now(), q, t.home)
 		if !ok {
 			break
 		}
@@ -201,7 +201,7 @@
 	}
 	g.meters.answered("done")
 	g.meters.since(g.meters.whole, t.begun)
-	g.log.Debug().Str("request", t.ID).Str("program", t.Program).Str("previous", t.Previous).Str("endpoint", e.ID).
+	g.routine.Info().Str("request", t.ID).Str("program", t.Program).Str("previous", t.Previous).Str("endpoint", e.ID).
 		Int("events", t.given).Dur("after", time.Since(t.begun)).Msg("streamed")
 }
 
