--- a/gate/gate.go
+++ b/gate/gate.go
@@ -159,7 +159,7 @@
 func (g *Gate) takes() bool { return g.ready.Load() && !g.bank.cutOff() }
 
 func (g *Gate) listen(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		g.log.Error().Err(err).Msg("no longer listening")
 	}
 }
@@ -174,8 +174,8 @@
 	return r
 }
 
-// stop ends a planned stop: no longer ready, then no idle connections, then the
-// rest of what is under way.
+// stop ends a planned stop: no longer ready, then no new and no idle connections,
+// then the rest of what is under way.
 func (g *Gate) stop(ends *front.Listener) {
 	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
 	begun := time.Now()
@@ -183,11 +183,17 @@
 	g.ready.Store(false)
 	end := begun.Add(time.Duration(float64(g.site.Grace) * graceShare))
 	time.Sleep(min(noticeTime, g.site.Grace/3))
-	for time.Now().Before(end) {
+	if err := ends.Close(); err != nil {
+		g.log.Warn().Err(err).Msg("listener not closed")
+	}
+	// What was accepted before the listener closed may only now be read, so that
+	// two looks in a row must find nothing under way.
+	for quiet := 0; quiet < 2 && time.Now().Before(end); time.Sleep(endEvery) {
 		if ends.EndIdle() == 0 && g.active.Load() == 0 {
-			break
+			quiet++
+		} else {
+			quiet = 0
 		}
-		time.Sleep(endEvery)
 	}
 	g.log.Info().Int64("cut", g.active.Load()).Dur("took", time.Since(begun)).Msg("stopped")
 }
