Try an idempotent call elsewhere when it is past its aim

Change: an idempotent call that is past its aim and six times the usual time is sent to a second endpoint too, within the route's attempts.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -170,3 +170,26 @@
 	h.g.Expect(body).To(gomega.ContainSubstring("it has not run"))
 	h.g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 500*time.Millisecond), "sure failure is not held back")
 }
+
+// An endpoint does the work and its answer is lost: the call neither fails nor
+// ends. An idempotent request goes on elsewhere once it is past its aim.
+func TestAnIdempotentCallWithoutAnAnswerIsTriedElsewhere(t *testing.T) {
+	var reached atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if reached.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, "fine")
+	}
+	route := plainRoute(table.Idempotent, 2)
+	route.Aim = 80 * time.Millisecond
+	h := newHouse(t, time.Second, route, handler, handler, handler)
+	begun := time.Now()
+	status, body, err := h.get("x")
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	h.g.Expect(status).To(gomega.Equal(http.StatusOK))
+	h.g.Expect(body).To(gomega.Equal("fine"))
+	h.g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", time.Second))
+	h.g.Expect(reached.Load()).To(gomega.Equal(int64(2)), "no more endpoints than the route allows")
+}
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -28,36 +28,102 @@
 // errDeclined means that the endpoint did not run the request.
 var errDeclined = errors.New("gate: the endpoint declined")
 
+// result is how a call of one endpoint ended.
+type result struct {
+	endpoint fleet.Entry
+	answer   *whole
+	err      error
+}
+
+// attempts are the calls for one request of a plain service.
+type attempts struct {
+	gate    *Gate
+	request *request
+	results chan result
+	// under is the calls that have not ended, ran those that may have run.
+	under int
+	ran   int
+}
+
 // plain serves a request of a plain service.
 func (g *Gate) plain(ctx context.Context, q *request) {
-	runs := 0
-	for len(q.tried) < declines+q.route.Attempts {
-		e, ok := g.choose(time.Now(), q, "")
-		if !ok {
-			break
-		}
-		q.tried[e.ID] = true
-		answer, err := g.callOnce(ctx, q, e)
-		if err == nil {
-			g.deliver(q, e, answer)
-			return
-		}
-		if ctx.Err() == nil && (errors.Is(err, pool.ErrUnsent) || errors.Is(err, errDeclined)) {
-			continue
-		}
-		runs++
-		if q.route.Kind != table.Idempotent || runs >= q.route.Attempts || ctx.Err() != nil {
-			g.failed(ctx, q, err)
-			return
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &attempts{gate: g, request: q, results: make(chan result, declines+q.route.Attempts)}
+	a.launch(ctx)
+	hedge := time.NewTicker(g.patience(time.Now(), q))
+	defer hedge.Stop()
+	var last error
+	for a.under > 0 {
+		select {
+		case r := <-a.results:
+			a.under--
+			switch {
+			case r.err == nil:
+				g.deliver(q, r.endpoint, r.answer)
+				return
+			case ctx.Err() == nil && (errors.Is(r.err, pool.ErrUnsent) || errors.Is(r.err, errDeclined)):
+				a.launch(ctx)
+			default:
+				last = r.err
+				a.ran++
+				a.again(ctx)
+			}
+		case <-hedge.C:
+			a.again(ctx)
 		}
 	}
-	if runs > 0 {
-		g.failed(ctx, q, errors.New("no other endpoint"))
+	if last != nil {
+		g.failed(ctx, q, last)
 		return
 	}
 	g.refuse(q, http.StatusServiceUnavailable, "no endpoint of "+q.service.Name+" took it; it has not run")
 }
 
+// again begins one more call if the request may run once more.
+func (a *attempts) again(ctx context.Context) {
+	if a.request.route.Kind == table.Idempotent && a.ran+a.under < a.request.route.Attempts && ctx.Err() == nil {
+		a.launch(ctx)
+	}
+}
+
+// launch calls an endpoint that has not been asked yet, if there is one.
+func (a *attempts) launch(ctx context.Context) {
+	q := a.request
+	if len(q.tried) >= declines+q.route.Attempts {
+		return
+	}
+	e, ok := a.gate.choose(time.Now(), q, "")
+	if !ok {
+		return
+	}
+	q.tried[e.ID] = true
+	a.under++
+	go func() {
+		answer, err := a.gate.callOnce(ctx, q, e)
+		a.results <- result{e, answer, err}
+	}()
+}
+
+const (
+	// patienceSteps is how many times the usual time of a call a second endpoint
+	// waits before it is asked for the same idempotent request.
+	patienceSteps = 6
+	// patienceLeast bounds that time where nothing is known.
+	patienceLeast = 50 * time.Millisecond
+)
+
+// patience returns how long an idempotent request waits for one endpoint before
+// another is asked as well: past its aim, and longer than calls usually take now,
+// so that load alone does not double itself.
+func (g *Gate) patience(now time.Time, q *request) time.Duration {
+	usable := g.fleet.Usable(now, q.service.Name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usual := time.Duration(patienceSteps * g.usualPace(now, usable) * float64(time.Second))
+	return max(usual, q.route.Aim, patienceLeast)
+}
+
 // whole is an answer that has been read to its end.
 type whole struct {
 	status int
