--- a/coordination/assign/assign.go
+++ b/coordination/assign/assign.go
@@ -38,9 +38,10 @@
 	// waitWeight is the cost of a slot's worth of waiting calls.
 	waitWeight = 3.0
 	// missCost is the cost of reading a thousand tokens anew, against a usual
-	// call's time: some eight milliseconds at the engines' rates, during which the
-	// other calls of the batch stand still as well.
-	missCost = 0.15
+	// call's time: five to eight milliseconds at the engines' rates, during which
+	// the other calls of the batch stand still as well, and what it displaces in
+	// the cache is read again.
+	missCost = 0.8
 	// farCost is the cost of another data centre: its way, and the price of bytes
 	// that cross: half a call's time, so that a near endpoint is left only when it
 	// has half its slots more calls.
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -135,7 +135,7 @@
 func (g *Gate) callOnce(ctx context.Context, q *request, e fleet.Entry) (*whole, error) {
 	defer g.release(e.ID)
 	begun := time.Now()
-	a, err := g.pool.Send(ctx, g.sending(q, e.Addr, e.ID, -1, q.body))
+	a, err := g.pool.Send(ctx, g.sending(q, e.Addr, e.ID, q.body))
 	if err != nil {
 		g.blame(ctx, q, e, err)
 		return nil, err
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -122,9 +122,9 @@
 }
 
 // sending returns the request as it goes to an endpoint.
-func (g *Gate) sending(q *request, addr, endpoint string, urgency int, body []byte) pool.Request {
+func (g *Gate) sending(q *request, addr, endpoint string, body []byte) pool.Request {
 	header := q.caller.Header.Clone()
-	g.dialect.Forward(header, talk.Sent{Endpoint: endpoint, Left: time.Until(q.deadline) - wayTime, Urgency: urgency})
+	g.dialect.Forward(header, talk.Sent{Endpoint: endpoint, Left: time.Until(q.deadline) - wayTime})
 	target := q.caller.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = q.caller.URL.RequestURI()
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipstage/cowslipstage/coordination/rank"
 	"github.com/cowslipstage/cowslipstage/protocol/events"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
@@ -96,17 +95,12 @@
 	return true
 }
 
-// urgency ranks a turn for the engine.
-func (t *turn) urgency() int {
-	return rank.Urgency(rank.Turn{Priority: t.route.Priority, Begins: t.Previous == "", Late: t.Late})
-}
-
 // run sends a turn to one endpoint and passes its events on. Without an error
 // the answer was whole, and its end has not been passed on yet.
 func (g *Gate) run(ctx context.Context, t *turn, e fleet.Entry) error {
 	defer g.release(e.ID)
 	sent := time.Now()
-	a, err := g.pool.Send(ctx, g.sending(t.request, e.Addr, e.ID, t.urgency(), t.text))
+	a, err := g.pool.Send(ctx, g.sending(t.request, e.Addr, e.ID, t.text))
 	if err != nil {
 		g.blame(ctx, t.request, e, err)
 		return err
--- a/protocol/talk/talk.go
+++ b/protocol/talk/talk.go
@@ -22,9 +22,7 @@
 	Program string
 	Session string
 	// Finish is the time in which the whole program should end; 0 when not said.
-	// Late says that it has passed.
 	Finish time.Duration
-	Late   bool
 	// Budget bounds the tokens that the program may be given; -1 when not said.
 	Budget int
 	// Prompt and Most are the tokens read and the most that are generated.
@@ -44,8 +42,6 @@
 	Endpoint string
 	// Left is how long the endpoint may work; 0 says nothing.
 	Left time.Duration
-	// Urgency is from 0, the most urgent, to 9; -1 says nothing.
-	Urgency int
 }
 
 // Answer is what an endpoint says around its answer.
