--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -131,8 +131,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	hold := &chains.Hold{Program: "p", Turn: "new", Most: 10, Keep: time.Minute}
-	o, err := r.bank.open(ctx, hold, 1000, previous)
-	return o.turns, err
+	return r.bank.open(ctx, hold, 1000, previous)
 }
 
 func turnOf(id, previous string) *chains.Turn {
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -73,7 +73,7 @@
 		budget = -1
 	}
 	t.held = budget >= 0
-	o, err := g.bank.open(ctx, hold, budget, t.Previous)
+	chain, err := g.bank.open(ctx, hold, budget, t.Previous)
 	switch {
 	case errors.Is(err, errSpent):
 		g.settle(t)
@@ -88,9 +88,9 @@
 		g.refuse(t.request, http.StatusServiceUnavailable, "its chain or budget is not certain; it has not run: "+err.Error())
 		return false
 	}
-	if len(o.turns) > 0 {
-		t.home = o.turns[len(o.turns)-1].Endpoint
-		t.text = chains.Text(o.turns, t.body)
+	if len(chain) > 0 {
+		t.home = chain[len(chain)-1].Endpoint
+		t.text = chains.Text(chain, t.body)
 	}
 	return true
 }
@@ -99,7 +99,6 @@
 // the answer was whole, and its end has not been passed on yet.
 func (g *Gate) run(ctx context.Context, t *turn, e fleet.Entry) error {
 	defer g.release(e.ID)
-	sent := time.Now()
 	a, err := g.pool.Send(ctx, g.sending(t.request, e.Addr, e.ID, t.text))
 	if err != nil {
 		g.blame(ctx, t.request, e, err)
@@ -114,7 +113,7 @@
 	if a.Status != http.StatusOK {
 		return g.pass(t, a)
 	}
-	if err := g.relay(t, a, e, sent); err != nil {
+	if err := g.relay(t, a, e); err != nil {
 		g.blame(ctx, t.request, e, err)
 		return err
 	}
@@ -140,7 +139,7 @@
 }
 
 // relay passes events on as they come, whole ones only.
-func (g *Gate) relay(t *turn, a *pool.Answer, e fleet.Entry, sent time.Time) error {
+func (g *Gate) relay(t *turn, a *pool.Answer, e fleet.Entry) error {
 	var split events.Split
 	control := http.NewResponseController(t.writer)
 	buffer := make([]byte, readBytes)
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -69,9 +69,11 @@
 			l.EndIdle()
 			time.Sleep(20 * time.Microsecond)
 		}
-		_, err := http.ReadResponse(reader, nil)
+		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			g.Expect(handled).NotTo(gomega.Receive(), "round %d", round)
+		} else {
+			g.Expect(response.Body.Close()).To(gomega.Succeed())
 		}
 		g.Expect(c.Close()).To(gomega.Succeed())
 	}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -241,7 +241,7 @@
 func (c *conn) read(r Request) (*Answer, error) {
 	asked := &http.Request{Method: r.Method}
 	for range strangers {
-		response, err := http.ReadResponse(c.reader, asked)
+		response, err := http.ReadResponse(c.reader, asked) //nolint:bodyclose // Answer.Close ends the connection below it
 		if err != nil {
 			return nil, err
 		}
