--- a/gate/bank.go
+++ b/gate/bank.go
@@ -104,12 +104,17 @@
 // run learns the roster from the key-value service where vaults have not told it,
 // and while they fail.
 func (b *bank) run(ctx context.Context) {
+	pause := time.Duration(0)
+	if b.site.Fresh {
+		pause = rosterEvery // the vaults start at the same time
+	}
 	for ctx.Err() == nil {
 		select {
-		case <-time.After(rosterEvery):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return
 		}
+		pause = rosterEvery
 		if len(b.current().Seats) >= seats.Wanted(b.site.Losses) {
 			select {
 			case <-b.wake:
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -237,7 +237,6 @@
 	second, k := r.listening(restarted)
 	r.g.Eventually(func() int64 { return k.Applied("") }).WithTimeout(5 * time.Second).Should(gomega.Equal(int64(7)))
 	r.g.Expect(restarted.current().Seats).To(gomega.HaveLen(3))
-	time.Sleep(viewStart)
 	r.g.Expect(second.Idle("routes")).To(gomega.BeFalse(), "no vault hears from the service")
 }
 
@@ -333,3 +332,26 @@
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a", "b"}))
 }
+
+// A gate that is started again has callers waiting. It asks the key-value service
+// at once where the vaults of its settings are not up yet.
+func TestARestartedGateDoesNotWaitForVaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := agreed.New()
+	g.Expect(a.PutRoster(context.Background(), &seats.Roster{Version: 1, Losses: 1, Seats: make([]seats.Seat, 3)}, 0)).To(gomega.Succeed())
+	for _, fresh := range []bool{false, true} {
+		s := &site.Site{Node: "gate", Losses: 1, Memory: 1 << 20, Fresh: fresh}
+		b := newBank(s, a, metrics.NewSet(), zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		v := (&Gate{bank: b, log: zerolog.Nop()}).Views(&kept{})
+		g.Expect(v.Idle("routes")).To(gomega.Equal(fresh))
+		go b.run(ctx)
+		known := func() int { return len(b.current().Seats) }
+		if fresh {
+			g.Consistently(known, "200ms").Should(gomega.BeZero(), "no caller waits: the vaults' word costs nothing")
+		} else {
+			g.Eventually(known, "200ms").Should(gomega.Equal(3))
+		}
+	}
+}
--- a/gate/views.go
+++ b/gate/views.go
@@ -21,8 +21,8 @@
 	viewSlack = 300 * time.Millisecond
 	// viewRetry is the pause before another vault is asked.
 	viewRetry = 100 * time.Millisecond
-	// viewStart is how long a starting gate waits for vaults before it asks the
-	// key-value service itself.
+	// viewStart is how long a gate waits for vaults before it asks the key-value
+	// service itself, when the whole system starts and no caller waits yet.
 	viewStart = 400 * time.Millisecond
 	// liveTime is how long a live vault's last answer is good for.
 	liveTime = viewWait + viewSlack
@@ -119,7 +119,8 @@
 func (v *Views) Idle(prefix string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return time.Since(v.heard[prefix]) < liveTime || time.Since(v.begun) < viewStart
+	starting := v.bank.site.Fresh && time.Since(v.begun) < viewStart
+	return time.Since(v.heard[prefix]) < liveTime || starting
 }
 
 // Take takes a view from the key-value service.
