Take out what nothing uses; one group of clients for vaults

Fields of settings, configuration and answers that no decision reads; the map of clients by address stood in gates and vaults alike. No behaviour changes.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -68,9 +68,10 @@
 	// running returns this gate's calls by endpoint.
 	running func() map[string]int
 
-	mu      sync.Mutex
-	roster  *seats.Roster
-	clients map[string]*calls.Client
+	clients calls.Group
+
+	mu     sync.Mutex
+	roster *seats.Roster
 	// lags is each vault's usual time to answer, as of lagged; failed ones get a
 	// large one.
 	lags   map[string]time.Duration
@@ -88,7 +89,7 @@
 
 func newBank(s *site.Site, r Rosters, set *metrics.Set, log zerolog.Logger) *bank {
 	b := &bank{
-		site: s, rosters: r, log: log, roster: &seats.Roster{}, clients: map[string]*calls.Client{},
+		site: s, rosters: r, log: log, roster: &seats.Roster{},
 		lags: map[string]time.Duration{}, lagged: map[string]time.Time{}, told: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		begins: set.NewHistogram("cowslipstage_gate_vault_begin_seconds"),
 		ends:   set.NewHistogram("cowslipstage_gate_vault_end_seconds"),
@@ -197,16 +198,7 @@
 	return append(prompt, slow...)
 }
 
-func (b *bank) client(addr string) *calls.Client {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.clients[addr]
-	if c == nil {
-		c = calls.NewClient(addr)
-		b.clients[addr] = c
-	}
-	return c
-}
+func (b *bank) client(addr string) *calls.Client { return b.clients.Client(addr) }
 
 // call asks one vault and notes how long it took.
 func (b *bank) call(ctx context.Context, addr string, m vaults.Message) (vaults.Message, error) {
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -70,7 +70,7 @@
 func (r *rig) add(name string, losses int, fresh bool) *host {
 	port := freePort(r.g)
 	h := &host{site: site.Site{
-		Node: name, Centre: "centre-" + strconv.Itoa(len(r.hosts)%3), IP: "127.0.0.1", FirstPort: port, LastPort: port,
+		Node: name, Centre: "centre-" + strconv.Itoa(len(r.hosts)%3), IP: "127.0.0.1", FirstPort: port,
 		Data: r.t.TempDir(), Disk: 64 << 20, Fresh: fresh, Losses: losses,
 	}}
 	r.hosts = append(r.hosts, h)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -38,7 +38,7 @@
 	s := &site.Site{
 		Node: "gate", Centre: "c", Memory: 64 << 20,
 		Frontend: fmt.Sprintf("127.0.0.1:%d", front), Ready: fmt.Sprintf("127.0.0.1:%d", ready),
-		Bounds: site.Bounds{Grace: grace},
+		Grace: grace,
 	}
 	h := &house{g: g, gate: New(s, platform.Dialect{}, agreed.New(), metrics.NewSet(), zerolog.Nop())}
 	route.Host, route.Prefix, route.Shares = "h", "/", []table.Share{{Service: "s", Weight: 1}}
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -13,7 +13,7 @@
 	first, whole *metrics.Histogram
 	// plain is the time of calls of plain services.
 	plain *metrics.Histogram
-	// begin and end are the times that vaults took.
+	// cutOff counts the streams that were broken off after their first event.
 	cutOff *metrics.Counter
 }
 
--- a/protocol/talk/talk.go
+++ b/protocol/talk/talk.go
@@ -52,8 +52,6 @@
 	NotRun bool
 	// Moved says that another endpoint has the address now.
 	Moved bool
-	// Sealed says that the answer bears the endpoint's mark.
-	Sealed bool
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -18,34 +18,19 @@
 	Control string
 	// Seeds are some such addresses; the processes there may be gone.
 	Seeds []string
-	// FirstPort and LastPort bound the ports for other processes of the system.
+	// FirstPort is the first that is free for other processes of the system.
 	FirstPort int
-	LastPort  int
 	// Data is the folder for bulk data; "" where there is no disk.
 	Data string
-	// Disk and Memory are bounds in bytes; Links bounds open descriptors.
+	// Disk and Memory are bounds in bytes.
 	Disk   int64
 	Memory int64
-	Files  int
 	// Fresh is true only when the whole system starts for the first time.
 	Fresh bool
 	// Losses is how many hosts with disks may be lost at once.
 	Losses int
 	// Store is the IP:port of the platform's key-value service.
 	Store string
-	Bounds
-}
-
-// Bounds are the durations that the operators promise or ask for.
-type Bounds struct {
-	// Apply is the time in which a new configuration is in force.
-	Apply time.Duration
-	// Drain is the time in which a leaving endpoint stops getting work.
-	Drain time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
-	// CatchUp is the time in which a new host with a disk counts as a copy.
-	CatchUp time.Duration
-	// Iteration is how long an event of a stream may take on its way.
-	Iteration time.Duration
 }
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -29,11 +29,9 @@
 	Prefix string
 	Kind   Kind
 	// Timeout is the longest that a request is kept waiting, Aim the time to
-	// the first byte that earns the full worth, Gap the longest pause between
-	// events that does.
+	// the first byte that earns the full worth.
 	Timeout time.Duration
 	Aim     time.Duration
-	Gap     time.Duration
 	// Attempts is the most endpoints that one request may be sent to; at least 1.
 	Attempts int
 	// Priority is the rank; 0 comes first.
@@ -43,7 +41,6 @@
 	// Kept routes carry turns whose chain the system keeps for Retention.
 	Kept      bool
 	Retention time.Duration
-	Resumable bool
 }
 
 // Share is a service's part of a route.
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -88,14 +88,14 @@
 	chains *chains.Chains
 	loads  map[string]load
 
+	peers calls.Group
+
 	mu sync.Mutex
 	// roster is the newest known; it never goes back.
 	roster *seats.Roster
 	// caught is the version since which this host holds all that its seat must;
 	// 0 means that it does not count as a copy.
 	caught uint64
-	// peers are the clients of other vaults by address.
-	peers map[string]*calls.Client
 	// boards are what the key-value service holds below each prefix.
 	boards map[string]*board
 	// syncing allows one catching up at a time.
@@ -112,7 +112,7 @@
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
 		mailbox: make(chan event, mailboxSize), chains: chains.New(), loads: map[string]load{},
-		roster: &seats.Roster{}, peers: map[string]*calls.Client{}, boards: map[string]*board{},
+		roster: &seats.Roster{}, boards: map[string]*board{},
 	}
 	v.meters = meters{
 		begins: set.NewCounter("cowslipstage_vault_begins_total"), ends: set.NewCounter("cowslipstage_vault_ends_total"),
@@ -280,13 +280,4 @@
 }
 
 // peer returns the client of another vault.
-func (v *Vault) peer(addr string) *calls.Client {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	c := v.peers[addr]
-	if c == nil {
-		c = calls.NewClient(addr)
-		v.peers[addr] = c
-	}
-	return c
-}
+func (v *Vault) peer(addr string) *calls.Client { return v.peers.Client(addr) }
