--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -17,13 +17,35 @@
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"github.com/cowslipstage/cowslipstage/platform"
+	"github.com/cowslipstage/cowslipstage/protocol/talk"
 	"github.com/cowslipstage/cowslipstage/standin/agreed"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
 )
 
+// The headers of the stand-in dialect.
+const (
+	headerID       = "Id"
+	headerDeclined = "Declined"
+)
+
+// dialect stands in for a platform's headers.
+type dialect struct{}
+
+func (dialect) Asked(h http.Header) (talk.Asked, error) {
+	return talk.Asked{ID: h.Get(headerID), Budget: -1}, nil
+}
+
+func (dialect) Forward(http.Header, talk.Sent) {}
+
+func (dialect) Answer(_ int, h http.Header) talk.Answer {
+	return talk.Answer{ID: h.Get(headerID), NotRun: h.Get(headerDeclined) != ""}
+}
+
+func (dialect) Back() string  { return "Retry-After" }
+func (dialect) Ready() string { return "/ready" }
+
 // house is a gate on loopback before stand-in endpoints.
 type house struct {
 	g    *gomega.WithT
@@ -40,7 +62,7 @@
 		Frontend: fmt.Sprintf("127.0.0.1:%d", front), Ready: fmt.Sprintf("127.0.0.1:%d", ready),
 		Grace: grace,
 	}
-	h := &house{g: g, gate: New(s, platform.Dialect{}, agreed.New(), metrics.NewSet(), zerolog.Nop())}
+	h := &house{g: g, gate: New(s, dialect{}, agreed.New(), metrics.NewSet(), zerolog.Nop())}
 	route.Host, route.Prefix, route.Shares = "h", "/", []table.Share{{Service: "s", Weight: 1}}
 	h.gate.Configured(table.New(1, []*table.Route{&route}, []table.Service{{Name: "s"}}, table.Limits{}))
 	var entries []fleet.Entry
@@ -70,7 +92,7 @@
 	r, err := http.NewRequest(http.MethodGet, "http://"+h.gate.site.Frontend+"/a", nil)
 	h.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.Host = "h"
-	r.Header.Set("Cowslipstage-Attempt-Id", id)
+	r.Header.Set(headerID, id)
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, "", err
@@ -89,7 +111,7 @@
 func TestAStoppingGateAnswersWhatItHasPassedOn(t *testing.T) {
 	var ran sync.Map
 	h := newHouse(t, time.Second, plainRoute(table.Unsafe, 1), func(_ http.ResponseWriter, r *http.Request) {
-		ran.Store(r.Header.Get("Cowslipstage-Attempt-Id"), true)
+		ran.Store(r.Header.Get(headerID), true)
 		time.Sleep(3 * time.Millisecond)
 	})
 	var next atomic.Int64
@@ -150,7 +172,7 @@
 
 func TestADeclinedCallGoesOnElsewhereWhateverItsKind(t *testing.T) {
 	h := newHouse(t, time.Second, plainRoute(table.Unsafe, 1), func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Cowslipstage-Not-Executed", "1")
+		w.Header().Set(headerDeclined, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") })
 	for i := range 20 {
