--- a/vault/vault.go
+++ b/vault/vault.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// Do runs a function on the control goroutine and waits for it.
+// do runs a function on the control goroutine and waits for it.
 func (v *Vault) do(ctx context.Context, run func()) error {
 	done := make(chan struct{})
 	select {
