--- a/proof/fence_test.go
+++ b/proof/fence_test.go
@@ -35,7 +35,7 @@
 	Eventually(done, bound).Should(Receive(&r))
 	Expect(p.say("Is it booked?").Outcome).To(Equal(answer.Done), f.log.outcomes())
 	h.wake()
-	Eventually(func() int { return get("http://"+h.addr+"/readyz", nil) }, bound, "50ms").Should(Equal(200))
+	Eventually(func() int { return get("http://"+h.addr+"/readyz", nil) }, bound, "50ms").Should(Equal(200), h.stuck)
 	Expect(p.say("Are you sure?").Outcome).To(Equal(answer.Done), f.log.outcomes())
 	Consistently(func() int { return f.effects(key) }, time.Second, "50ms").Should(BeNumerically("<=", 1))
 	if r.Outcome == answer.Done {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -242,7 +242,7 @@
 
 func (f *fleet) ready(hosts ...*host) {
 	for _, h := range hosts {
-		Eventually(func() int { return get("http://"+h.addr+"/readyz", nil) }, bound, "50ms").Should(Equal(http.StatusOK), "%s is not ready", h.name)
+		Eventually(func() int { return get("http://"+h.addr+"/readyz", nil) }, bound, "50ms").Should(Equal(http.StatusOK), h.stuck)
 	}
 }
 
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -74,6 +74,10 @@
 // logLines is how much of each process's log a failed spec prints.
 const logLines = 40
 
+// stackLines is how much of the log of a process that does not answer is
+// printed: the stacks of some hundred goroutines.
+const stackLines = 3000
+
 func start(name string, args ...string) *process {
 	p := &process{name: name, args: args, log: &tail{}}
 	p.run()
@@ -120,6 +124,23 @@
 
 func (p *process) wake() { p.signal(syscall.SIGCONT) }
 
+// stuck makes a process that does not answer leave its stacks in its log, which
+// a failed spec prints, and says whether it has ended.
+func (p *process) stuck() string {
+	select {
+	case <-p.done:
+		return fmt.Sprintf("%s ended: %v", p.name, p.cmd.ProcessState)
+	default:
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-p.done:
+	case <-time.After(2 * time.Second):
+	}
+	return fmt.Sprintf("%s runs but does not answer\n%s%v\n%s", p.name, status, err, p.log.last(stackLines))
+}
+
 // stop asks the process to end and waits until it has.
 func (p *process) stop() {
 	p.signal(syscall.SIGTERM)
