Seats spread over data centres

Gates without a seat near sent every record across three times, and the loss of one data centre took the quorum.

Change: while the whole system starts, a host leaves a free seat to data centres that have fewer. Its test fails without it (a nil list of seats of a centre).

--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -47,6 +47,11 @@
 	return nil
 }
 
+// Has tells whether a data centre has a seat.
+func (r *Roster) Has(centre string) bool {
+	return slices.ContainsFunc(r.Seats, func(s Seat) bool { return s.Centre == centre })
+}
+
 // Order returns the seats in the order in which a host in a data centre tries
 // them for a key: its own data centre first, then spread by key.
 func (r *Roster) Order(centre, key string) []Seat {
@@ -89,6 +94,23 @@
 	return nil, false
 }
 
+// Crowded tells whether a data centre should leave the next seat to another: it
+// has its share, or only so many are free as there are data centres without one.
+// Seats spread over data centres outlast the loss of one, and most gates find a
+// copy in their own, so that fewer bytes cross between data centres.
+func (r *Roster) Crowded(centre string, losses, centres int) bool {
+	taken := map[string]int{}
+	for _, s := range r.Seats {
+		taken[s.Centre]++
+	}
+	if centres <= 0 || taken[centre] == 0 {
+		return false
+	}
+	share := (Wanted(losses) + centres - 1) / centres
+	free, without := Wanted(losses)-len(r.Seats), centres-len(taken)
+	return taken[centre] >= share || free <= without
+}
+
 // Leave returns the roster without a node; its seat goes to heir if there is one.
 func (r *Roster) Leave(node string, heir *Seat) (*Roster, bool) {
 	if r.Find(node) == nil {
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -84,3 +84,26 @@
 	}
 	g.Expect(first["n0"]).To(gomega.BeNumerically("~", 50, 20))
 }
+
+// Hosts with disks start together, those of one data centre first: while each
+// leaves seats to the others, no data centre gets more than its share.
+func TestSeatsSpreadOverDataCentres(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, centres := range []int{1, 2, 3, 4} {
+		r := &seats.Roster{}
+		for i := range 12 {
+			host := seats.Seat{Node: fmt.Sprint(i), Centre: fmt.Sprint(i * centres / 12)}
+			if r.Crowded(host.Centre, 2, centres) {
+				continue
+			}
+			if next, ok := r.Claim(host, 2, nobody); ok {
+				r = next
+			}
+		}
+		g.Expect(r.Seats).To(gomega.HaveLen(seats.Wanted(2)))
+		for i := range centres {
+			g.Expect(r.Has(fmt.Sprint(i))).To(gomega.BeTrue(), "%d data centres: %s", centres, r)
+		}
+	}
+	g.Expect((&seats.Roster{}).Crowded("any", 2, 0)).To(gomega.BeFalse(), "nothing is known of data centres")
+}
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -8,7 +8,9 @@
 	Node string
 	// Centre is the data centre.
 	Centre string
-	IP     string
+	// Centres is how many data centres there are; 0 if that is not known.
+	Centres int
+	IP      string
 	// Frontend and Ready are the IP:port for callers and for the balancer's
 	// question; both are empty where callers do not come.
 	Frontend string
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// spreadTime is how long a host leaves a free seat to hosts of other data
+	// centres when the whole system starts: all hosts start within a second or
+	// so, callers come ten seconds later.
+	spreadTime = 2 * time.Second
 	// seatEvery is the pause between two looks at the roster while this host
 	// has no seat or does not count; it is a fraction of the time to catch up.
 	seatEvery = 200 * time.Millisecond
@@ -39,6 +43,7 @@
 func (v *Vault) seatLoop(ctx context.Context) {
 	silent := map[string]time.Time{}
 	announced := false
+	begun := time.Now()
 	for ctx.Err() == nil {
 		pause := seatEvery
 		v.refresh(ctx)
@@ -57,8 +62,9 @@
 				since, known := silent[node]
 				return known && time.Since(since) >= lostAfter
 			}
+			yields := v.site.Fresh && time.Since(begun) < spreadTime
 			if _, free := roster.Claim(v.host(), v.site.Losses, lost); free {
-				v.claim(ctx, lost)
+				v.claim(ctx, lost, yields)
 			} else if !announced {
 				announced = v.announce(ctx)
 			}
@@ -130,15 +136,16 @@
 	}
 }
 
-// claim takes a free seat or that of a host that has been silent for long.
-func (v *Vault) claim(ctx context.Context, lost func(node string) bool) {
+// claim takes a free seat or that of a host that has been silent for long. If it
+// yields, it leaves the seat to another data centre where its own has enough.
+func (v *Vault) claim(ctx context.Context, lost func(node string) bool, yields bool) {
 	roster, revision, err := v.registry.Roster(ctx)
 	if err != nil {
 		v.log.Warn().Err(err).Msg("no seat claimed: the store does not answer")
 		return
 	}
 	next, ok := roster.Claim(v.host(), v.site.Losses, lost)
-	if !ok {
+	if !ok || yields && roster.Crowded(v.site.Centre, v.site.Losses, v.site.Centres) {
 		return
 	}
 	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
