--- a/gate/chain.go
+++ b/gate/chain.go
@@ -10,7 +10,7 @@
 	"github.com/cowslipstage/cowslipstage/state/chains"
 )
 
-// fetch asks all seats for a chain, and again for what is before it: the turns
+// fetch asks the seats for a chain, and again for what is before it: the turns
 // of one chain may lie on different seats. Only when all that count lack the
 // newest turn, it is certain that there is none.
 func (b *bank) fetch(ctx context.Context, previous string) ([]*chains.Turn, error) {
@@ -35,30 +35,29 @@
 	return chain, err
 }
 
-// fetchOnce asks all seats for the chain up to a turn until it is here, and
-// returns how many that count do not hold the turn.
+// fetchOnce asks the seats for the chain up to a turn until it is here, the
+// nearest first and one at a time, so that the text crosses between data centres
+// once. It returns how many that count do not hold the turn.
 func (b *bank) fetchOnce(ctx context.Context, roster *seats.Roster, id string) int {
-	replies := make(chan reply, len(roster.Seats))
-	for _, s := range roster.Seats {
-		go func() {
-			answer, err := b.call(ctx, s.Addr, &vaults.Fetch{Chain: id})
-			replies <- reply{s, answer, err}
-		}()
-	}
 	certain := 0
-	for range roster.Seats {
-		r := <-replies
-		f, ok := r.answer.(*vaults.Fetched)
-		if r.err != nil || !ok {
-			continue
+	err := b.gather(ctx, b.order(roster, id), 1, func(int, seats.Seat) vaults.Message {
+		return &vaults.Fetch{Chain: id}
+	}, func(_ seats.Seat, m vaults.Message) bool {
+		f, ok := m.(*vaults.Fetched)
+		if !ok {
+			return false
 		}
 		if len(f.Turns) > 0 {
+			b.fetched.Inc()
 			b.remember(f.Turns...)
-			return 0
 		}
-		if f.Certain && f.Version == roster.Version {
+		if len(f.Turns) == 0 && f.Certain && f.Version == roster.Version {
 			certain++
 		}
+		return len(f.Turns) > 0
+	})
+	if err == nil {
+		return 0
 	}
 	return certain
 }
