Gates hear of each other's calls at once, within their data centre

And the lists were old: a gate's choice was known to others only with its next turn, some 80 ms later, so that 24 gates placed on the same stale view.

Change: vaults of a gate's own data centre get its load with each Begin and, within 5 ms, with each change, and give the others'; to other data centres it goes as before, and the list crosses only where no vault is near. package tally adds up.

--- a/gate/bank.go
+++ b/gate/bank.go
@@ -42,10 +42,6 @@
 	// rosterEvery is the pause between questions for the roster until it is known,
 	// and while vaults fail.
 	rosterEvery = 600 * time.Millisecond
-	// othersAge is how long the other gates' load is believed.
-	othersAge = time.Second
-	// loadEvery bounds how often this gate's load goes to one vault.
-	loadEvery = 100 * time.Millisecond
 	// cacheShare is the part of the memory for chains kept at the gate.
 	cacheShare = 0.15
 	// keepFactor is how many times the retention an account is kept: a program
@@ -65,8 +61,10 @@
 	begins  *metrics.Histogram
 	ends    *metrics.Histogram
 	missed  *metrics.Counter
-	// running returns this gate's calls by endpoint.
-	running func() map[string]int
+	// fetched counts the answers that brought turns of a chain.
+	fetched *metrics.Counter
+	// share is what gates know of each other's running calls.
+	share *share
 
 	clients calls.Group
 
@@ -76,11 +74,6 @@
 	// large one.
 	lags   map[string]time.Duration
 	lagged map[string]time.Time
-	// told is when each vault got this gate's load.
-	told map[string]time.Time
-	// load is the other gates' calls by endpoint, as of loaded.
-	load   map[string]int
-	loaded time.Time
 	// cache holds chains by turn; cached is its size in bytes.
 	cache  *simplelru.LRU[string, *chains.Turn]
 	cached int64
@@ -89,11 +82,12 @@
 
 func newBank(s *site.Site, r Rosters, set *metrics.Set, log zerolog.Logger) *bank {
 	b := &bank{
-		site: s, rosters: r, log: log, roster: &seats.Roster{},
-		lags: map[string]time.Duration{}, lagged: map[string]time.Time{}, told: map[string]time.Time{}, wake: make(chan struct{}, 1),
-		begins: set.NewHistogram("cowslipstage_gate_vault_begin_seconds"),
-		ends:   set.NewHistogram("cowslipstage_gate_vault_end_seconds"),
-		missed: set.NewCounter("cowslipstage_gate_chains_fetched_total"),
+		site: s, rosters: r, log: log, share: newShare(s), roster: &seats.Roster{},
+		lags: map[string]time.Duration{}, lagged: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		begins:  set.NewHistogram("cowslipstage_gate_vault_begin_seconds"),
+		ends:    set.NewHistogram("cowslipstage_gate_vault_end_seconds"),
+		missed:  set.NewCounter("cowslipstage_gate_chains_fetched_total"),
+		fetched: set.NewCounter("cowslipstage_gate_chain_answers_total"),
 	}
 	// The number of entries is bounded by their bytes.
 	b.cache, _ = simplelru.NewLRU(1<<20, func(_ string, t *chains.Turn) { b.cached -= weight(t) })
@@ -296,42 +290,6 @@
 	return s == vaults.Done
 }
 
-// tell returns this gate's load if the vault has not had it lately.
-func (b *bank) tell(addr string) (map[string]int, string) {
-	now := time.Now()
-	b.mu.Lock()
-	due := now.Sub(b.told[addr]) >= loadEvery
-	if due {
-		b.told[addr] = now
-	}
-	b.mu.Unlock()
-	if !due || b.running == nil {
-		return nil, ""
-	}
-	return b.running(), b.site.Node
-}
-
-func (b *bank) heard(load map[string]int) {
-	if load == nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load, b.loaded = load, time.Now()
-}
-
-// others returns the other gates' calls by endpoint as last heard, and how long
-// ago that was.
-func (b *bank) others(now time.Time) (map[string]int, time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	age := now.Sub(b.loaded)
-	if age > othersAge {
-		return nil, 0
-	}
-	return b.load, age
-}
-
 // nearest returns where vaults may be, those in this data centre first.
 func (b *bank) nearest() []string {
 	roster := b.current()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -92,7 +92,7 @@
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineShare},
 	})
 	g.bank = newBank(s, r, set, log)
-	g.bank.running = g.running
+	g.bank.share.running = g.running
 	return g
 }
 
@@ -148,6 +148,7 @@
 	defer cancel()
 	go g.bank.run(background)
 	go g.bank.reach(background)
+	go g.bank.spread(background)
 	go g.sweep(background)
 	<-ctx.Done()
 	g.stop(ends)
--- a/gate/load.go
+++ b/gate/load.go
@@ -42,7 +42,7 @@
 // chain's last turn.
 func (g *Gate) choose(now time.Time, q *request, cached string) (fleet.Entry, bool) {
 	usable := g.fleet.Usable(now, q.service.Name)
-	others, age := g.bank.others(now)
+	others, age := g.bank.share.others(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	usual := g.usualPace(now, usable)
@@ -72,6 +72,7 @@
 		return fleet.Entry{}, false
 	}
 	g.loadOf(entries[i].ID).calls++
+	g.bank.share.change()
 	g.pulse.Sent(now, entries[i].ID)
 	c := choices[i]
 	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
@@ -128,6 +129,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loadOf(id).calls--
+	g.bank.share.change()
 	g.pulse.Ended(time.Now(), id)
 }
 
--- a/gate/open.go
+++ b/gate/open.go
@@ -84,7 +84,7 @@
 		if i == 0 {
 			m.Chain = wanted
 		}
-		m.Load, m.Node = b.tell(s.Addr)
+		m.Load = b.share.tell(time.Now(), roster, s)
 		return m
 	}
 	needed := roster.Quorum()
@@ -97,7 +97,7 @@
 		if !ok || !b.accepted(s, a.Status, a.Roster) {
 			return false
 		}
-		b.heard(a.Load)
+		b.share.heard(a.Others)
 		turns = append(turns, a.Turns...)
 		if a.Account != nil {
 			short = true
--- /dev/null
+++ b/gate/share.go
@@ -0,0 +1,135 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/site"
+)
+
+const (
+	// othersAge is how long the other gates' load is believed.
+	othersAge = time.Second
+	// farEvery bounds how often load crosses to one vault in another data centre,
+	// and how often the others' comes back from there: several times in a turn.
+	farEvery = 100 * time.Millisecond
+	// tellPause gathers changes of this gate's load before the vaults of its own
+	// data centre hear of them: short against a turn, so that gates that place at
+	// the same moment know of each other.
+	tellPause = 5 * time.Millisecond
+	// tellTime bounds that message; a later one says more.
+	tellTime = 100 * time.Millisecond
+)
+
+// share is what a gate and the other gates know of each other's running calls.
+// The vaults add them up. It answers bursts: gates that place at the same moment
+// without knowing of each other all choose the endpoint that was the least busy.
+type share struct {
+	site *site.Site
+	// running returns this gate's calls by endpoint.
+	running func() map[string]int
+	changed chan struct{}
+
+	mu sync.Mutex
+	// told is when each vault in another data centre got this gate's load.
+	told map[string]time.Time
+	// asked is when the others' load was last asked for in another data centre.
+	asked time.Time
+	// load is the other gates' calls by endpoint, as of loaded.
+	load   map[string]int
+	loaded time.Time
+}
+
+func newShare(s *site.Site) *share {
+	return &share{
+		site: s, running: func() map[string]int { return nil }, changed: make(chan struct{}, 1), told: map[string]time.Time{},
+	}
+}
+
+// tell returns what goes to a vault with a message, or nil. One in this data
+// centre always gets this gate's load and gives the others'; the list is long, so
+// it crosses from another data centre only where no vault is nearer.
+func (s *share) tell(now time.Time, roster *seats.Roster, to seats.Seat) *vaults.Load {
+	near := to.Centre == s.site.Centre
+	s.mu.Lock()
+	due := near || now.Sub(s.told[to.Addr]) >= farEvery
+	wanted := near
+	if !near && due {
+		s.told[to.Addr] = now
+		if !roster.Has(s.site.Centre) && now.Sub(s.asked) >= farEvery {
+			s.asked, wanted = now, true
+		}
+	}
+	s.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return &vaults.Load{Node: s.site.Node, Calls: s.running(), Wanted: wanted}
+}
+
+// change notes that this gate's load has changed.
+func (s *share) change() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *share) heard(load map[string]int) {
+	if load == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load, s.loaded = load, time.Now()
+}
+
+// others returns the other gates' calls by endpoint as last heard, and how long
+// ago that was.
+func (s *share) others(now time.Time) (map[string]int, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := now.Sub(s.loaded)
+	if age > othersAge {
+		return nil, 0
+	}
+	return s.load, age
+}
+
+// spread tells the vaults of this data centre of changes as they come.
+func (b *bank) spread(ctx context.Context) {
+	for {
+		select {
+		case <-b.share.changed:
+		case <-ctx.Done():
+			return
+		}
+		roster := b.current()
+		for _, s := range roster.Seats {
+			if s.Centre == b.site.Centre && b.client(s.Addr).Live() {
+				go b.load(ctx, s.Addr)
+			}
+		}
+		select {
+		case <-time.After(tellPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// load tells one vault of this gate's load and hears the others'.
+func (b *bank) load(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	m, err := b.client(addr).Call(ctx, &vaults.Load{Node: b.site.Node, Calls: b.share.running(), Wanted: true})
+	if err != nil {
+		b.log.Debug().Err(err).Str("vault", addr).Msg("load not told; the next change says more")
+		return
+	}
+	if l, ok := m.(*vaults.Loaded); ok {
+		b.share.heard(l.Others)
+	}
+}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -42,9 +42,21 @@
 	Budget int          `cbor:"3,keyasint,omitempty"`
 	// Chain is the turn whose chain is wanted; "" wants none.
 	Chain string `cbor:"4,keyasint,omitempty"`
-	// Load is the sender's count of running calls by endpoint.
-	Load map[string]int `cbor:"5,keyasint,omitempty"`
-	Node string         `cbor:"6,keyasint,omitempty"`
+	Load  *Load  `cbor:"5,keyasint,omitempty"`
+}
+
+// Load tells of a gate's running calls.
+type Load struct {
+	// Node is the gate, Calls its count of running calls by endpoint.
+	Node  string         `cbor:"1,keyasint,omitempty"`
+	Calls map[string]int `cbor:"2,keyasint,omitempty"`
+	// Wanted asks for those of all other gates.
+	Wanted bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Loaded answers Load.
+type Loaded struct {
+	Others map[string]int `cbor:"1,keyasint,omitempty"`
 }
 
 // Began answers Begin.
@@ -57,8 +69,9 @@
 	// reaches its first turn.
 	Turns []*chains.Turn `cbor:"4,keyasint,omitempty"`
 	Whole bool           `cbor:"5,keyasint,omitempty"`
-	// Load is the count of running calls by endpoint of all other senders.
-	Load map[string]int `cbor:"6,keyasint,omitempty"`
+	// Others is the count of running calls by endpoint of all other gates, if it
+	// was wanted.
+	Others map[string]int `cbor:"6,keyasint,omitempty"`
 }
 
 // End notes what a turn has spent, or the whole turn.
@@ -197,6 +210,8 @@
 func (*Adopted) kind() uint8 { return 12 }
 func (*Brief) kind() uint8   { return 13 }
 func (*Briefed) kind() uint8 { return 14 }
+func (*Load) kind() uint8    { return 15 }
+func (*Loaded) kind() uint8  { return 16 }
 
 // ErrMessage means that bytes are no message.
 var ErrMessage = errors.New("vaults: no message")
@@ -256,6 +271,10 @@
 		return &Brief{}
 	case (*Briefed)(nil).kind():
 		return &Briefed{}
+	case (*Load)(nil).kind():
+		return &Load{}
+	case (*Loaded)(nil).kind():
+		return &Loaded{}
 	}
 	return nil
 }
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -13,17 +13,8 @@
 	pageRecords = 2000
 	// chainBytes bounds the texts in one answer.
 	chainBytes = 8 << 20
-	// loadAge is how long a gate's count of running calls is believed; a gate
-	// under load sends several a second.
-	loadAge = 2 * time.Second
 )
 
-// load is a gate's count of running calls.
-type load struct {
-	calls map[string]int
-	at    time.Time
-}
-
 // answer takes a message on the control goroutine.
 func (v *Vault) answer(now time.Time, a asked) {
 	switch m := a.message.(type) {
@@ -40,6 +31,8 @@
 		a.answer(&vaults.Fetched{Turns: turns, Whole: whole, Certain: counts, Version: roster.Version})
 	case *vaults.List:
 		v.answerList(m, a.answer)
+	case *vaults.Load:
+		a.answer(&vaults.Loaded{Others: v.exchange(now, m)})
 	case *vaults.Get:
 		v.get(m, a.answer)
 	}
@@ -66,7 +59,7 @@
 		answer(b)
 		return
 	}
-	b.Load = v.exchange(now, m.Node, m.Load)
+	b.Others = v.exchange(now, m.Load)
 	if m.Chain != "" {
 		b.Turns, b.Whole = v.chains.Chain(m.Chain)
 	}
@@ -87,25 +80,16 @@
 	}, m.Hold)
 }
 
-// exchange notes a gate's load and returns that of all others.
-func (v *Vault) exchange(now time.Time, node string, calls map[string]int) map[string]int {
-	if node == "" {
+// exchange notes a gate's running calls and returns those of all others, if wanted.
+func (v *Vault) exchange(now time.Time, l *vaults.Load) map[string]int {
+	if l == nil {
 		return nil
 	}
-	v.loads[node] = load{calls: calls, at: now}
-	others := map[string]int{}
-	for name, l := range v.loads {
-		if now.Sub(l.at) > loadAge {
-			delete(v.loads, name)
-			continue
-		}
-		if name != node {
-			for endpoint, n := range l.calls {
-				others[endpoint] += n
-			}
-		}
+	v.tally.Tell(now, l.Node, l.Calls)
+	if !l.Wanted {
+		return nil
 	}
-	return others
+	return v.tally.Others(l.Node)
 }
 
 func (v *Vault) end(now time.Time, m *vaults.End, answer func(vaults.Message)) {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/state/tally"
 	"github.com/cowslipstage/cowslipstage/transport/calls"
 	"github.com/cowslipstage/cowslipstage/transport/files"
 	"github.com/cowslipstage/cowslipstage/transport/wallog"
@@ -84,9 +85,9 @@
 	mailbox  chan event
 	writer   *writer
 
-	// chains and loads belong to the control goroutine.
+	// chains and tally belong to the control goroutine.
 	chains *chains.Chains
-	loads  map[string]load
+	tally  *tally.Tally
 
 	peers calls.Group
 
@@ -111,7 +112,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), loads: map[string]load{},
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), tally: tally.New(),
 		roster: &seats.Roster{}, boards: map[string]*board{},
 	}
 	v.meters = meters{
