--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -241,6 +241,34 @@
 	r.g.Expect(second.Idle("routes")).To(gomega.BeFalse(), "no vault hears from the service")
 }
 
+// A host without a seat does not ask the service, so that its questions do not
+// grow with the hosts; what it knows is old, and it says so.
+func TestOnlyVaultsWithSeatsFollowTheService(t *testing.T) {
+	r := newRig(t, 1)
+	r.agreed.SetView(routes(7))
+	spare := r.add("spare", 1, false)
+	brief := func() *vaults.Briefed {
+		m, err := r.ask(net.JoinHostPort("127.0.0.1", strconv.Itoa(spare.site.FirstPort)), &vaults.Brief{Prefix: "routes"})
+		b, ok := m.(*vaults.Briefed)
+		if err != nil || !ok {
+			return &vaults.Briefed{Live: true}
+		}
+		return b
+	}
+	r.g.Eventually(func() bool { return brief().Live }).WithTimeout(5 * time.Second).Should(gomega.BeFalse())
+	r.agreed.SetView(routes(8))
+	r.g.Consistently(func() bool { return brief().Live }).WithTimeout(500 * time.Millisecond).Should(gomega.BeFalse())
+	// It gets the seat of a lost host and follows from then on.
+	r.hosts[0].stop()
+	r.g.Eventually(func() int64 {
+		b := brief()
+		if !b.Live || b.View == nil {
+			return 0
+		}
+		return b.View.Revision
+	}).WithTimeout(10 * time.Second).Should(gomega.Equal(int64(8)))
+}
+
 // A change reaches a gate that listens at once, not with its next question.
 func TestAChangeReachesListenersAtOnce(t *testing.T) {
 	r := newRig(t, 1)
--- a/standin/agreed/agreed.go
+++ b/standin/agreed/agreed.go
@@ -166,6 +166,7 @@
 		view, down := a.views[prefix], a.down
 		a.mu.Unlock()
 		switch {
+		case taker.Idle(prefix):
 		case down:
 			taker.Lost(prefix, ErrDown)
 		case view != nil && view.Revision > taker.Applied(prefix):
--- a/vault/view.go
+++ b/vault/view.go
@@ -49,8 +49,19 @@
 	return v.boards[prefix].whole.Revision
 }
 
-// Idle tells that a vault always follows the service.
-func (boards) Idle(string) bool { return false }
+// Idle tells that this host has no seat in a roster that is known: gates listen to
+// those that have one, and the service is spared the questions of the others.
+// What such a host knows grows old, so it does not pass for live.
+func (v boards) Idle(prefix string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	idle := len(v.roster.Seats) >= v.roster.Quorum() && v.roster.Find(v.site.Node) == nil
+	if b := v.boards[prefix]; idle && b.live {
+		b.live = false
+		b.announce()
+	}
+	return idle
+}
 
 // Lost notes that the service is out of view.
 func (v boards) Lost(prefix string, err error) {
