A soak: gates and vaults as processes under faults from outside

Faults come from outside by a seed: signals, torn logs and wiped disks, a service that is down or silent, ways that are slow, reset or silent one way, endpoints that crash or leave, configurations. The ledger holds what endpoints ran against what callers were told.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,87 @@
+// Command soak lets real gates and vaults run under faults and tells which
+// promises did not hold. It is a tool for developers, apart from the product.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cowslipstage/cowslipstage/bench/soak"
+)
+
+var errBroken = errors.New("promises were broken")
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	o := soak.Options{}
+	var seeds uint64
+	c := &cobra.Command{
+		Use:           "soak",
+		Short:         "Run gates and vaults under faults and check what callers and endpoints see",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: false,
+		RunE: func(c *cobra.Command, _ []string) error {
+			binary, err := filepath.Abs(o.Binary)
+			if err != nil {
+				return err
+			}
+			o.Binary = binary
+			folder := o.Folder
+			broken := 0
+			for range seeds {
+				o.Folder = filepath.Join(folder, fmt.Sprint("seed-", o.Seed))
+				if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+					return err
+				}
+				r, err := soak.Run(o)
+				if err != nil {
+					return errors.Wrapf(err, "seed %d", o.Seed)
+				}
+				print(c, r)
+				if broken += len(r.Broken); len(r.Broken) == 0 {
+					if err := os.RemoveAll(o.Folder); err != nil {
+						return err
+					}
+				}
+				o.Seed++
+			}
+			if broken > 0 {
+				return errors.Wrapf(errBroken, "%d, logs in %s", broken, folder)
+			}
+			return nil
+		},
+	}
+	c.Flags().Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()%1e6), "first seed")
+	c.Flags().Uint64Var(&seeds, "seeds", 1, "how many seeds, one after the other")
+	c.Flags().DurationVar(&o.For, "for", 20*time.Second, "how long things go wrong, for each seed")
+	c.Flags().IntVar(&o.Callers, "callers", 8, "callers at once")
+	c.Flags().StringVar(&o.Binary, "binary", "target/cowslipstage", "the program under test")
+	c.Flags().StringVar(&o.Folder, "folder", filepath.Join(os.TempDir(), "soak"), "where data and logs go; kept where a promise was broken")
+	return c
+}
+
+func print(c *cobra.Command, r *soak.Report) {
+	c.Println(r)
+	var kinds []string
+	for k, n := range r.Faults {
+		kinds = append(kinds, fmt.Sprintf("%s %d", k, n))
+	}
+	slices.Sort(kinds)
+	c.Println("  faults:", strings.Join(kinds, ", "))
+	for _, b := range r.Broken {
+		c.Println("  " + b)
+	}
+}
