A budget is added up over a quorum

Cause: each vault held a turn's most against what it alone knew; only when one copy found the budget spent was a quorum's account put together. While vaults come and go, turns lie on different quorums and no copy knows all.

Change: each copy answers with the sum of its account and a print of it. If the prints are the same, or the sums of all copies together are within the budget, it holds; else the accounts of a quorum are put together as before. The new test at the vaults fails without the change; a rapid test holds that sums never allow what the copies together do not.

--- a/gate/open.go
+++ b/gate/open.go
@@ -74,7 +74,7 @@
 // begin asks a quorum to note the hold; it returns what they hold of the chain.
 func (b *bank) begin(ctx context.Context, roster *seats.Roster, hold *chains.Hold, budget int, wanted string) ([]*chains.Turn, error) {
 	var turns []*chains.Turn
-	short := false
+	var sums []spend.Sum
 	message := func(i int, s seats.Seat) vaults.Message {
 		m := &vaults.Begin{Version: roster.Version, Budget: budget}
 		if budget >= 0 {
@@ -99,22 +99,20 @@
 		}
 		b.share.heard(a.Others)
 		turns = append(turns, a.Turns...)
-		if a.Account != nil {
-			short = true
-		}
+		sums = append(sums, a.Sum)
 		return true
 	})
 	if err != nil {
 		return nil, err
 	}
-	if !short {
+	if budget < 0 || spend.Within(sums, hold.Most, budget) {
 		return turns, nil
 	}
 	return turns, b.audit(ctx, roster, order, hold, budget)
 }
 
-// audit decides a budget that one copy takes for spent, from the accounts of a
-// quorum together: one copy may not know yet what another knows to be settled.
+// audit decides a budget from the accounts of a quorum together: no copy alone
+// needs to know all turns, nor that a turn has been settled.
 func (b *bank) audit(ctx context.Context, roster *seats.Roster, order []seats.Seat, hold *chains.Hold, budget int) error {
 	account := spend.New()
 	err := b.gather(ctx, order, roster.Quorum(), func(int, seats.Seat) vaults.Message {
--- a/gate/vaults_test.go
+++ b/gate/vaults_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 )
 
@@ -152,3 +155,21 @@
 	}
 	r.g.Expect(total).To(gomega.BeNumerically("<=", 75))
 }
+
+// While one vault after the other was away, a program's turns were noted by
+// different quorums: no single copy knows all that was spent.
+func TestABudgetIsAddedUpOverAQuorum(t *testing.T) {
+	r := newRig(t, 1)
+	for i := range r.hosts {
+		for _, at := range []int{i, (i + 1) % 3} {
+			h := r.hosts[at]
+			spent := &chains.Spent{Program: "p", Turn: fmt.Sprint("turn-", i), Used: 30, Keep: time.Minute}
+			m, err := r.ask(net.JoinHostPort(h.site.IP, strconv.Itoa(h.site.FirstPort)), &vaults.End{Version: r.bank.current().Version, Spent: spent})
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(m).To(gomega.Equal(&vaults.Ended{}))
+		}
+	}
+	r.g.Expect(errors.Is(r.spend("over", 10, 0, 80), errSpent)).To(gomega.BeTrue(), "90 are spent")
+	r.g.Expect(r.spend("last", 10, 10, 100)).To(gomega.Succeed(), "and no more than 90")
+	r.g.Expect(errors.Is(r.spend("over", 10, 0, 100), errSpent)).To(gomega.BeTrue())
+}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -63,7 +63,9 @@
 type Began struct {
 	Status Status        `cbor:"1,keyasint"`
 	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
-	// Account is the program's entries if the budget seems spent.
+	// Sum is what this copy has of the program's account; Account its entries, if
+	// they alone are beyond the budget.
+	Sum     spend.Sum              `cbor:"7,keyasint,omitempty"`
 	Account map[string]spend.Entry `cbor:"3,keyasint,omitempty"`
 	// Turns is the chain as far as it is here, newest first; Whole says that it
 	// reaches its first turn.
--- a/state/spend/spend.go
+++ b/state/spend/spend.go
@@ -2,6 +2,12 @@
 // given and may yet be given.
 package spend
 
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Entry is the account of one turn.
 type Entry struct {
 	// Most is what the turn may generate; it counts until Settled.
@@ -69,3 +75,39 @@
 	}
 	return copied
 }
+
+// Sum is what one copy of an account says of all turns but one, in a few bytes.
+type Sum struct {
+	// Spent is what they count.
+	Spent int `cbor:"1,keyasint,omitempty"`
+	// Print is the same for copies that hold the same.
+	Print uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Sum sums up all turns but one.
+func (a *Account) Sum(turn string) Sum {
+	var s Sum
+	for id, e := range a.entries {
+		if id != turn {
+			s.Spent += e.cost()
+			s.Print += xxhash.Sum64String(id + "/" + strconv.Itoa(e.cost()))
+		}
+	}
+	return s
+}
+
+// Within tells whether the copies' sums alone show that a budget holds one more
+// turn, whatever the copies hold together: they hold the same, or what they count
+// is within it even if no entry is at two of them. Copies differ while one of them
+// has missed turns that others have.
+func Within(sums []Sum, most, budget int) bool {
+	total, same := 0, true
+	for _, s := range sums {
+		total += s.Spent
+		same = same && s == sums[0]
+	}
+	if same && len(sums) > 0 {
+		total = sums[0].Spent
+	}
+	return total+most <= budget
+}
--- a/state/spend/spend_test.go
+++ b/state/spend/spend_test.go
@@ -1,6 +1,7 @@
 package spend_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -65,3 +66,37 @@
 	}
 	return all
 }
+
+// Whatever each copy holds: if the sums say that the budget holds one more turn, it
+// does for all that the copies hold together.
+func TestSumsNeverAllowWhatTheCopiesTogetherDoNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		union := spend.New()
+		copies := []*spend.Account{spend.New(), spend.New(), spend.New()}
+		for i := range rapid.IntRange(0, 12).Draw(t, "turns") {
+			e := spend.Entry{Used: rapid.IntRange(0, 9).Draw(t, "used"), Settled: true}
+			id := fmt.Sprint(i)
+			union.Merge(id, e)
+			for n, c := range copies {
+				if rapid.Bool().Draw(t, fmt.Sprint("at ", n)) {
+					c.Merge(id, e)
+				} else if n == i%3 {
+					c.Merge(id, spend.Entry{Most: 9})
+				}
+			}
+		}
+		together := spend.New()
+		var sums []spend.Sum
+		for _, c := range copies {
+			sums = append(sums, c.Sum("new"))
+			for id, e := range c.Entries() {
+				together.Merge(id, e)
+			}
+		}
+		budget := rapid.IntRange(0, 120).Draw(t, "budget")
+		if spend.Within(sums, 9, budget) {
+			g.Expect(together.Holds("new", 9, budget)).To(gomega.BeTrue(), "%v", sums)
+		}
+	})
+}
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -69,7 +69,9 @@
 	}
 	m.Hold.Written = now.UnixMilli()
 	v.chains.Add(m.Hold)
-	if account := v.chains.Account(m.Hold.Program); !account.Holds(m.Hold.Turn, m.Hold.Most, m.Budget) {
+	account := v.chains.Account(m.Hold.Program)
+	b.Sum = account.Sum(m.Hold.Turn)
+	if !account.Holds(m.Hold.Turn, m.Hold.Most, m.Budget) {
 		b.Account = account.Entries()
 	}
 	v.writer.add(func(err error) {
