--- a/bench/soak/host.go
+++ b/bench/soak/host.go
@@ -26,6 +26,8 @@
 	cmd *exec.Cmd
 	// ended is closed when the process has ended.
 	ended chan struct{}
+	// from is the length of the log when the life began.
+	from int64
 	// busy is held while a fault is at work on it.
 	busy sync.Mutex
 }
@@ -39,6 +41,11 @@
 		return errors.Wrap(err, "soak: settings")
 	}
 	h.Fresh = false
+	info, err := h.log.Stat()
+	if err != nil {
+		return errors.Wrap(err, "soak: log")
+	}
+	h.from = info.Size()
 	cmd := exec.Command(h.binary, h.role, "--settings", settings)
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -65,6 +72,13 @@
 	}
 }
 
+// lifeFrom returns where in the log the last life begins.
+func (h *host) lifeFrom() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.from
+}
+
 func (h *host) done() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -314,8 +314,7 @@
 		if err != nil {
 			return errors.Wrap(err, "soak: log")
 		}
-		lives := strings.Split(string(data), `"message":"starting"`)
-		if strings.Contains(lives[len(lives)-1], "counts as a copy") {
+		if strings.Contains(string(data[h.lifeFrom():]), "counts as a copy") {
 			return nil
 		}
 		if time.Now().After(end) {
