Gates tell each other of endpoints that fail

Change: gates tell their vaults how calls ended within the last second, by endpoint; an endpoint that failed four times or more, and more often than it served, is kept from work at all gates of the data centre, within the judge's bounds.

--- a/coordination/eject/eject.go
+++ b/coordination/eject/eject.go
@@ -28,6 +28,10 @@
 	longest = time.Minute
 	// slowStart is how long an endpoint takes to get its full share again.
 	slowStart = 5 * time.Second
+	// failingLeast is the failures within a second, at all gates of a data centre
+	// together, from which an endpoint is judged by what they saw: as many as one
+	// gate tolerates and one more, so that one gate alone cannot say it.
+	failingLeast = tolerance + 1
 	// maxShare is the share of a pool that may be ejected at once.
 	maxShare = 0.5
 )
@@ -66,6 +70,15 @@
 	j.eject(now, r, pool)
 }
 
+// Failing tells whether an endpoint fails as the gates of a data centre saw it
+// within the last second: often enough to tell, and more often than not. It answers
+// an endpoint that breaks off what it takes: it is never busy, so that each of
+// many gates would send it work until it has seen enough failures itself.
+func Failing(good, bad int) bool { return bad >= failingLeast && bad > good }
+
+// Convict notes that the gates together saw an endpoint fail.
+func (j *Judge) Convict(now time.Time, name string, pool []string) { j.Lose(now, name, pool) }
+
 func (j *Judge) eject(now time.Time, r *record, pool []string) {
 	if now.Before(r.until) || !j.mayEject(now, pool) {
 		return
--- a/coordination/eject/eject_test.go
+++ b/coordination/eject/eject_test.go
@@ -1,6 +1,7 @@
 package eject_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -57,3 +58,45 @@
 	fail(j, later, "a")
 	g.Expect(j.Ejected(later.Add(3*time.Second), "a")).To(BeFalse())
 }
+
+// Sixteen gates send turns to ten endpoints, one of which breaks off at once what it
+// takes. Each gate by itself needs three failures in a row; told of what the others
+// saw, all keep away after a few.
+func TestGatesTogetherFindAFailingEndpointSooner(t *testing.T) {
+	g := NewWithT(t)
+	const gates, turns = 16, 2000
+	pool := []string{"bad", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	lost := func(together bool) int {
+		random := rand.New(rand.NewPCG(1, 2))
+		now := time.Unix(0, 0)
+		var judges []*eject.Judge
+		for range gates {
+			judges = append(judges, eject.New())
+		}
+		good, bad, failed := 0, 0, 0
+		for range turns {
+			now = now.Add(time.Millisecond)
+			j := judges[random.IntN(gates)]
+			if together && eject.Failing(good, bad) {
+				j.Convict(now, "bad", pool)
+			}
+			name := pool[random.IntN(len(pool))]
+			switch {
+			case j.Ejected(now, name):
+			case name == "bad":
+				bad++
+				failed++
+				j.Fail(now, name, pool)
+			default:
+				j.Succeed(name)
+			}
+		}
+		return failed
+	}
+	alone, together := lost(false), lost(true)
+	t.Logf("%d turns lost by gates alone, %d together", alone, together)
+	g.Expect(together).To(BeNumerically("<=", 6))
+	g.Expect(alone).To(BeNumerically(">", 4*together))
+	g.Expect(eject.Failing(40, 6)).To(BeFalse(), "some answers are lost on the way")
+	g.Expect(eject.Failing(0, 3)).To(BeFalse(), "one gate alone")
+}
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -425,6 +425,25 @@
 	}
 }
 
+// What one gate saw fail, others hear of, if it fails more often than not.
+func TestGatesHearOfFailingEndpoints(t *testing.T) {
+	r := newRig(t, 1)
+	r.bank.share.ended = func() (good, bad map[string]int) {
+		return map[string]int{"some": 9}, map[string]int{"some": 5, "most": 5, "once": 1}
+	}
+	_, err := r.open("")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	other := r.newBank(1)
+	other.site.Node = "other"
+	r.bank = other
+	r.g.Eventually(func() []string {
+		_, err := r.open("")
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		return other.share.suspects(time.Now())
+	}).WithTimeout(2 * time.Second).Should(gomega.Equal([]string{"most"}))
+	r.g.Expect(other.share.suspects(time.Now().Add(suspectAge + time.Second))).To(gomega.BeEmpty(), "long ago")
+}
+
 // A chain that lies elsewhere is fetched from one vault at a time: its text
 // crosses to the gate once.
 func TestAChainIsFetchedOnce(t *testing.T) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/talk"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/front"
@@ -76,23 +77,25 @@
 
 	mu sync.Mutex
 	// judge and loads are what calls have shown of the endpoints.
-	judge  *eject.Judge
-	pulse  *pulse.Pulse
-	loads  map[string]*load
-	random *rand.Rand
+	judge *eject.Judge
+	pulse *pulse.Pulse
+	loads map[string]*load
+	// good and bad are the calls that ended lately, by endpoint.
+	good, bad *recent.Recent
+	random    *rand.Rand
 }
 
 // New returns a gate.
 func New(s *site.Site, d talk.Dialect, r Rosters, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
-		judge: eject.New(), pulse: pulse.New(), loads: map[string]*load{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		judge: eject.New(), pulse: pulse.New(), loads: map[string]*load{}, good: recent.New(), bad: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineShare},
 	})
 	g.bank = newBank(s, r, set, log)
-	g.bank.share.running = g.running
+	g.bank.share.running, g.bank.share.ended = g.running, g.ended
 	return g
 }
 
--- a/gate/load.go
+++ b/gate/load.go
@@ -45,6 +45,7 @@
 	others, age := g.bank.share.others(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.convict(now, usable)
 	usual := g.usualPace(now, usable)
 	homes := g.homes(q.Head, usable)
 	var entries []fleet.Entry
@@ -176,10 +177,45 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ok {
+		g.good.Add(now, id)
 		g.judge.Succeed(id)
 		return
 	}
+	g.bad.Add(now, id)
 	g.judge.Fail(now, id, names)
+	g.bank.share.change()
+}
+
+// convict keeps work away from endpoints that other gates saw fail. It is called
+// with the mutex held.
+func (g *Gate) convict(now time.Time, usable []fleet.Entry) {
+	for _, id := range g.bank.share.suspects(now) {
+		if g.judge.Ejected(now, id) {
+			continue
+		}
+		var pool []string
+		service := ""
+		for _, e := range usable {
+			pool = append(pool, e.ID)
+			if e.ID == id {
+				service = e.Service
+			}
+		}
+		if service == "" {
+			continue // it is of another service
+		}
+		if g.judge.Convict(now, id, pool); g.judge.Ejected(now, id) {
+			g.log.Warn().Str("endpoint", id).Str("service", service).Msg("endpoint fails at other gates; kept from work")
+		}
+	}
+}
+
+// ended returns the calls by endpoint that ended well or failed lately.
+func (g *Gate) ended() (good, bad map[string]int) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.good.Counts(now), g.bad.Counts(now)
 }
 
 // unreached notes that an endpoint could not even be sent a request.
@@ -190,5 +226,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.bad.Add(now, id)
 	g.judge.Lose(now, id, names)
+	g.bank.share.change()
 }
--- a/gate/share.go
+++ b/gate/share.go
@@ -13,6 +13,9 @@
 const (
 	// othersAge is how long the other gates' load is believed.
 	othersAge = time.Second
+	// suspectAge is how long it is believed that an endpoint fails: what was seen
+	// is up to a second old already.
+	suspectAge = 200 * time.Millisecond
 	// farEvery bounds how often load crosses to one vault in another data centre,
 	// and how often the others' comes back from there: several times in a turn.
 	farEvery = 100 * time.Millisecond
@@ -29,8 +32,10 @@
 // without knowing of each other all choose the endpoint that was the least busy.
 type share struct {
 	site *site.Site
-	// running returns this gate's calls by endpoint.
+	// running returns this gate's calls by endpoint, ended those that ended well
+	// or failed lately.
 	running func() map[string]int
+	ended   func() (good, bad map[string]int)
 	changed chan struct{}
 
 	mu sync.Mutex
@@ -38,14 +43,18 @@
 	told map[string]time.Time
 	// asked is when the others' load was last asked for in another data centre.
 	asked time.Time
-	// load is the other gates' calls by endpoint, as of loaded.
-	load   map[string]int
-	loaded time.Time
+	// load is the other gates' calls by endpoint, failing what all gates together
+	// saw fail, as of loaded.
+	load    map[string]int
+	failing []string
+	loaded  time.Time
 }
 
 func newShare(s *site.Site) *share {
 	return &share{
-		site: s, running: func() map[string]int { return nil }, changed: make(chan struct{}, 1), told: map[string]time.Time{},
+		site: s, running: func() map[string]int { return nil },
+		ended:   func() (good, bad map[string]int) { return nil, nil },
+		changed: make(chan struct{}, 1), told: map[string]time.Time{},
 	}
 }
 
@@ -67,7 +76,16 @@
 	if !due {
 		return nil
 	}
-	return &vaults.Load{Node: s.site.Node, Calls: s.running(), Wanted: wanted}
+	if wanted {
+		return s.news()
+	}
+	return &vaults.Load{Node: s.site.Node, Calls: s.running()}
+}
+
+// news is all that a vault adds up, and wants its answer.
+func (s *share) news() *vaults.Load {
+	good, bad := s.ended()
+	return &vaults.Load{Node: s.site.Node, Calls: s.running(), Good: good, Bad: bad, Wanted: true}
 }
 
 // change notes that this gate's load has changed.
@@ -78,13 +96,23 @@
 	}
 }
 
-func (s *share) heard(load map[string]int) {
-	if load == nil {
+func (s *share) heard(l *vaults.Loaded) {
+	if l == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load, s.loaded = load, time.Now()
+	s.load, s.failing, s.loaded = l.Others, l.Failing, time.Now()
+}
+
+// suspects returns the endpoints that the gates together saw fail lately.
+func (s *share) suspects(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.loaded) > suspectAge {
+		return nil
+	}
+	return s.failing
 }
 
 // others returns the other gates' calls by endpoint as last heard, and how long
@@ -124,12 +152,12 @@
 func (b *bank) load(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
-	m, err := b.client(addr).Call(ctx, &vaults.Load{Node: b.site.Node, Calls: b.share.running(), Wanted: true})
+	m, err := b.client(addr).Call(ctx, b.share.news())
 	if err != nil {
 		b.log.Debug().Err(err).Str("vault", addr).Msg("load not told; the next change says more")
 		return
 	}
 	if l, ok := m.(*vaults.Loaded); ok {
-		b.share.heard(l.Others)
+		b.share.heard(l)
 	}
 }
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -50,6 +50,10 @@
 	// Node is the gate, Calls its count of running calls by endpoint.
 	Node  string         `cbor:"1,keyasint,omitempty"`
 	Calls map[string]int `cbor:"2,keyasint,omitempty"`
+	// Good and Bad count the calls by endpoint that ended well or failed there
+	// within the last second.
+	Good map[string]int `cbor:"4,keyasint,omitempty"`
+	Bad  map[string]int `cbor:"5,keyasint,omitempty"`
 	// Wanted asks for those of all other gates.
 	Wanted bool `cbor:"3,keyasint,omitempty"`
 }
@@ -57,6 +61,8 @@
 // Loaded answers Load.
 type Loaded struct {
 	Others map[string]int `cbor:"1,keyasint,omitempty"`
+	// Failing are the endpoints that fail as the gates together saw it.
+	Failing []string `cbor:"2,keyasint,omitempty"`
 }
 
 // Began answers Begin.
@@ -71,9 +77,8 @@
 	// reaches its first turn.
 	Turns []*chains.Turn `cbor:"4,keyasint,omitempty"`
 	Whole bool           `cbor:"5,keyasint,omitempty"`
-	// Others is the count of running calls by endpoint of all other gates, if it
-	// was wanted.
-	Others map[string]int `cbor:"6,keyasint,omitempty"`
+	// Loaded answers the load that was told, if that was wanted.
+	Loaded *Loaded `cbor:"6,keyasint,omitempty"`
 }
 
 // End notes what a turn has spent, or the whole turn.
--- a/state/tally/tally.go
+++ b/state/tally/tally.go
@@ -54,6 +54,10 @@
 	}
 }
 
+// Sums returns the calls by endpoint of all senders. The result is valid until
+// the next Tell and must not be changed.
+func (t *Tally) Sums() map[string]int { return t.sums }
+
 // Others returns the calls by endpoint of all senders but one.
 func (t *Tally) Others(sender string) map[string]int {
 	own := t.senders[sender].calls
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
@@ -32,7 +33,11 @@
 	case *vaults.List:
 		v.answerList(m, a.answer)
 	case *vaults.Load:
-		a.answer(&vaults.Loaded{Others: v.exchange(now, m)})
+		if l := v.exchange(now, m); l != nil {
+			a.answer(l)
+			return
+		}
+		a.answer(&vaults.Loaded{})
 	case *vaults.Get:
 		v.get(m, a.answer)
 	}
@@ -59,7 +64,7 @@
 		answer(b)
 		return
 	}
-	b.Others = v.exchange(now, m.Load)
+	b.Loaded = v.exchange(now, m.Load)
 	if m.Chain != "" {
 		b.Turns, b.Whole = v.chains.Chain(m.Chain)
 	}
@@ -82,16 +87,25 @@
 	}, m.Hold)
 }
 
-// exchange notes a gate's running calls and returns those of all others, if wanted.
-func (v *Vault) exchange(now time.Time, l *vaults.Load) map[string]int {
+// exchange notes what a gate tells of its calls and returns what all others told,
+// if wanted.
+func (v *Vault) exchange(now time.Time, l *vaults.Load) *vaults.Loaded {
 	if l == nil {
 		return nil
 	}
-	v.tally.Tell(now, l.Node, l.Calls)
+	v.calls.Tell(now, l.Node, l.Calls)
+	v.good.Tell(now, l.Node, l.Good)
+	v.bad.Tell(now, l.Node, l.Bad)
 	if !l.Wanted {
 		return nil
 	}
-	return v.tally.Others(l.Node)
+	answer := &vaults.Loaded{Others: v.calls.Others(l.Node)}
+	for endpoint, bad := range v.bad.Sums() {
+		if eject.Failing(v.good.Sums()[endpoint], bad) {
+			answer.Failing = append(answer.Failing, endpoint)
+		}
+	}
+	return answer
 }
 
 func (v *Vault) end(now time.Time, m *vaults.End, answer func(vaults.Message)) {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -85,9 +85,10 @@
 	mailbox  chan event
 	writer   *writer
 
-	// chains and tally belong to the control goroutine.
-	chains *chains.Chains
-	tally  *tally.Tally
+	// chains and the tallies belong to the control goroutine: the gates' running
+	// calls, and those that ended well or failed, by endpoint.
+	chains           *chains.Chains
+	calls, good, bad *tally.Tally
 
 	peers calls.Group
 
@@ -112,7 +113,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), tally: tally.New(),
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), calls: tally.New(), good: tally.New(), bad: tally.New(),
 		roster: &seats.Roster{}, boards: map[string]*board{},
 	}
 	v.meters = meters{
