--- a/protocol/events/events_test.go
+++ b/protocol/events/events_test.go
@@ -28,3 +28,26 @@
 		g.Expect(string(events.Data(nil, []byte(passed)))).To(gomega.Equal("one\ntwo\nlines\nthree\n"))
 	})
 }
+
+// However a stream is cut on its way, the events that come out are those that went
+// in, and only an unfinished one is held back.
+func FuzzSplit(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: half"), 3)
+	f.Add([]byte("\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, step int) {
+		step = max(1, step%64)
+		var at, whole events.Split
+		var pieces []byte
+		count := 0
+		for from := 0; from < len(data); from += step {
+			out, n := at.Add(data[from:min(from+step, len(data))])
+			pieces = append(pieces, out...)
+			count += n
+		}
+		once, n := whole.Add(data)
+		g := gomega.NewWithT(t)
+		g.Expect(len(pieces) + at.Rest()).To(gomega.Equal(len(data)))
+		g.Expect(string(pieces)).To(gomega.Equal(string(once)))
+		g.Expect(count).To(gomega.Equal(n))
+	})
+}
--- /dev/null
+++ b/protocol/vaults/vaults_test.go
@@ -0,0 +1,53 @@
+package vaults_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+)
+
+var messages = []vaults.Message{
+	&vaults.Begin{Version: 3, Hold: &chains.Hold{Program: "p", Turn: "t", Most: 9}, Budget: 12, Chain: "s", Load: &vaults.Load{Node: "n", Calls: map[string]int{"e": 1}}},
+	&vaults.Began{Status: vaults.Stale, Roster: &seats.Roster{Version: 4}},
+	&vaults.End{Version: 3, Turn: &chains.Turn{ID: "t", Input: []byte("in"), Output: []byte("out")}},
+	&vaults.Ended{}, &vaults.Fetch{Chain: "t"}, &vaults.Fetched{Certain: true}, &vaults.List{}, &vaults.Listed{More: true},
+	&vaults.Get{Turns: []string{"t"}}, &vaults.Got{}, &vaults.Adopt{}, &vaults.Adopted{}, &vaults.Brief{Prefix: "p"}, &vaults.Briefed{Live: true},
+	&vaults.Load{Node: "n", Wanted: true}, &vaults.Loaded{Failing: []string{"e"}},
+}
+
+func TestMessagesComeBackAsTheyWere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, m := range messages {
+		data, err := vaults.Encode(m)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(vaults.Decode(data)).To(gomega.Equal(m))
+	}
+}
+
+// Whatever bytes come over a connection are a message or are refused.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages {
+		data, err := vaults.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := gomega.NewWithT(t)
+		m, err := vaults.Decode(data)
+		if err != nil {
+			g.Expect(errors.Is(err, vaults.ErrMessage)).To(gomega.BeTrue())
+			return
+		}
+		again, err := vaults.Encode(m)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(again[0]).To(gomega.Equal(data[0]))
+	})
+}
