--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -215,3 +215,30 @@
 	h.g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", time.Second))
 	h.g.Expect(reached.Load()).To(gomega.Equal(int64(2)), "no more endpoints than the route allows")
 }
+
+// A caller goes away. Its endpoint sees that at once and can stop working on it.
+func TestACallersCloseReachesTheEndpoint(t *testing.T) {
+	for _, kind := range []table.Kind{table.Idempotent, table.Unsafe, table.Stream} {
+		t.Run(fmt.Sprint("kind ", kind), func(t *testing.T) {
+			begun, left := make(chan struct{}, 1), make(chan struct{}, 1)
+			h := newHouse(t, time.Second, plainRoute(kind, 1), func(_ http.ResponseWriter, r *http.Request) {
+				begun <- struct{}{}
+				<-r.Context().Done()
+				left <- struct{}{}
+			})
+			ctx, leave := context.WithCancel(context.Background())
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.gate.site.Frontend+"/a", nil)
+			h.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.Host = "h"
+			go func() {
+				response, err := http.DefaultClient.Do(r)
+				if err == nil {
+					_ = response.Body.Close() // it was cancelled
+				}
+			}()
+			h.g.Eventually(begun).WithTimeout(2 * time.Second).Should(gomega.Receive())
+			leave()
+			h.g.Eventually(left).WithTimeout(500 * time.Millisecond).Should(gomega.Receive())
+		})
+	}
+}
