--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -116,8 +116,10 @@
 	}
 }
 
+// Len is for the heap.
 func (l line) Len() int { return len(l) }
 
+// Less puts first what the policy serves first.
 func (l line) Less(a, b int) bool {
 	if l[a].rank != l[b].rank {
 		return l[a].rank < l[b].rank
@@ -128,6 +130,7 @@
 	return l[a].ID < l[b].ID
 }
 
+// Swap is for the heap.
 func (l line) Swap(a, b int) {
 	l[a], l[b] = l[b], l[a]
 	l[a].index, l[b].index = a, b
--- a/gate/bank_test.go
+++ b/gate/bank_test.go
@@ -409,7 +409,7 @@
 	}
 	away.heard(&vaults.Loaded{Others: large})
 	r.g.Expect(away.news(begun.Add(100*time.Millisecond)).Wanted).To(gomega.BeFalse(), "a long list comes more seldom")
-	r.g.Expect(away.news(begun.Add(200*time.Millisecond)).Wanted).To(gomega.BeTrue())
+	r.g.Expect(away.news(begun.Add(200 * time.Millisecond)).Wanted).To(gomega.BeTrue())
 
 	other := r.newBank(1)
 	other.site.Node = "other"
@@ -449,7 +449,7 @@
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
 		return other.share.suspects(time.Now())
 	}).WithTimeout(2 * time.Second).Should(gomega.Equal([]string{"most"}))
-	r.g.Expect(other.share.suspects(time.Now().Add(suspectAge + time.Second))).To(gomega.BeEmpty(), "long ago")
+	r.g.Expect(other.share.suspects(time.Now().Add(suspectAge+time.Second))).To(gomega.BeEmpty(), "long ago")
 }
 
 // A chain that lies elsewhere is fetched from one vault at a time: its text
--- a/node/node.go
+++ b/node/node.go
@@ -382,6 +382,7 @@
 // backend takes the edge's requests to the owners.
 type backend struct{ n *Node }
 
+// Submit passes a call to the owner of its program.
 func (b backend) Submit(s frame.Submit) edge.Owner {
 	if s.Call.Digest == 0 {
 		s.Call.Digest = s.Call.Sum()
@@ -392,14 +393,17 @@
 	return o
 }
 
+// Ask passes a question for an answer to the owner that keeps it.
 func (b backend) Ask(a frame.Ask) edge.Owner {
 	return b.n.toOwner(a.Customer, a.Program, a.Stream, frame.TopicAsk, a)
 }
 
+// Close passes the end of a program to its owner.
 func (b backend) Close(c frame.Close) edge.Owner {
 	return b.n.toOwner(c.Customer, c.Program, c.Stream, frame.TopicClose, c)
 }
 
+// Leave says that a caller went away from a stream.
 func (b backend) Leave(stream, customer, program string) {
 	b.n.toOwner(customer, program, stream, frame.TopicLeave, frame.Leave{Stream: stream})
 }
--- a/node/standby.go
+++ b/node/standby.go
@@ -21,8 +21,10 @@
 
 var _ jrnl.Peers = peers{}
 
+// Hold sends a batch of the journal to a standby.
 func (p peers) Hold(to claim.Standby, h frame.Hold) { p.n.send(to.Node, frame.TopicHold, h) }
 
+// Seal asks a standby to take no more from older epochs.
 func (p peers) Seal(to claim.Standby, s frame.Seal) {
 	if to.Node == p.n.settings.Node.Name {
 		p.n.wait.Go(func() { p.n.seal(to.Node, s) })
@@ -31,6 +33,7 @@
 	p.n.send(to.Node, frame.TopicSeal, s)
 }
 
+// Alive tells whether a standby shows a sign of life.
 func (p peers) Alive(s claim.Standby) bool {
 	_, ok := p.n.hosts(time.Now())[s.Node]
 	return ok
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -177,10 +177,17 @@
 // mute swallows an answer.
 type mute struct{ header http.Header }
 
-func (m *mute) Header() http.Header         { return m.header }
+// Header keeps what is never sent.
+func (m *mute) Header() http.Header { return m.header }
+
+// Write drops the answer.
 func (m *mute) Write(b []byte) (int, error) { return len(b), nil }
-func (m *mute) WriteHeader(int)             {}
-func (m *mute) Flush()                      {}
+
+// WriteHeader drops the status.
+func (m *mute) WriteHeader(int) {}
+
+// Flush has nothing to send.
+func (m *mute) Flush() {}
 
 // writer spoils an answer.
 type writer struct {
--- a/standin/keyval/keyval.go
+++ b/standin/keyval/keyval.go
@@ -138,9 +138,14 @@
 // discard swallows an answer.
 type discard struct{ header http.Header }
 
-func (d discard) Header() http.Header         { return d.header }
+// Header keeps what is never sent.
+func (d discard) Header() http.Header { return d.header }
+
+// Write drops the answer.
 func (d discard) Write(p []byte) (int, error) { return len(p), nil }
-func (d discard) WriteHeader(int)             {}
+
+// WriteHeader drops the status.
+func (d discard) WriteHeader(int) {}
 
 func read(w http.ResponseWriter, r *http.Request, body any) bool {
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2<<20)).Decode(body); err != nil {
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -294,6 +294,7 @@
 	reader io.Reader
 }
 
+// Read reads the answer and notes its end.
 func (b *body) Read(data []byte) (int, error) {
 	n, err := b.reader.Read(data)
 	if errors.Is(err, io.EOF) {
