--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -50,7 +50,7 @@
 				if err != nil {
 					return errors.Wrapf(err, "seed %d", o.Seed)
 				}
-				print(c, r)
+				show(c, r)
 				if broken += len(r.Broken); len(r.Broken) == 0 {
 					if err := os.RemoveAll(o.Folder); err != nil {
 						return err
@@ -73,7 +73,8 @@
 	return c
 }
 
-func print(c *cobra.Command, r *soak.Report) {
+// show prints a report.
+func show(c *cobra.Command, r *soak.Report) {
 	c.Println(r)
 	var kinds []string
 	for k, n := range r.Faults {
