A program that drains keeps its signals caught: SIGHUP ended gates with requests in progress

Cause: the reload goroutine of gates and vaults returned when the stop began and gave SIGHUP back its default action, which ends a Go process at once. serve never caught SIGHUP at all, and gates and vaults only after they had read their settings. Ruled out: the second SIGTERM, which NotifyContext kept caught.

--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -134,7 +134,7 @@
 // restartHost stops a host gracefully and starts it again.
 func (dp *deployment) restartHost(h *host) error {
 	if !h.stop() {
-		dp.ledger.recordNotRecovered(h.Name + " does not end within its grace")
+		dp.ledger.recordNotRecovered(h.Name + " does not end by itself within its grace")
 	}
 	time.Sleep(restartPause)
 	return h.start()
--- a/bench/soak/host.go
+++ b/bench/soak/host.go
@@ -92,13 +92,15 @@
 	<-h.exited()
 }
 
-// stop asks the process to stop and reports whether it exited within its grace
-// period. After that period it is killed.
+// stop asks the process to stop, with further signals during the drain, and reports
+// whether it exited by itself within its grace period. After that period it is killed.
 func (h *host) stop() bool {
-	h.signal(syscall.SIGTERM)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		h.signal(s)
+	}
 	select {
 	case <-h.exited():
-		return true
+		return h.cmd.ProcessState.Exited()
 	case <-time.After(h.Grace):
 		h.kill()
 		return false
--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -5,10 +5,8 @@
 	"math"
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -98,6 +96,7 @@
 }
 
 func (o *roleOptions) run(ctx context.Context, name string, serve func(*role) error) error {
+	signals := catchSignals()
 	s, err := platform.LoadSettings(o.settings)
 	if err != nil {
 		return err
@@ -114,9 +113,9 @@
 	if s.Memory > 0 && s.Memory < math.MaxInt64/2 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	go o.reload(ctx, s, log)
+	ctx, cancel := signals.stopContext(ctx)
+	defer cancel()
+	go o.reloadLoop(signals.reload, s, log)
 	if o.metrics != "" {
 		go serveMetrics(s.IP+":"+o.metrics, set, log)
 	}
@@ -126,18 +125,10 @@
 	return err
 }
 
-// reload reads the settings again on SIGHUP and logs whether they changed. Changes
-// take effect only when the process starts again.
-func (o *roleOptions) reload(ctx context.Context, old *site.Site, log zerolog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-		case <-ctx.Done():
-			return
-		}
+// reloadLoop reads the settings again at each request and logs whether they changed.
+// Changes take effect only when the process starts again.
+func (o *roleOptions) reloadLoop(requests <-chan os.Signal, old *site.Site, log zerolog.Logger) {
+	for range requests {
 		s, err := platform.LoadSettings(o.settings)
 		if err != nil {
 			log.Error().Err(err).Msg("settings not reloaded, keeping the previous ones")
--- a/cmd/cowslipstage/cmds/serve.go
+++ b/cmd/cowslipstage/cmds/serve.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -19,11 +16,18 @@
 		Short: "Run a node",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			signals := catchSignals()
 			s, err := setup.Load(file)
 			if err != nil {
 				return err
 			}
-			return serve(c.Context(), node.New(s, newLogger(level)))
+			log := newLogger(level)
+			go func() {
+				for range signals.reload {
+					log.Info().Msg("told to reload; changed settings take effect at the next start")
+				}
+			}()
+			return serve(c.Context(), signals, node.New(s, log))
 		},
 	}
 	c.Flags().StringVar(&file, "config", "node.ini", "settings file")
@@ -31,18 +35,15 @@
 	return c
 }
 
-// serve runs a node until the first signal, which starts a planned stop. A second
-// signal ends the stop immediately.
-func serve(ctx context.Context, n *node.Node) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+// serve runs a node until the first request to stop, which starts a planned stop. A
+// second one ends the stop immediately.
+func serve(ctx context.Context, signals *daemonSignals, n *node.Node) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	go func() {
-		<-signals
-		stop()
-		<-signals
+		<-signals.stop
+		cancel()
+		<-signals.stop
 		n.Abandon()
 	}()
 	return n.Run(ctx)
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -71,6 +71,26 @@
 		f.recorder.verify()
 	})
 
+	It("with requests to reload before and during it fails and cuts no call", func() {
+		f := launch(options{nodes: 3})
+		f.followReadiness()
+		c := f.startLoad(6)
+		for _, h := range f.hosts {
+			h.signal(syscall.SIGHUP)
+			n := f.recorder.countOutcome(answer.Done)
+			Eventually(func() int { return f.recorder.countOutcome(answer.Done) }, maxWait).Should(BeNumerically(">", n+10))
+			h.signal(syscall.SIGTERM)
+			h.signal(syscall.SIGHUP)
+			Eventually(h.done, maxWait).Should(BeClosed())
+			Expect(h.cmd.ProcessState.String()).To(Equal("exit status 0"))
+			h.spawn()
+			f.awaitReady(h)
+		}
+		c.finish()
+		Expect(f.recorder.client.FailedAttempts()).To(BeZero(), "attempts without an outcome")
+		f.recorder.verify()
+	})
+
 	It("during a store outage ends within the grace period and loses nothing", func() {
 		f := launch(options{nodes: 3})
 		p := f.recorder.newCaller("p1", "booking")
