Seats: hosts that are emptied or have nothing leave seats alone, so that a quorum always counts again

A model of seats (rapid) found more orders within the losses to be borne: a spare takes seats of hosts that are only restarting, so that nobody has anything to catch up from; a newcomer in a free seat and a wiped host wait for each other; a seat is given up while another host is still empty; seats are given up until no quorum is left. And a spare that runs since the first start counted at once with an empty disk when it took a lost host's seat.

Change: Roster.Claim replaces a holder only while enough replicas answer; Roster.Remove keeps a quorum, and only follows a hand-over to all others; Roster.CanCatchUp knows newcomers that never held a record; hosts being emptied claim nothing; only initial claims count without catching up.

--- /dev/null
+++ b/coordination/seats/model_test.go
@@ -0,0 +1,279 @@
+package seats_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+)
+
+// machine is a host with a disk in the model.
+type machine struct {
+	up bool
+	// records, countedSince and claimed are on its disk.
+	records               map[int]bool
+	countedSince, claimed uint64
+	retiring, removed     bool
+}
+
+// world is a model of hosts that change their seats while disks are lost, hosts
+// are away, and records are stored.
+type world struct {
+	t        *rapid.T
+	losses   int
+	roster   *seats.Roster
+	machines map[string]*machine
+	records  int
+}
+
+func newWorld(t *rapid.T, losses, spares int) *world {
+	w := &world{t: t, losses: losses, roster: &seats.Roster{MaxLosses: losses}, machines: map[string]*machine{}}
+	for i := range seats.TargetCount(losses) + spares {
+		w.machines[fmt.Sprint("m", i)] = &machine{up: true, records: map[int]bool{}}
+	}
+	for i := range seats.TargetCount(losses) {
+		name := fmt.Sprint("m", i)
+		w.claim(name)
+		w.machines[name].countedSince = w.roster.Version // Initial
+	}
+	return w
+}
+
+func (w *world) names() []string { return slices.Sorted(maps.Keys(w.machines)) }
+
+// replica reports whether the holder of a seat counts.
+func (w *world) replica(s seats.Seat) bool { return w.machines[s.Node].countedSince == s.SinceVersion }
+
+// fresh reports whether the holder of a seat knows that it has never counted in it.
+func (w *world) fresh(s seats.Seat) bool {
+	return s.Fresh && w.machines[s.Node].claimed == s.SinceVersion && !w.replica(s)
+}
+
+func (w *world) replicas() []string {
+	var names []string
+	for _, s := range w.roster.Seats {
+		if w.machines[s.Node].up && w.replica(s) {
+			names = append(names, s.Node)
+		}
+	}
+	return names
+}
+
+// store stores a record at a quorum that answers, if there is one.
+func (w *world) store() {
+	counted := w.replicas()
+	if len(counted) < w.roster.Quorum() {
+		return
+	}
+	w.records++
+	for _, name := range rapid.Permutation(counted).Draw(w.t, "quorum")[:w.roster.Quorum()] {
+		w.machines[name].records[w.records] = true
+	}
+}
+
+func (w *world) claim(name string) {
+	m := w.machines[name]
+	if !m.up || m.retiring || w.roster.Find(name) != nil {
+		return
+	}
+	next, ok := w.roster.Claim(seats.Seat{Node: name}, w.losses, func(s seats.Seat) seats.Holder {
+		return seats.Holder{Lost: !w.machines[s.Node].up, Replica: w.machines[s.Node].up && w.replica(s)}
+	})
+	if !ok {
+		return
+	}
+	m.claimed = next.Version
+	w.roster = next
+}
+
+// catchUp lets a host catch up from the seats that answer, and from source unless
+// that is empty. It reports whether the host counts then.
+func (w *world) catchUp(name, source string) bool {
+	m := w.machines[name]
+	seat := w.roster.Find(name)
+	if seat == nil || !m.up {
+		return false
+	}
+	others := seats.Others{}
+	from := []string{}
+	for _, s := range w.roster.Seats {
+		switch {
+		case s.Node == name:
+		case !w.machines[s.Node].up:
+			others.Failed++
+		default:
+			from = append(from, s.Node)
+			switch {
+			case w.replica(s):
+			case w.fresh(s):
+				others.Fresh++
+			default:
+				others.Behind++
+			}
+		}
+	}
+	if source != "" {
+		from = append(from, source)
+	}
+	if !w.roster.CanCatchUp(w.fresh(*seat), others) {
+		return w.replica(*seat)
+	}
+	for _, other := range from {
+		maps.Copy(m.records, w.machines[other].records)
+	}
+	m.countedSince = seat.SinceVersion
+	return true
+}
+
+// handOver lets all seats but one catch up with a source.
+func (w *world) handOver(source string) bool {
+	all := true
+	for _, s := range w.roster.Seats {
+		if s.Node != source {
+			all = w.catchUp(s.Node, source) && all
+		}
+	}
+	return all
+}
+
+// retire empties a host as far as it can be now.
+func (w *world) retire(name string) {
+	m := w.machines[name]
+	m.retiring = true
+	if !m.up || m.removed {
+		return
+	}
+	if w.roster.Find(name) != nil {
+		next, ok := w.roster.Remove(name)
+		if !ok || !w.handOver(name) {
+			return
+		}
+		w.roster = next
+	}
+	if w.handOver(name) {
+		m.up, m.removed, m.records = false, true, map[int]bool{}
+	}
+}
+
+// lostSeats returns how many seats are lost: their holders are away, or have not
+// caught up since they lost their disks or took the seats of lost hosts.
+func (w *world) lostSeats() int {
+	lost := 0
+	for _, s := range w.roster.Seats {
+		if !w.machines[s.Node].up || (!w.replica(s) && !w.fresh(s)) {
+			lost++
+		}
+	}
+	return lost
+}
+
+// lose takes a host away, with its disk or without, if one more loss is to be borne.
+func (w *world) lose(name string, wipe bool) {
+	m := w.machines[name]
+	if w.roster.Find(name) == nil || !m.up || w.lostSeats() >= w.losses {
+		return
+	}
+	m.up = false
+	if wipe {
+		m.records, m.countedSince, m.claimed = map[int]bool{}, 0, 0
+	}
+}
+
+func (w *world) back(name string) {
+	if m := w.machines[name]; !m.removed {
+		m.up = true
+	}
+}
+
+// checkSafe checks that every quorum of replicas holds every record.
+func (w *world) checkSafe() {
+	for r := 1; r <= w.records; r++ {
+		without := 0
+		for _, s := range w.roster.Seats {
+			if w.replica(s) && !w.machines[s.Node].records[r] {
+				without++
+			}
+		}
+		if without >= w.roster.Quorum() {
+			w.t.Fatalf("record %d lies on no seat of a quorum of replicas of %s", r, w.roster)
+		}
+	}
+}
+
+// checkLive checks that a quorum counts soon once all hosts are back.
+func (w *world) checkLive() {
+	for _, name := range w.names() {
+		w.back(name)
+	}
+	for range 2 * len(w.machines) {
+		for _, name := range w.names() {
+			w.claim(name)
+			w.catchUp(name, "")
+		}
+	}
+	if len(w.replicas()) < w.roster.Quorum() {
+		w.t.Fatalf("all hosts are back and only %v count of %s", w.replicas(), w.roster)
+	}
+}
+
+// Hosts are lost, return with empty disks, take free seats and those of lost hosts,
+// and are emptied, in any order within the losses to be borne, also while all power
+// is off. No stored record may be missed, and a quorum must count again once all
+// hosts are back.
+func TestAnyOrderOfSeatChangesKeepsRecordsAndRecovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(1, 2).Draw(t, "losses"), rapid.IntRange(0, 2).Draw(t, "spares"))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom(w.names()).Draw(t, "host")
+			switch rapid.SampledFrom([]string{"store", "claim", "catch up", "retire", "wipe", "kill", "back", "power off"}).Draw(t, "event") {
+			case "store":
+				w.store()
+			case "claim":
+				w.claim(name)
+			case "catch up":
+				w.catchUp(name, "")
+			case "retire":
+				w.retire(name)
+			case "wipe":
+				w.lose(name, true)
+			case "kill":
+				w.lose(name, false)
+			case "back":
+				w.back(name)
+			case "power off":
+				for _, m := range w.machines {
+					m.up = false
+				}
+				// They return one by one, and those that are up act meanwhile.
+				for _, back := range rapid.Permutation(w.names()).Draw(t, "order") {
+					w.back(back)
+					w.claim(back)
+					w.catchUp(back, "")
+				}
+			}
+			w.checkSafe()
+		}
+		w.checkLive()
+	})
+}
+
+// The operators retire a host, and right after that another one loses its disk. The
+// emptied host must not hold a seat again, or nobody can catch up any more.
+func TestAHostThatIsEmptiedTakesNoSeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 1, 0)
+		w.store()
+		w.retire("m0")
+		w.claim("m0")
+		g.Expect(w.machines["m0"].removed).To(gomega.BeTrue())
+		w.lose("m1", true)
+		w.checkLive()
+		w.checkSafe()
+	})
+}
--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -19,6 +19,18 @@
 	// SinceVersion is the roster version in which the host got the seat. Data
 	// that the host stored before that version does not count as a replica.
 	SinceVersion uint64 `cbor:"4,keyasint" json:"since"`
+	// Fresh is set if the seat was free before SinceVersion: no record stored under
+	// an older roster lies only with an earlier holder of it.
+	Fresh bool `cbor:"5,keyasint,omitempty" json:"fresh,omitempty"`
+}
+
+// Holder is what a host last learned about the holder of a seat.
+type Holder struct {
+	// Lost is set if the holder has not answered for so long that another host may
+	// take the seat.
+	Lost bool
+	// Replica is set if the holder counts as a replica in this seat.
+	Replica bool
 }
 
 // Roster is one version of the assignment of hosts to seats. Versions are
@@ -73,11 +85,13 @@
 }
 
 // Claim returns the next roster, in which the host has a free seat or the seat
-// of a lost host, or false if there is no seat for it. A host whose address
-// changed keeps its seat.
-func (r *Roster) Claim(host Seat, losses int, lost func(node string) bool) (*Roster, bool) {
+// of a lost holder, or false if there is no seat for it. A host whose address
+// changed keeps its seat. A lost holder is replaced only while enough of the others
+// are replicas for the newcomer to catch up from them; else hosts that return with
+// their disks could find their seats taken by empty ones.
+func (r *Roster) Claim(host Seat, losses int, holder func(Seat) Holder) (*Roster, bool) {
 	next := &Roster{Version: r.Version + 1, Seats: slices.Clone(r.Seats), MaxLosses: losses}
-	host.SinceVersion = next.Version
+	host.SinceVersion, host.Fresh = next.Version, false
 	if old := next.Find(host.Node); old != nil {
 		if old.Addr == host.Addr {
 			return nil, false
@@ -86,16 +100,48 @@
 		return next, true
 	}
 	if len(next.Seats) < TargetCount(losses) {
+		host.Fresh = true
 		next.Seats = append(next.Seats, host)
 		return next, true
 	}
-	for i := range next.Seats {
-		if lost(next.Seats[i].Node) {
-			next.Seats[i] = host
-			return next, true
+	replicas, lost := 0, -1
+	for i, s := range next.Seats {
+		switch h := holder(s); {
+		case h.Lost && lost < 0:
+			lost = i
+		case h.Replica && !h.Lost:
+			replicas++
 		}
 	}
-	return nil, false
+	if lost < 0 || len(next.Seats)-replicas >= next.Quorum() {
+		return nil, false
+	}
+	next.Seats[lost] = host
+	return next, true
+}
+
+// Others counts what a host that catches up learned about the holders of the other
+// seats.
+type Others struct {
+	// Failed did not list their records. Behind did, but are no replicas. Fresh took a
+	// free seat and have never been replicas in it, so they held no record.
+	Failed, Behind, Fresh int
+}
+
+// CanCatchUp reports whether a host holds all that its seat must once it has copied
+// what the holders of the other seats listed. fresh says that the host itself has
+// never been a replica since it took a free seat.
+//
+// A record is stored at a quorum of seats, so it may be missed only if a whole
+// quorum failed, is behind, or had its data in this seat before. If all others
+// answered and none is a replica, they hold together what there is.
+func (r *Roster) CanCatchUp(fresh bool, o Others) bool {
+	missing := o.Failed + o.Behind
+	if !fresh {
+		missing++
+	}
+	noReplica := o.Failed == 0 && o.Behind+o.Fresh == len(r.Seats)-1
+	return missing < r.Quorum() || noReplica
 }
 
 // ShouldYield reports whether a host should leave the next seat to another
@@ -116,22 +162,23 @@
 	return seatCounts[centre] >= share || free <= emptyCentres
 }
 
-// Remove returns the roster without a node. Its seat goes to successor unless
-// that is nil.
-func (r *Roster) Remove(node string, successor *Seat) (*Roster, bool) {
-	if r.Find(node) == nil {
-		return nil, false
-	}
+// Initial reports whether every change so far was the claim of a free seat while the
+// system started, so that no holder was ever replaced or removed.
+func (r *Roster) Initial() bool { return r.Version == uint64(len(r.Seats)) }
+
+// Remove returns the roster without a node, or false if the node has no seat or
+// too few seats would remain for a quorum. All remaining holders must be replicas
+// when a seat is removed, because a record may have only one copy less than a
+// quorum after that.
+func (r *Roster) Remove(node string) (*Roster, bool) {
 	next := &Roster{Version: r.Version + 1, MaxLosses: r.MaxLosses}
 	for _, s := range r.Seats {
 		if s.Node != node {
 			next.Seats = append(next.Seats, s)
 		}
 	}
-	if successor != nil {
-		added := *successor
-		added.SinceVersion = next.Version
-		next.Seats = append(next.Seats, added)
+	if r.Find(node) == nil || len(next.Seats) < next.Quorum() {
+		return nil, false
 	}
 	return next, true
 }
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -11,7 +11,13 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 )
 
-func noneLost(string) bool { return false }
+// noneLost says that every holder is a replica.
+func noneLost(seats.Seat) seats.Holder { return seats.Holder{Replica: true} }
+
+// lostNode says that one holder is lost and all others are replicas.
+func lostNode(node string) func(seats.Seat) seats.Holder {
+	return func(s seats.Seat) seats.Holder { return seats.Holder{Lost: s.Node == node, Replica: s.Node != node} }
+}
 
 func full(losses int) *seats.Roster {
 	r := &seats.Roster{}
@@ -45,7 +51,7 @@
 	newcomer := seats.Seat{Node: "newcomer", Addr: "b"}
 	_, ok := r.Claim(newcomer, 1, noneLost)
 	g.Expect(ok).To(gomega.BeFalse())
-	next, ok := r.Claim(newcomer, 1, func(n string) bool { return n == "n1" })
+	next, ok := r.Claim(newcomer, 1, lostNode("n1"))
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(next.String()).To(gomega.Equal("v4 n0 newcomer n2"))
 	g.Expect(next.Find("newcomer").SinceVersion).To(gomega.Equal(uint64(4)))
@@ -64,13 +70,30 @@
 	g.Expect(next.Find("n2").SinceVersion).To(gomega.Equal(next.Version))
 }
 
-func TestRemovePassesSeatToSuccessor(t *testing.T) {
+// Hosts that have just lost power must not find their seats taken by spares, which
+// have nothing to catch up from.
+func TestSeatsAreTakenOnlyWhileEnoughReplicasAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	newcomer := seats.Seat{Node: "newcomer", Addr: "b"}
+	for lost := 1; lost <= 5; lost++ {
+		_, ok := full(2).Claim(newcomer, 2, func(s seats.Seat) seats.Holder {
+			away := s.Node < fmt.Sprintf("n%d", lost)
+			return seats.Holder{Lost: away, Replica: !away}
+		})
+		g.Expect(ok).To(gomega.Equal(lost <= 2), "%d of 5 lost", lost)
+	}
+}
+
+func TestRemoveLeavesAQuorum(t *testing.T) {
 	g := gomega.NewWithT(t)
-	next, ok := full(1).Remove("n0", &seats.Seat{Node: "successor"})
+	next, ok := full(1).Remove("n0")
 	g.Expect(ok).To(gomega.BeTrue())
-	g.Expect(next.String()).To(gomega.Equal("v4 n1 n2 successor"))
-	alone, _ := full(1).Remove("n0", nil)
-	g.Expect(alone.Quorum()).To(gomega.Equal(2))
+	g.Expect(next.String()).To(gomega.Equal("v4 n1 n2"))
+	g.Expect(next.Quorum()).To(gomega.Equal(2))
+	_, ok = next.Remove("n1")
+	g.Expect(ok).To(gomega.BeFalse(), "one seat is no quorum")
+	_, ok = next.Remove("n0")
+	g.Expect(ok).To(gomega.BeFalse(), "it has no seat")
 }
 
 func TestOrderStartsWithOwnCentre(t *testing.T) {
--- a/gate/vaults_test.go
+++ b/gate/vaults_test.go
@@ -106,6 +106,70 @@
 	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a"}))
 }
 
+// A spare has run since the whole system started, and its disk is empty. It must
+// catch up before it counts in the seat of a lost host.
+func TestASpareOfTheFirstStartCatchesUp(t *testing.T) {
+	r := newVaultCluster(t, 1)
+	r.addVault("spare", 1, true)
+	r.g.Eventually(func() int {
+		known, err := r.registry.Spares(context.Background())
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		return len(known)
+	}).WithTimeout(5 * time.Second).Should(gomega.Equal(1))
+	r.recordAt(newTurn("a", ""), 0, 1)
+	r.hosts[0].stop()
+	r.waitCaughtUp()
+	r.hosts[1].stop()
+	chain, err := r.openTurn("a")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a"}))
+}
+
+// caughtUpPause is how often a vault that counts looks at the roster.
+const caughtUpPause = 2 * time.Second
+
+// A host is retired, and right after that another one loses its disk. It must be
+// able to catch up, so the retired host must not have a seat any more.
+func TestADiskIsLostRightAfterAHostIsRetired(t *testing.T) {
+	r := newVaultCluster(t, 1)
+	r.recordAt(newTurn("a", ""), 0, 1)
+	r.registry.Retire("vault-0")
+	r.g.Eventually(func() bool { return r.registry.Retired("vault-0") }).WithTimeout(10 * time.Second).Should(gomega.BeTrue())
+	r.g.Consistently(func() string {
+		roster, _, err := r.registry.Roster(context.Background())
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		return roster.String()
+	}).WithTimeout(2 * caughtUpPause).ShouldNot(gomega.ContainSubstring("vault-0"))
+	r.hosts[0].stop()
+	r.wipeDisk(1)
+	r.g.Eventually(r.caughtUpSeats).WithTimeout(10 * time.Second).Should(gomega.Equal(2))
+	chain, err := r.openTurn("a")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a"}))
+}
+
+// All hosts lose power, and a spare is back seconds before the others. It must leave
+// them their seats, because only they hold what was recorded.
+func TestASpareThatIsBackFirstTakesNoSeat(t *testing.T) {
+	r := newVaultCluster(t, 1)
+	r.addVault("spare", 1, false)
+	r.recordAt(newTurn("a", ""), 0, 1)
+	seats := r.client.currentRoster().String()
+	for _, h := range r.hosts[:3] {
+		h.stop()
+		h.site.FirstStart = false
+	}
+	time.Sleep(3 * time.Second) // twice as long as a seat's holder may be silent
+	for _, h := range r.hosts[:3] {
+		r.start(h)
+	}
+	r.waitCaughtUp()
+	chain, err := r.openTurn("a")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a"}))
+	r.g.Expect(r.client.currentRoster().String()).To(gomega.Equal(seats))
+}
+
 // The operators retire a host. Its records must survive without it, with a
 // spare that takes its seat and without one.
 func TestARetiredHostCanBeRemovedWithItsDisk(t *testing.T) {
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -124,8 +124,10 @@
 	Turns   []string      `cbor:"4,keyasint,omitempty"`
 	Next    uint64        `cbor:"5,keyasint,omitempty"`
 	More    bool          `cbor:"6,keyasint,omitempty"`
-	// CaughtUp reports whether the vault itself counts as a copy.
+	// CaughtUp reports whether the vault itself counts as a copy. Fresh reports that
+	// it took a free seat and has never counted in it.
 	CaughtUp bool `cbor:"7,keyasint,omitempty"`
+	Fresh    bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Get requests turns with their texts.
--- a/vault/retire.go
+++ b/vault/retire.go
@@ -8,9 +8,15 @@
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 )
 
-// retireEvery is the pause between two checks whether the operators want this
-// host emptied. They allow some seconds for that.
-const retireEvery = time.Second
+const (
+	// retireEvery is the pause between two checks whether the operators want this
+	// host emptied. They allow some seconds for that.
+	retireEvery = time.Second
+	// successorTime is how long a host that gave up its seat waits for the spare that
+	// was offered it to count as a copy. Until then one loss less is survived.
+	successorTime  = 3 * time.Second
+	successorEvery = 300 * time.Millisecond
+)
 
 // retireLoop empties this host when the operators ask for it.
 func (v *Vault) retireLoop(ctx context.Context) {
@@ -21,6 +27,9 @@
 		case err != nil:
 			v.log.Warn().Err(err).Msg("reading whether to empty this host failed")
 		case wanted:
+			v.mu.Lock()
+			v.retiring = true
+			v.mu.Unlock()
 			if !reported {
 				reported = v.reportRetiring(ctx, false)
 			}
@@ -47,32 +56,66 @@
 }
 
 // retire gives up the seat and has the other seats copy all records that are
-// here. It reports whether they have.
+// here. It reports whether they have. The seat is given up only while all other
+// seats count as copies and hold what this one does, because records may then
+// have a copy less.
 func (v *Vault) retire(ctx context.Context) bool {
 	roster, revision, err := v.registry.Roster(ctx)
 	if err != nil {
 		v.log.Warn().Err(err).Msg("not emptied: reading the roster failed")
 		return false
 	}
+	v.adopt(roster)
 	if roster.Find(v.site.Node) != nil {
-		next, _ := roster.Remove(v.site.Node, v.livingSpare(ctx, roster))
+		next, ok := roster.Remove(v.site.Node)
+		if !ok {
+			v.log.Warn().Stringer("roster", roster).Msg("not emptied: too few seats would remain; waiting for another host")
+			return false
+		}
+		if !v.handOver(ctx, roster) {
+			return false
+		}
 		if err := v.registry.PutRoster(ctx, next, revision); err != nil {
 			v.log.Info().Err(err).Msg("giving up the seat failed; retrying")
 			return false
 		}
 		v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat given up")
 		roster = next
+		v.adopt(roster)
+		if v.offerSeat(ctx, roster) {
+			roster = v.awaitSuccessor(ctx, roster)
+		}
 	}
-	v.adopt(roster)
 	return v.handOver(ctx, roster)
 }
 
-// livingSpare returns a spare that answers, or nil.
-func (v *Vault) livingSpare(ctx context.Context, roster *seats.Roster) *seats.Seat {
+// awaitSuccessor waits until another host has the free seat, and returns the newest
+// roster.
+func (v *Vault) awaitSuccessor(ctx context.Context, roster *seats.Roster) *seats.Roster {
+	wanted := len(roster.Seats) + 1
+	for end := time.Now().Add(successorTime); time.Now().Before(end) && len(roster.Seats) < wanted; {
+		select {
+		case <-time.After(successorEvery):
+		case <-ctx.Done():
+			return roster
+		}
+		newest, _, err := v.registry.Roster(ctx)
+		if err != nil {
+			v.log.Warn().Err(err).Msg("reading the roster failed while waiting for a successor")
+			continue
+		}
+		roster = v.adopt(newest)
+	}
+	return roster
+}
+
+// offerSeat tells one spare that answers of the roster, so that it claims the free
+// seat at once. It reports whether there is such a spare.
+func (v *Vault) offerSeat(ctx context.Context, roster *seats.Roster) bool {
 	spares, err := v.registry.Spares(ctx)
 	if err != nil {
-		v.log.Warn().Err(err).Msg("reading the spares failed")
-		return nil
+		v.log.Warn().Err(err).Msg("reading the spares failed; one will find the free seat later")
+		return false
 	}
 	for _, s := range spares {
 		if s.Node == v.site.Node || roster.Find(s.Node) != nil {
@@ -82,18 +125,24 @@
 		_, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
 		cancel()
 		if err == nil {
-			return &s
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
-// handOver has every seat catch up from this host. It reports whether all seats
-// did and they are at least a quorum.
+// handOver has every other seat catch up from this host. It reports whether all
+// did. A quorum of them is not enough: a record may lie here and on one of the rest
+// only, whose disk may be lost next.
 func (v *Vault) handOver(ctx context.Context, roster *seats.Roster) bool {
 	host := v.ownSeat()
 	results := make(chan bool, len(roster.Seats))
+	others := 0
 	for _, s := range roster.Seats {
+		if s.Node == host.Node {
+			continue
+		}
+		others++
 		go func() {
 			m, err := callPeer(ctx, v.peer(s.Addr), &vaults.Adopt{Roster: roster, Sync: true, Source: &host})
 			a, ok := m.(*vaults.AdoptReply)
@@ -101,11 +150,11 @@
 		}()
 	}
 	caught := 0
-	for range roster.Seats {
+	for range others {
 		if <-results {
 			caught++
 		}
 	}
-	v.log.Info().Int("caught", caught).Int("seats", len(roster.Seats)).Msg("seats caught up from this host")
-	return caught == len(roster.Seats) && caught >= roster.Quorum()
+	v.log.Info().Int("caught", caught).Int("seats", others).Msg("seats caught up from this host")
+	return caught == others && caught >= roster.Quorum()
 }
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"path/filepath"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +9,6 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
-	"github.com/cowslipstage/cowslipstage/transport/files"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
@@ -39,10 +36,34 @@
 	turnsPerGet = 500
 )
 
+// holderState is what this host last learned about the holder of a seat.
+type holderState struct {
+	// silentSince is when it stopped answering; zero while it answers.
+	silentSince time.Time
+	// replicaSince is the SinceVersion of the seat in which it counts as a replica,
+	// or 0.
+	replicaSince uint64
+}
+
+// holderStates are the states of the seats' holders by node.
+type holderStates map[string]holderState
+
+// at returns the states as of now in the terms of package seats.
+func (h holderStates) at(now time.Time) func(seats.Seat) seats.Holder {
+	return func(s seats.Seat) seats.Holder {
+		state, known := h[s.Node]
+		silent := !state.silentSince.IsZero()
+		return seats.Holder{
+			Lost:    known && silent && now.Sub(state.silentSince) >= lostAfter,
+			Replica: known && !silent && state.replicaSince == s.SinceVersion,
+		}
+	}
+}
+
 // seatLoop keeps the roster up to date, claims a free seat, and catches up
 // until this host counts as a copy.
 func (v *Vault) seatLoop(ctx context.Context) {
-	silent := map[string]time.Time{}
+	holders := holderStates{}
 	announced := false
 	started := time.Now()
 	for ctx.Err() == nil {
@@ -57,15 +78,13 @@
 			if err := v.catchUp(ctx, nil); err != nil {
 				v.log.Info().Err(err).Stringer("roster", roster).Msg("catching up failed; retrying")
 			}
+		case v.isRetiring():
+			pause = caughtUpEvery
 		default:
-			v.watchSeats(ctx, roster, silent)
-			lost := func(node string) bool {
-				since, known := silent[node]
-				return known && time.Since(since) >= lostAfter
-			}
+			v.watchSeats(ctx, roster, holders)
 			yield := v.site.FirstStart && time.Since(started) < seatSpreadTime
-			if _, free := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, lost); free {
-				v.claimSeat(ctx, lost, yield)
+			if _, free := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, holders.at(time.Now())); free {
+				v.claimSeat(ctx, holders, yield)
 			} else if !announced {
 				announced = v.announceSpare(ctx)
 			}
@@ -80,6 +99,13 @@
 	}
 }
 
+// isRetiring reports whether the operators want this host emptied.
+func (v *Vault) isRetiring() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.retiring
+}
+
 // refreshRoster reads the newest roster from the registry. If that fails, the
 // last one known stays in use.
 func (v *Vault) refreshRoster(ctx context.Context) {
@@ -114,51 +140,69 @@
 	return true
 }
 
-// watchSeats checks whether the holders of the seats answer, and records in
-// silent when each one stopped answering.
-func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, silent map[string]time.Time) {
+// watchSeats asks the holders of the seats whether they count as replicas, and
+// records the answers in holders.
+func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, holders holderStates) {
 	type probe struct {
-		node string
-		err  error
+		seat    seats.Seat
+		replica bool
+		err     error
 	}
 	probes := make(chan probe, len(roster.Seats))
 	for _, s := range roster.Seats {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
-			_, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
-			probes <- probe{s.Node, err}
+			m, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
+			a, ok := m.(*vaults.AdoptReply)
+			probes <- probe{s, ok && a.CaughtUp && a.Version == roster.Version, err}
 		}()
 	}
 	for range roster.Seats {
-		s := <-probes
-		if s.err == nil {
-			delete(silent, s.node)
-		} else if silent[s.node].IsZero() {
-			silent[s.node] = time.Now()
+		p := <-probes
+		state := holderState{}
+		switch {
+		case p.err != nil:
+			if state.silentSince = holders[p.seat.Node].silentSince; state.silentSince.IsZero() {
+				state.silentSince = time.Now()
+			}
+		case p.replica:
+			state.replicaSince = p.seat.SinceVersion
 		}
+		holders[p.seat.Node] = state
 	}
 }
 
 // claimSeat claims a free seat or that of a lost host. If yield is set, it
 // leaves the seat to another data centre if its own has enough seats.
-func (v *Vault) claimSeat(ctx context.Context, lost func(node string) bool, yield bool) {
+func (v *Vault) claimSeat(ctx context.Context, holders holderStates, yield bool) {
+	if retiring, err := v.registry.Retiring(ctx, v.site.Node); err != nil || retiring {
+		v.log.Info().Err(err).Bool("retiring", retiring).Msg("no seat claimed: this host is to be emptied, or that is not known")
+		return
+	}
 	roster, revision, err := v.registry.Roster(ctx)
 	if err != nil {
 		v.log.Warn().Err(err).Msg("no seat claimed: reading the roster failed")
 		return
 	}
-	next, ok := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, lost)
+	next, ok := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, holders.at(time.Now()))
 	if !ok || yield && roster.ShouldYield(v.site.Centre, v.site.MaxLostHosts, v.site.Centres) {
 		return
 	}
+	if err := v.storeVersion(claimFile, next.Version); err != nil {
+		v.log.Error().Err(err).Msg("no seat claimed: writing to disk failed")
+		return
+	}
+	v.mu.Lock()
+	v.claimedVersion = next.Version
+	v.mu.Unlock()
 	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
 		v.log.Info().Err(err).Stringer("roster", next).Msg("claiming the seat failed; retrying")
 		return
 	}
 	v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat claimed")
 	v.adopt(next)
-	if v.site.FirstStart && v.chains.Size() == 0 {
+	if v.site.FirstStart && v.chains.Size() == 0 && next.Initial() {
 		// No vault held any record before the first start.
 		v.markCaughtUp(next)
 	}
@@ -171,8 +215,7 @@
 	if seat == nil {
 		return
 	}
-	err := files.Replace(filepath.Join(v.site.Data, seatFile), strconv.AppendUint(nil, seat.SinceVersion, 10))
-	if err != nil {
+	if err := v.storeVersion(seatFile, seat.SinceVersion); err != nil {
 		v.log.Error().Err(err).Msg("does not count as a copy: writing to disk failed")
 		return
 	}
@@ -202,16 +245,20 @@
 	for _, s := range others {
 		go func() { listings <- v.listRecords(ctx, s.Addr, roster) }()
 	}
-	failed, behind := 0, 0
+	answered := seats.Others{}
 	var all []listing
 	for range others {
 		switch l := <-listings; {
 		case l.err != nil:
-			failed++
+			answered.Failed++
 			v.log.Info().Err(l.err).Str("vault", l.addr).Msg("a seat did not list its records for a catch-up")
 		default:
-			if !l.caughtUp {
-				behind++
+			switch {
+			case l.caughtUp:
+			case l.fresh:
+				answered.Fresh++
+			default:
+				answered.Behind++
 			}
 			l.isCopy = true
 			all = append(all, l)
@@ -224,13 +271,8 @@
 		}
 		all = append(all, l)
 	}
-	// A record is stored at a quorum of seats. It may be missed if the seats
-	// that failed or are behind, and this one, make a quorum. If all others
-	// answered and none counts as a copy, all of them together hold every
-	// record.
-	noneCaughtUp := failed == 0 && behind == len(others)
-	if failed+behind+1 >= roster.Quorum() && !noneCaughtUp {
-		return errors.Wrapf(errCatchUp, "%d failed, %d behind, of %d others", failed, behind, len(others))
+	if !roster.CanCatchUp(v.isFresh(roster), answered) {
+		return errors.Wrapf(errCatchUp, "of %d others %d failed, %d are behind, %d fresh", len(others), answered.Failed, answered.Behind, answered.Fresh)
 	}
 	if err := v.copyMissing(ctx, all, roster.Quorum()); err != nil {
 		return err
@@ -242,6 +284,15 @@
 	return nil
 }
 
+// isFresh reports whether this host took a seat that was free and has never counted
+// as a copy in it. If its disk was lost since, that is not known.
+func (v *Vault) isFresh(roster *seats.Roster) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	seat := roster.Find(v.site.Node)
+	return seat != nil && seat.Fresh && v.claimedVersion == seat.SinceVersion && v.caughtUpSince != seat.SinceVersion
+}
+
 // listing is what one other vault holds.
 type listing struct {
 	addr string
@@ -250,6 +301,8 @@
 	// records count as copies.
 	caughtUp bool
 	isCopy   bool
+	// fresh is set if the vault has never counted in its seat.
+	fresh bool
 	// records are the entries of accounts, turns the IDs of turns.
 	records []chains.Record
 	turns   []string
@@ -281,7 +334,7 @@
 			l.records = append(l.records, r)
 		}
 		l.turns = append(l.turns, page.Turns...)
-		l.caughtUp, cursor, more = page.CaughtUp, page.Next, page.More
+		l.caughtUp, l.fresh, cursor, more = page.CaughtUp, page.Fresh, page.Next, page.More
 	}
 	return l
 }
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -46,7 +46,10 @@
 	// complete copy for its seat. rosterFile holds the newest roster seen.
 	seatFile   = "seat"
 	rosterFile = "roster"
-	logFolder  = "log"
+	// claimFile holds the roster version that this host last tried to write to get
+	// its seat. A host with an empty disk does not have it.
+	claimFile = "claim"
+	logFolder = "log"
 	// diskShare is the fraction of the disk that the log may take. The rest is
 	// for the file system and for the files above.
 	diskShare = 0.9
@@ -99,6 +102,11 @@
 	// caughtUpSince is the roster version since which this host holds all that
 	// its seat must. 0 means that it does not count as a copy.
 	caughtUpSince uint64
+	// claimedVersion is the content of claimFile, or 0.
+	claimedVersion uint64
+	// retiring is set once the operators want this host emptied. It then takes no
+	// seat any more.
+	retiring bool
 	// views holds what the key-value service holds below each prefix.
 	views map[string]*viewState
 	// syncing allows one catch-up at a time.
@@ -153,17 +161,33 @@
 			v.log.Warn().Err(err).Msg("roster file unreadable; using the registry's")
 		}
 	}
-	if data, err := os.ReadFile(filepath.Join(v.site.Data, seatFile)); err == nil {
-		if v.caughtUpSince, err = strconv.ParseUint(string(data), 10, 64); err != nil {
-			v.log.Warn().Err(err).Msg("seat file unreadable; catching up")
-		}
-	}
+	v.caughtUpSince = v.loadVersion(seatFile)
+	v.claimedVersion = v.loadVersion(claimFile)
 	v.loadViews()
 	v.log.Info().Int("records", v.chains.Size()).Int("unreadable", unreadable).Uint64("caught", v.caughtUpSince).
 		Stringer("roster", v.roster).Bool("fresh", v.site.FirstStart).Msg("data folder read")
 	return nil
 }
 
+// loadVersion reads a roster version from a file. It returns 0 if there is none, in
+// which case this host catches up.
+func (v *Vault) loadVersion(name string) uint64 {
+	data, err := os.ReadFile(filepath.Join(v.site.Data, name))
+	if err != nil {
+		return 0
+	}
+	version, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		v.log.Warn().Err(err).Str("file", name).Msg("version file unreadable; skipped")
+	}
+	return version
+}
+
+// storeVersion writes a roster version to a file.
+func (v *Vault) storeVersion(name string, version uint64) error {
+	return files.Replace(filepath.Join(v.site.Data, name), strconv.AppendUint(nil, version, 10))
+}
+
 // Addr returns the address at which other processes reach this vault.
 func (v *Vault) Addr() string {
 	if v.site.Control != "" {
