Vaults that are behind are not asked ever more: receipts, a budget of hedges, work that nobody awaits

Change: an end goes again only to vaults without a receipt, with a pause that doubles; hedges are a tenth of the calls at most, and a vault that needed one is asked last for a second; vaults skip what waited 250 ms; rosters are read more seldom while they stay the same, as stale reads. Views bring the roster only to gates that do not have it.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,9 +55,11 @@
 	routineSampleN = 20
 )
 
-// RosterSource reads the roster of the vaults and its revision.
+// RosterSource reads the roster of the vaults and its revision, or, at a fraction of
+// the cost, one that may be seconds old.
 type RosterSource interface {
 	Roster(ctx context.Context) (*seats.Roster, int64, error)
+	RecentRoster(ctx context.Context) (*seats.Roster, error)
 }
 
 // Gate is one running entry host.
--- /dev/null
+++ b/gate/recordturn_test.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/retry"
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
+)
+
+func fiveSeats() []seats.Seat {
+	return []seats.Seat{{Node: "a", Addr: "a"}, {Node: "b", Addr: "b"}, {Node: "c", Addr: "c"}, {Node: "d", Addr: "d"}, {Node: "e", Addr: "e"}}
+}
+
+// A turn that only some vaults have recorded is sent again to the others only: with
+// hundreds of gates, sending it to all again keeps vaults behind that are.
+func TestVaultsThatRecordedATurnAreNotSentItAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	r := receipts{"a": {version: 7, at: now}, "c": {version: 6, at: now}, "d": {version: 7, at: now.Add(-receiptAge)}}
+	var left []string
+	for _, s := range r.remaining(now, 7, fiveSeats()) {
+		left = append(left, s.Node)
+	}
+	g.Expect(left).To(gomega.Equal([]string{"b", "c", "d", "e"}), "a receipt counts under its roster only, and not for long")
+}
+
+// All vaults are slow at once, as after a loss of power. Hedges must stay a fraction of
+// the calls, or they make the vaults slower still.
+func TestHedgesStayAFractionOfTheCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := &vaultClient{latencies: map[string]time.Duration{}, measuredAt: map[string]time.Time{}}
+	c.hedges, c.hedgesDenied = retry.NewHedges(now), newVaultCluster(t, 0).client.hedgesDenied
+	const calls = 1000
+	hedges := 0
+	for range calls {
+		c.hedges.AddCall()
+		if c.mayHedge(now, map[string]bool{"a": true}) {
+			hedges++
+		}
+	}
+	g.Expect(hedges).To(gomega.BeNumerically("<=", calls/10+8))
+	g.Expect(c.latencies["a"]).To(gomega.BeNumerically(">", hedgeTime), "a slow vault is asked last for a while")
+}
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/coordination/retry"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
@@ -32,10 +34,15 @@
 	// vaultTimeout bounds a call of one vault: longer than a slow disk's sync,
 	// and a quarter of the shortest time after which a caller gives up.
 	vaultTimeout = 300 * time.Millisecond
-	// retryEvery is the pause between two attempts to record something at the
-	// vaults. It is short against the time after which a caller gives up a
-	// stream.
-	retryEvery = 30 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the pause between two attempts to record
+	// something at the vaults. The pause doubles, so that vaults that are behind are
+	// not asked ever more often; it stays short against the time after which a
+	// caller gives up a stream.
+	minRetryPause = 30 * time.Millisecond
+	maxRetryPause = 240 * time.Millisecond
+	// receiptAge is how long it counts that a vault has recorded something while
+	// others have not. A host that loses its disk is not back as a copy that soon.
+	receiptAge = time.Second
 	// openRetryTime is how long opening a turn is retried here. After that the
 	// caller is better served by another gate.
 	openRetryTime = 100 * time.Millisecond
@@ -45,6 +52,9 @@
 	// rosterEvery is the pause between two reads of the roster until it is
 	// known, and while vaults fail.
 	rosterEvery = 600 * time.Millisecond
+	// maxRosterPause bounds the pause while the roster stays the same. It is within
+	// the time to recover.
+	maxRosterPause = 5 * time.Second
 	// cacheShare is the fraction of the memory that cached chains may take.
 	cacheShare = 0.15
 	// keepFactor is how many retention times an account is kept, because a
@@ -66,6 +76,8 @@
 	beginSeconds *metrics.Histogram
 	endSeconds   *metrics.Histogram
 	cacheMisses  *metrics.Counter
+	// hedgesDenied counts the hedges that the budget did not allow.
+	hedgesDenied *metrics.Counter
 	// chainAnswers counts the answers that contained turns of a chain.
 	chainAnswers *metrics.Counter
 	// exchange holds what gates know of each other's running calls.
@@ -82,6 +94,8 @@
 	// cache holds turns by ID. Their size is cachedBytes.
 	cache       *simplelru.LRU[string, *chains.Turn]
 	cachedBytes int64
+	// hedges bounds how often a further vault is asked because others are slow.
+	hedges *retry.Budget
 	// rosterWanted asks rosterLoop to read the roster again.
 	rosterWanted chan struct{}
 }
@@ -89,10 +103,11 @@
 func newVaultClient(s *site.Site, r RosterSource, set *metrics.Set, log zerolog.Logger) *vaultClient {
 	c := &vaultClient{
 		site: s, rosters: r, log: log, exchange: newLoadExchange(s), roster: &seats.Roster{},
-		latencies: map[string]time.Duration{}, measuredAt: map[string]time.Time{}, rosterWanted: make(chan struct{}, 1),
+		latencies: map[string]time.Duration{}, measuredAt: map[string]time.Time{}, rosterWanted: make(chan struct{}, 1), hedges: retry.NewHedges(time.Now()),
 		beginSeconds: set.NewHistogram("cowslipstage_gate_vault_begin_seconds"),
 		endSeconds:   set.NewHistogram("cowslipstage_gate_vault_end_seconds"),
 		cacheMisses:  set.NewCounter("cowslipstage_gate_chains_fetched_total"),
+		hedgesDenied: set.NewCounter("cowslipstage_gate_vault_hedges_denied_total"),
 		chainAnswers: set.NewCounter("cowslipstage_gate_chain_answers_total"),
 	}
 	// cacheTurns bounds the cache by bytes, not by entries.
@@ -104,7 +119,8 @@
 func turnBytes(t *chains.Turn) int64 { return int64(len(t.Input)+len(t.Output)) + 256 }
 
 // rosterLoop reads the roster from the key-value service until vaults have sent
-// one, and again while vaults fail.
+// one, and again while vaults fail, then ever more seldom as long as it stays the
+// same: all gates fail at once when vaults do.
 func (c *vaultClient) rosterLoop(ctx context.Context) {
 	pause := time.Duration(0)
 	if c.site.FirstStart {
@@ -116,22 +132,39 @@
 		case <-ctx.Done():
 			return
 		}
-		pause = rosterEvery
-		if len(c.currentRoster().Seats) >= seats.TargetCount(c.site.MaxLostHosts) {
+		known := c.currentRoster()
+		complete := len(known.Seats) >= seats.TargetCount(c.site.MaxLostHosts)
+		if complete {
 			select {
 			case <-c.rosterWanted:
 			case <-ctx.Done():
 				return
 			}
 		}
-		if r, _, err := c.rosters.Roster(ctx); err != nil {
+		r, err := c.readRoster(ctx, complete)
+		if err != nil {
 			c.log.Warn().Err(err).Msg("reading the roster failed")
 		} else {
 			c.adopt(r)
 		}
+		if c.currentRoster().Version > known.Version || pause < rosterEvery {
+			pause = rosterEvery
+		} else {
+			pause = min(maxRosterPause, 2*pause)
+		}
 	}
 }
 
+// readRoster reads the roster from the key-value service. One that may be seconds old
+// is enough if a complete one is known: vaults tell of newer ones.
+func (c *vaultClient) readRoster(ctx context.Context, recent bool) (*seats.Roster, error) {
+	if recent {
+		return c.rosters.RecentRoster(ctx)
+	}
+	r, _, err := c.rosters.Roster(ctx)
+	return r, err
+}
+
 // connectLoop keeps dialing unreachable vaults, so that the gate notices
 // without callers when they can be reached again.
 func (c *vaultClient) connectLoop(ctx context.Context) {
@@ -207,6 +240,9 @@
 // callVault sends a message to one vault and measures its latency.
 func (c *vaultClient) callVault(ctx context.Context, addr string, m vaults.Message) (vaults.Message, error) {
 	started := time.Now()
+	c.mu.Lock()
+	c.hedges.AddCall()
+	c.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, vaultTimeout)
 	defer cancel()
 	answer, err := c.connection(addr).Call(limited, m)
@@ -234,18 +270,20 @@
 }
 
 // gather sends messages to seats in order until enough have accepted: as many
-// at once as are needed, and one more for each that declines and for each
-// hedgeTime that passes. accept reports whether an answer counts as accepted.
+// at once as are needed, one more for each that declines, and one more for each
+// hedgeTime that passes, as far as the budget of hedges allows. accept reports
+// whether an answer counts as accepted.
 func (c *vaultClient) gather(ctx context.Context, order []seats.Seat, needed int, message func(i int, s seats.Seat) vaults.Message, accept func(seats.Seat, vaults.Message) bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan reply, len(order))
-	next, pending, accepted := 0, 0, 0
+	next, accepted := 0, 0
+	pending := map[string]bool{}
 	ask := func() {
 		if next < len(order) {
 			s, m := order[next], message(next, order[next])
 			next++
-			pending++
+			pending[s.Addr] = true
 			go func() {
 				answer, err := c.callVault(ctx, s.Addr, m)
 				replies <- reply{s, answer, err}
@@ -258,19 +296,21 @@
 	hedge := time.NewTicker(hedgeTime)
 	defer hedge.Stop()
 	for accepted < needed {
-		if pending == 0 {
+		if len(pending) == 0 {
 			return errors.Wrapf(errUncertain, "%d of %d", accepted, needed)
 		}
 		select {
 		case r := <-replies:
-			pending--
+			delete(pending, r.seat.Addr)
 			if r.err == nil && accept(r.seat, r.answer) {
 				accepted++
 				continue
 			}
 			ask()
-		case <-hedge.C:
-			ask()
+		case now := <-hedge.C:
+			if next < len(order) && c.mayHedge(now, pending) {
+				ask()
+			}
 		case <-ctx.Done():
 			return errors.Mark(errors.Wrap(ctx.Err(), "waiting for vaults"), errUncertain)
 		}
@@ -278,6 +318,22 @@
 	return nil
 }
 
+// mayHedge reports whether one more vault may be asked because the pending ones are
+// slow. They are asked last for a while, so that later calls need no hedge.
+func (c *vaultClient) mayHedge(now time.Time, pending map[string]bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr := range pending {
+		c.latencies[addr] = max(c.latencies[addr], 2*hedgeTime)
+		c.measuredAt[addr] = now
+	}
+	if !c.hedges.Take(now) {
+		c.hedgesDenied.Inc()
+		return false
+	}
+	return true
+}
+
 // maxRosterRounds is how often a step is tried while the roster changes.
 const maxRosterRounds = 4
 
@@ -320,11 +376,9 @@
 func (c *vaultClient) recordTurn(ctx context.Context, t *chains.Turn) error {
 	started := time.Now()
 	defer c.endSeconds.UpdateDuration(started)
-	err := c.retryUncertain(ctx, settleTime, func() error {
-		return c.sendEnd(ctx, t.Program, func(version uint64) *vaults.End {
-			copied := *t
-			return &vaults.End{Version: version, Turn: &copied}
-		})
+	err := c.sendEnd(ctx, t.Program, func(version uint64) *vaults.End {
+		copied := *t
+		return &vaults.End{Version: version, Turn: &copied}
 	})
 	if err == nil {
 		c.cacheTurns(t)
@@ -334,11 +388,9 @@
 
 // settle stores what an incomplete turn has spent.
 func (c *vaultClient) settle(ctx context.Context, s *chains.Spent) error {
-	return c.retryUncertain(ctx, settleTime, func() error {
-		return c.sendEnd(ctx, s.Program, func(version uint64) *vaults.End {
-			copied := *s
-			return &vaults.End{Version: version, Spent: &copied}
-		})
+	return c.sendEnd(ctx, s.Program, func(version uint64) *vaults.End {
+		copied := *s
+		return &vaults.End{Version: version, Spent: &copied}
 	})
 }
 
@@ -347,26 +399,53 @@
 // moments.
 func (c *vaultClient) retryUncertain(ctx context.Context, limit time.Duration, step func() error) error {
 	started := time.Now()
-	for {
+	for pause := minRetryPause; ; pause = min(maxRetryPause, 2*pause) {
 		err := step()
 		if err == nil || !errors.Is(err, errUncertain) || ctx.Err() != nil || time.Since(started) > limit {
 			return err
 		}
 		select {
-		case <-time.After(retryEvery):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// sendEnd sends the end of a turn to a quorum of vaults.
+// sendEnd sends the end of a turn to a quorum of vaults, until settleTime has passed.
+// Vaults that have recorded it are not sent it again.
 func (c *vaultClient) sendEnd(ctx context.Context, key string, message func(version uint64) *vaults.End) error {
-	return c.withRoster(ctx, func(roster *seats.Roster) error {
-		return c.gather(ctx, c.orderSeats(roster, key), roster.Quorum(), func(int, seats.Seat) vaults.Message {
-			return message(roster.Version)
-		}, func(s seats.Seat, m vaults.Message) bool {
-			a, ok := m.(*vaults.EndReply)
-			return ok && c.acceptStatus(s, a.Status, a.Roster)
+	receipts := receipts{}
+	return c.retryUncertain(ctx, settleTime, func() error {
+		return c.withRoster(ctx, func(roster *seats.Roster) error {
+			order := receipts.remaining(time.Now(), roster.Version, c.orderSeats(roster, key))
+			needed := roster.Quorum() - (len(roster.Seats) - len(order))
+			return c.gather(ctx, order, needed, func(int, seats.Seat) vaults.Message {
+				return message(roster.Version)
+			}, func(s seats.Seat, m vaults.Message) bool {
+				a, ok := m.(*vaults.EndReply)
+				if !ok || !c.acceptStatus(s, a.Status, a.Roster) {
+					return false
+				}
+				receipts[s.Node] = receipt{roster.Version, time.Now()}
+				return true
+			})
 		})
 	})
 }
+
+// receipt says that a vault recorded something under a roster version.
+type receipt struct {
+	version uint64
+	at      time.Time
+}
+
+// receipts holds the receipts for one record by node.
+type receipts map[string]receipt
+
+// remaining returns the seats without a receipt that counts under a roster version.
+func (r receipts) remaining(now time.Time, version uint64, order []seats.Seat) []seats.Seat {
+	return slices.DeleteFunc(order, func(s seats.Seat) bool {
+		known, ok := r[s.Node]
+		return ok && known.version == version && now.Sub(known.at) < receiptAge
+	})
+}
--- a/gate/views.go
+++ b/gate/views.go
@@ -95,7 +95,9 @@
 func (v *ViewListener) ask(ctx context.Context, addr, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, viewWait+viewSlack)
 	defer cancel()
-	m, err := v.vaults.connection(addr).Call(ctx, &vaults.AwaitView{Prefix: prefix, After: v.consumer.AppliedRevision(prefix), Wait: viewWait})
+	m, err := v.vaults.connection(addr).Call(ctx, &vaults.AwaitView{
+		Prefix: prefix, After: v.consumer.AppliedRevision(prefix), Wait: viewWait, Roster: v.vaults.currentRoster().Version,
+	})
 	if err != nil {
 		return err
 	}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -198,6 +198,9 @@
 	Prefix string        `cbor:"1,keyasint"`
 	After  int64         `cbor:"2,keyasint,omitempty"`
 	Wait   time.Duration `cbor:"3,keyasint,omitempty"`
+	// Roster is the version of the sender's roster. An older one is answered with the
+	// newer roster.
+	Roster uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // AwaitViewReply answers AwaitView. View is nil if the vault has nothing newer.
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -105,8 +105,9 @@
 		return nil
 	}
 	answer := &vaults.LoadReply{OtherCalls: v.runningCalls.TotalsExcept(l.Node)}
+	successes := v.successes.Totals()
 	for endpoint, bad := range v.failures.Totals() {
-		if eject.Failing(v.successes.Totals()[endpoint], bad) {
+		if eject.Failing(successes[endpoint], bad) {
 			answer.FailingEndpoints = append(answer.FailingEndpoints, endpoint)
 		}
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -57,6 +57,10 @@
 	expireEvery = 5 * time.Second
 	// mailboxSize bounds the messages that wait for the control goroutine.
 	mailboxSize = 4096
+	// maxWait is how long a gate's message may wait for the control goroutine. The
+	// gate gives up soon after that, and work on what it no longer awaits would keep
+	// a vault behind that has fallen behind once.
+	maxWait = 250 * time.Millisecond
 )
 
 // event is handled by the control goroutine.
@@ -64,8 +68,20 @@
 
 // request is a message that expects an answer.
 type request struct {
-	message vaults.Message
-	answer  func(vaults.Message)
+	message    vaults.Message
+	answer     func(vaults.Message)
+	receivedAt time.Time
+}
+
+// outdated reports whether the sender no longer waits for the answer. Other vaults
+// wait longer than gates.
+func (r request) outdated(now time.Time) bool {
+	switch r.message.(type) {
+	case *vaults.List, *vaults.Get:
+		return false
+	default:
+		return now.Sub(r.receivedAt) > maxWait
+	}
 }
 
 // copied holds records from another vault that are already on this disk.
@@ -227,7 +243,7 @@
 		go func() { answer(v.answerAwaitView(m)) }()
 	default:
 		select {
-		case v.mailbox <- request{m, answer}:
+		case v.mailbox <- request{m, answer, time.Now()}:
 		default:
 			v.meters.refused.Inc() // the sender notices by its timeout
 		}
@@ -254,7 +270,12 @@
 func (v *Vault) handleEvent(e event) {
 	switch e := e.(type) {
 	case request:
-		v.answerRequest(time.Now(), e)
+		now := time.Now()
+		if e.outdated(now) {
+			v.meters.refused.Inc()
+			return
+		}
+		v.answerRequest(now, e)
 	case copied:
 		for _, r := range e.records {
 			v.chains.Add(r)
--- a/vault/view.go
+++ b/vault/view.go
@@ -203,7 +203,10 @@
 	end := time.After(min(m.Wait, maxViewWait))
 	for {
 		v.mu.Lock()
-		answer := &vaults.AwaitViewReply{Roster: v.roster}
+		answer := &vaults.AwaitViewReply{}
+		if v.roster.Version > m.Roster {
+			answer.Roster = v.roster
+		}
 		s := v.views[m.Prefix]
 		if s == nil {
 			v.mu.Unlock()
