Vaults keep the texts of turns on disk: memory holds where they lie

Cause: each vault held the text of every turn that it still had to know in memory, and its list for catch-ups held them as long as the program's account, twice the retention.

Change: a turn's record is read from the log where it lies when a chain is asked for, outside the control goroutine and the writer; a failed read is no statement that a turn does not exist. A segment of the log lives as long as a turn in it is kept by its successors, which it did not: such a turn was gone after a restart.

--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cowslipstage/cowslipstage/state/spend"
 )
 
@@ -10,11 +12,51 @@
 // designed for has 120 turns, so a longer chain is a fault, such as a cycle.
 const maxChainLength = 4096
 
-// keptTurn is a turn with its expiry time.
-type keptTurn struct {
+// Source is where the record of a turn is stored. It is safe for concurrent use.
+type Source interface {
+	// Read returns the encoded record.
+	Read() ([]byte, error)
+	// KeepUntil keeps the record until the given time at least.
+	KeepUntil(t time.Time)
+}
+
+// Kept is a turn that is held, with its texts in memory or where they are stored.
+type Kept struct {
 	*Turn
+	// source is nil while the texts are in memory.
+	source Source
 	// expiresAt only moves later: a turn is kept as long as any turn that continues it.
 	expiresAt time.Time
+	// cursor is that of the turn's record.
+	cursor uint64
+}
+
+// Load returns the turn with its texts. It may read them, and is safe for concurrent
+// use.
+func (k Kept) Load() (*Turn, error) {
+	if k.source == nil {
+		return k.Turn, nil
+	}
+	data, err := k.source.Read()
+	if err != nil {
+		return nil, err
+	}
+	r, err := Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	t, ok := r.(*Turn)
+	if !ok || t.ID != k.ID {
+		return nil, errors.Wrapf(ErrRecord, "not the turn %s", k.ID)
+	}
+	return t, nil
+}
+
+// withoutTexts returns a copy of a turn without its texts.
+func (t *Turn) withoutTexts() *Turn {
+	short := *t
+	short.Input, short.Output = nil, nil
+	return &short
 }
 
 type account struct {
@@ -24,7 +66,7 @@
 
 // Chains holds the turns and accounts of one replica. It is not safe for concurrent use.
 type Chains struct {
-	turns    map[string]*keptTurn
+	turns    map[string]*Kept
 	accounts map[string]*account
 	// received holds the records in order of arrival, for replicas that catch up. base is
 	// the cursor of the first one.
@@ -34,15 +76,18 @@
 
 // New returns a Chains without records.
 func New() *Chains {
-	return &Chains{turns: map[string]*keptTurn{}, accounts: map[string]*account{}}
+	return &Chains{turns: map[string]*Kept{}, accounts: map[string]*account{}}
 }
 
 // Add stores a record and reports whether it changed anything.
 func (c *Chains) Add(r Record) bool {
 	added := false
+	stored := r
 	switch r := r.(type) {
 	case *Turn:
-		added = c.addTurn(r)
+		if added = c.addTurn(r); !added {
+			stored = r.withoutTexts() // the texts are held already
+		}
 		if r.Program != "" {
 			entry := spend.Entry{Used: r.Used, Settled: true}
 			added = c.merge(r.Program, r.ID, entry, r.writtenAt().Add(r.Retention)) || added
@@ -53,17 +98,32 @@
 		added = c.merge(r.Program, r.Turn, spend.Entry{Used: r.Used, Settled: true}, r.writtenAt().Add(r.Retention))
 	}
 	if added {
-		c.received = append(c.received, r)
+		c.received = append(c.received, stored)
 	}
 	return added
 }
 
+// SetSource notes where the record of a turn is stored, and drops its texts from
+// memory. Memory would bound the turns that a host can hold far sooner than its disk.
+func (c *Chains) SetSource(id string, s Source) {
+	k := c.turns[id]
+	if k == nil || k.source != nil {
+		return
+	}
+	s.KeepUntil(k.expiresAt)
+	// Answers that are being sent may use the turn, so it is replaced, not changed.
+	k.Turn, k.source = k.withoutTexts(), s
+	if k.cursor >= c.base {
+		c.received[k.cursor-c.base] = k.Turn
+	}
+}
+
 func (c *Chains) addTurn(t *Turn) bool {
 	if c.turns[t.ID] != nil {
 		return false
 	}
 	until := t.writtenAt().Add(t.Retention)
-	c.turns[t.ID] = &keptTurn{Turn: t, expiresAt: until}
+	c.turns[t.ID] = &Kept{Turn: t, expiresAt: until, cursor: c.base + uint64(len(c.received))}
 	c.extendRetention(t.Previous, until)
 	return true
 }
@@ -76,6 +136,9 @@
 			return
 		}
 		k.expiresAt = until
+		if k.source != nil {
+			k.source.KeepUntil(until)
+		}
 		id = k.Previous
 	}
 }
@@ -100,23 +163,23 @@
 	return nil
 }
 
-// Turn returns the turn with an id, or nil.
-func (c *Chains) Turn(id string) *Turn {
+// Turn returns the turn with an id and whether it is held.
+func (c *Chains) Turn(id string) (Kept, bool) {
 	if k := c.turns[id]; k != nil {
-		return k.Turn
+		return *k, true
 	}
-	return nil
+	return Kept{}, false
 }
 
 // Chain returns the stored turns up to id, newest first. complete reports whether the
 // first turn of the chain is among them.
-func (c *Chains) Chain(id string) (turns []*Turn, complete bool) {
+func (c *Chains) Chain(id string) (turns []Kept, complete bool) {
 	for range maxChainLength {
 		k := c.turns[id]
 		if k == nil {
 			return turns, false
 		}
-		turns = append(turns, k.Turn)
+		turns = append(turns, *k)
 		if k.Previous == "" {
 			return turns, true
 		}
--- a/state/chains/chains_test.go
+++ b/state/chains/chains_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 
 	"github.com/cowslipstage/cowslipstage/state/chains"
@@ -26,7 +27,7 @@
 	}
 	newest, complete := c.Chain("c")
 	g.Expect(complete).To(gomega.BeTrue())
-	oldest := []*chains.Turn{newest[2], newest[1], newest[0]}
+	oldest := []*chains.Turn{newest[2].Turn, newest[1].Turn, newest[0].Turn}
 	g.Expect(string(chains.BuildInput(oldest, []byte("new")))).To(gomega.Equal("<a>a\n<b>b\n<c>c\nnew"))
 }
 
@@ -39,10 +40,54 @@
 	_, complete := c.Chain("b")
 	g.Expect(complete).To(gomega.BeTrue())
 	c.Expire(epoch.Add(2 * time.Minute))
-	g.Expect(c.Turn("a")).To(gomega.BeNil())
+	_, held := c.Turn("a")
+	g.Expect(held).To(gomega.BeFalse())
 	g.Expect(c.Size()).To(gomega.BeZero())
 }
 
+// source stands for a record on disk.
+type source struct {
+	data      []byte
+	keptUntil time.Time
+}
+
+func (s *source) Read() ([]byte, error) { return s.data, nil }
+
+func (s *source) KeepUntil(t time.Time) {
+	if t.After(s.keptUntil) {
+		s.keptUntil = t
+	}
+}
+
+// Once a turn is stored, only its place is in memory; the texts are read when they are
+// needed, and stay stored as long as a turn that continues it is kept.
+func TestAStoredTurnIsReadFromItsSource(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := chains.New()
+	a := turn("a", "", 0)
+	c.Add(a)
+	data, err := chains.Encode(nil, a)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := &source{data: data}
+	c.SetSource("a", s)
+	kept, held := c.Turn("a")
+	g.Expect(held).To(gomega.BeTrue())
+	g.Expect(kept.Input).To(gomega.BeEmpty(), "not in memory")
+	loaded, err := kept.Load()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(loaded).To(gomega.Equal(a))
+	records, _ := c.After(0, 10)
+	g.Expect(records).To(gomega.HaveLen(1))
+	g.Expect(records[0].(*chains.Turn).Input).To(gomega.BeEmpty())
+	before := s.keptUntil
+	c.Add(turn("b", "a", 50*time.Second))
+	g.Expect(s.keptUntil).To(gomega.Equal(before.Add(50 * time.Second)))
+
+	s.data = s.data[:len(s.data)-3]
+	_, err = kept.Load()
+	g.Expect(errors.Is(err, chains.ErrRecord)).To(gomega.BeTrue(), "%v", err)
+}
+
 func TestACursorReturnsEachRecordOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := chains.New()
--- a/transport/wallog/wallog.go
+++ b/transport/wallog/wallog.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,34 +42,77 @@
 type segment struct {
 	path  string
 	bytes int64
-	// expiry is when the last of its records expires.
+
+	mu sync.Mutex
+	// expiry is when the last of its records expires. It only moves later.
 	expiry time.Time
 }
 
+func (s *segment) keepUntil(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.After(s.expiry) {
+		s.expiry = t
+	}
+}
+
+func (s *segment) expiresAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expiry
+}
+
+// Location is where a record lies on disk. It may be used once the Sync that wrote
+// the record has succeeded, by any goroutine.
+type Location struct {
+	segment *segment
+	// offset is that of the record's header.
+	offset int64
+}
+
+// KeepUntil keeps the record until the given time at least.
+func (l *Location) KeepUntil(t time.Time) { l.segment.keepUntil(t) }
+
+// Read returns the record.
+func (l *Location) Read() ([]byte, error) {
+	f, err := os.Open(l.segment.path)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
+	}
+	defer func() { _ = f.Close() }() // opened read-only
+	if _, err := f.Seek(l.offset, io.SeekStart); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "wallog: seeking"), ErrDisk)
+	}
+	data, err := ReadRecord(f)
+	return data, errors.Wrapf(err, "wallog: %s at %d", l.segment.path, l.offset)
+}
+
 // Log is a folder of segments. It is not safe for concurrent use.
 type Log struct {
 	folder     string
 	maxBytes   int64
 	lastNumber int
-	closed     []segment
+	closed     []*segment
 	// file is the open segment; nil after a failed write.
 	file *os.File
-	open segment
-	// buffer holds the records added since the last successful Sync.
-	buffer []byte
+	open *segment
+	// buffer holds the records added since the last successful Sync, and pending
+	// their locations, with offsets in the buffer.
+	buffer  []byte
+	pending []*Location
 }
 
 // Open passes the records of a folder to each, in the order in which they were
 // added, and returns a log that adds to them. It skips the torn end that a power
 // failure can leave in a file. The log takes at most maxBytes.
-func Open(folder string, maxBytes int64, each func(data []byte) (expiry time.Time)) (*Log, error) {
+func Open(folder string, maxBytes int64, each func(data []byte, at *Location) (expiry time.Time)) (*Log, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "wallog: folder"), ErrDisk)
 	}
 	if err := files.SyncDir(filepath.Dir(folder)); err != nil {
 		return nil, errors.Mark(err, ErrDisk)
 	}
-	l := &Log{folder: folder, maxBytes: maxBytes}
+	l := &Log{folder: folder, maxBytes: maxBytes, open: &segment{}}
 	names, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "wallog: listing"), ErrDisk)
@@ -88,13 +132,13 @@
 }
 
 // readSegment passes the records of one file to each, up to the first corrupt one.
-func readSegment(path string, each func([]byte) time.Time) (segment, error) {
+func readSegment(path string, each func([]byte, *Location) time.Time) (*segment, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return segment{}, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
+		return nil, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
 	}
 	defer func() { _ = f.Close() }() // opened read-only
-	s := segment{path: path}
+	s := &segment{path: path}
 	r := bufio.NewReaderSize(f, 1<<16)
 	for {
 		data, err := ReadRecord(r)
@@ -104,10 +148,8 @@
 		if err != nil {
 			return s, errors.Mark(errors.Wrapf(err, "wallog: %s", path), ErrDisk)
 		}
+		s.keepUntil(each(data, &Location{s, s.bytes}))
 		s.bytes += int64(len(data)) + headerBytes
-		if expiry := each(data); expiry.After(s.expiry) {
-			s.expiry = expiry
-		}
 	}
 }
 
@@ -146,22 +188,24 @@
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "wallog: creating"), ErrDisk)
 	}
-	l.file, l.open = f, segment{path: path}
+	l.file, l.open = f, &segment{path: path}
 	if err := files.SyncDir(l.folder); err != nil {
 		return errors.Mark(err, ErrDisk)
 	}
 	return nil
 }
 
-// Add buffers a record that may be dropped after expiry.
-func (l *Log) Add(data []byte, expiry time.Time) {
+// Add buffers a record that may be dropped after expiry, and returns where it will
+// lie.
+func (l *Log) Add(data []byte, expiry time.Time) *Location {
+	at := &Location{offset: int64(len(l.buffer))}
+	l.pending = append(l.pending, at)
 	var header [headerBytes]byte
 	binary.LittleEndian.PutUint32(header[:4], uint32(len(data)))
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(data, castagnoli))
 	l.buffer = append(append(l.buffer, header[:]...), data...)
-	if expiry.After(l.open.expiry) {
-		l.open.expiry = expiry
-	}
+	l.open.keepUntil(expiry)
+	return at
 }
 
 // Sync writes the added records and syncs them to disk. After a failed write, the
@@ -183,6 +227,10 @@
 		l.closeFailed(err)
 		return errors.Mark(errors.Wrap(err, "wallog: writing"), ErrDisk)
 	}
+	for _, at := range l.pending {
+		at.segment, at.offset = l.open, l.open.bytes+at.offset
+	}
+	l.pending = l.pending[:0]
 	l.open.bytes += int64(len(l.buffer))
 	if cap(l.buffer) > segmentBytes {
 		l.buffer = nil
@@ -201,7 +249,7 @@
 
 // rotate closes the open segment and starts the next.
 func (l *Log) rotate() error {
-	expiry := l.open.expiry
+	expiry := l.open.expiresAt()
 	if l.file != nil {
 		if err := l.file.Close(); err != nil {
 			return errors.Mark(errors.Wrap(err, "wallog: closing"), ErrDisk)
@@ -210,7 +258,7 @@
 		l.file = nil
 	}
 	err := l.openSegment()
-	l.open.expiry = expiry
+	l.open.keepUntil(expiry)
 	return err
 }
 
@@ -226,8 +274,8 @@
 // Expire removes the closed segments whose records have all expired.
 func (l *Log) Expire(now time.Time) error {
 	var err error
-	l.closed = slices.DeleteFunc(l.closed, func(s segment) bool {
-		if !now.After(s.expiry) {
+	l.closed = slices.DeleteFunc(l.closed, func(s *segment) bool {
+		if !now.After(s.expiresAt()) {
 			return false
 		}
 		removeErr := os.Remove(s.path)
--- a/transport/wallog/wallog_test.go
+++ b/transport/wallog/wallog_test.go
@@ -22,7 +22,7 @@
 
 func reopen(g *gomega.WithT, folder string, size int64) (*wallog.Log, []string) {
 	var records []string
-	l, err := wallog.Open(folder, size, func(data []byte) time.Time {
+	l, err := wallog.Open(folder, size, func(data []byte, _ *wallog.Location) time.Time {
 		records = append(records, string(data))
 		return farFuture
 	})
@@ -37,6 +37,57 @@
 	return names[len(names)-1]
 }
 
+// A record is read from where it lies, also after other segments were started, after
+// the log was opened again, and as long as it is to be kept.
+func TestALocationReadsItsRecord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	l, _ := reopen(g, folder, maxBytes)
+	soon := time.Unix(1000, 0)
+	texts := map[string]*wallog.Location{}
+	for i := range 3 {
+		for j := range 3 {
+			text := fmt.Sprint(i, "-", j, "-", string(bytes.Repeat([]byte{'x'}, 2<<20)))
+			texts[text] = l.Add([]byte(text), soon)
+		}
+		g.Expect(l.Sync()).To(gomega.Succeed())
+	}
+	for text, at := range texts {
+		data, err := at.Read()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(data) == text).To(gomega.BeTrue())
+	}
+	g.Expect(l.Close()).To(gomega.Succeed())
+
+	locations := map[string]*wallog.Location{}
+	l, err := wallog.Open(folder, maxBytes, func(data []byte, at *wallog.Location) time.Time {
+		locations[string(data)] = at
+		return soon
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for text, at := range locations {
+		data, err := at.Read()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(data) == text).To(gomega.BeTrue())
+	}
+	var kept *wallog.Location
+	for text, at := range locations {
+		if text[0] == '0' {
+			kept = at
+		}
+	}
+	kept.KeepUntil(soon.Add(time.Hour))
+	g.Expect(l.Expire(soon.Add(time.Minute))).To(gomega.Succeed())
+	_, err = kept.Read()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for text, at := range locations {
+		if text[0] == '1' {
+			_, err := at.Read()
+			g.Expect(errors.Is(err, wallog.ErrDisk)).To(gomega.BeTrue(), "its segment has expired")
+		}
+	}
+}
+
 // After a power failure a file holds all data up to its last sync. Data written
 // later may be present, missing or torn. This guards against the loss of a synced
 // record and against the return of a torn one.
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -28,8 +28,11 @@
 	case *vaults.Fetch:
 		v.meters.fetches.Inc()
 		roster, caughtUp := v.seatState()
-		turns, complete := v.chains.Chain(m.Chain)
-		r.answer(&vaults.FetchReply{Turns: turns, ChainComplete: complete, Authoritative: caughtUp, Version: roster.Version})
+		kept, complete := v.chains.Chain(m.Chain)
+		go func() {
+			turns, err := v.loadTurns(kept)
+			r.answer(&vaults.FetchReply{Turns: turns, ChainComplete: complete && err == nil, Authoritative: caughtUp && err == nil, Version: roster.Version})
+		}()
 	case *vaults.List:
 		v.answerList(m, r.answer)
 	case *vaults.Load:
@@ -70,11 +73,12 @@
 		return
 	}
 	b.LoadReply = v.exchangeLoad(now, m.Load)
+	var kept []chains.Kept
 	if m.Chain != "" {
-		b.Turns, b.ChainComplete = v.chains.Chain(m.Chain)
+		kept, b.ChainComplete = v.chains.Chain(m.Chain)
 	}
 	if m.Hold == nil {
-		answer(b)
+		go func() { answer(v.withTurns(b, kept)) }()
 		return
 	}
 	m.Hold.Written = now.UnixMilli()
@@ -85,13 +89,39 @@
 		b.Account = account.Entries()
 	}
 	v.writer.add(func(err error) {
-		if err != nil {
-			b = &vaults.BeginReply{Status: vaults.Failed}
+		switch {
+		case err != nil:
+			answer(&vaults.BeginReply{Status: vaults.Failed})
+		case len(kept) > 0:
+			go func() { answer(v.withTurns(b, kept)) }() // the writer must not wait for reads
+		default:
+			answer(b)
 		}
-		answer(b)
 	}, m.Hold)
 }
 
+// withTurns adds a chain's turns to an answer.
+func (v *Vault) withTurns(b *vaults.BeginReply, kept []chains.Kept) *vaults.BeginReply {
+	turns, err := v.loadTurns(kept)
+	b.Turns, b.ChainComplete = turns, b.ChainComplete && err == nil
+	return b
+}
+
+// loadTurns returns turns with their texts, up to the first that cannot be read. It
+// may wait for the disk.
+func (v *Vault) loadTurns(kept []chains.Kept) ([]*chains.Turn, error) {
+	turns := make([]*chains.Turn, 0, len(kept))
+	for _, k := range kept {
+		t, err := k.Load()
+		if err != nil {
+			v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; others are asked for it")
+			return turns, err
+		}
+		turns = append(turns, t)
+	}
+	return turns, nil
+}
+
 // exchangeLoad stores a gate's load and returns that of all other gates, if
 // wanted.
 func (v *Vault) exchangeLoad(now time.Time, l *vaults.Load) *vaults.LoadReply {
@@ -177,21 +207,31 @@
 	answer(l)
 }
 
-// answerGet returns the requested turns, up to chainBytes.
+// answerGet returns the requested turns, up to chainBytes. If one cannot be read it
+// does not answer, because a missing turn would count as expired.
 func (v *Vault) answerGet(m *vaults.Get, answer func(vaults.Message)) {
-	reply := &vaults.GetReply{}
-	size := 0
+	var kept []chains.Kept
 	for _, id := range m.Turns {
-		t := v.chains.Turn(id)
-		if t == nil {
-			continue
-		}
-		if size += len(t.Input) + len(t.Output); size > chainBytes {
-			break
+		if k, ok := v.chains.Turn(id); ok {
+			kept = append(kept, k)
 		}
-		reply.Turns = append(reply.Turns, t)
 	}
-	answer(reply)
+	go func() {
+		reply := &vaults.GetReply{}
+		size := 0
+		for _, k := range kept {
+			t, err := k.Load()
+			if err != nil {
+				v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; the request for it fails")
+				return
+			}
+			if size += len(t.Input) + len(t.Output); size > chainBytes {
+				break
+			}
+			reply.Turns = append(reply.Turns, t)
+		}
+		answer(reply)
+	}()
 }
 
 // missingTurns returns those of the turns that are not here. It runs on the
@@ -199,7 +239,7 @@
 func (v *Vault) missingTurns(turns []string) []string {
 	var missing []string
 	for _, id := range turns {
-		if v.chains.Turn(id) == nil {
+		if _, held := v.chains.Turn(id); !held {
 			missing = append(missing, id)
 		}
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -87,11 +87,15 @@
 // copied holds records from another vault that are already on this disk.
 type copied struct{ records []chains.Record }
 
+// stored holds turns whose records are on disk now.
+type stored struct{ turns []storedTurn }
+
 // task is a function to run on the control goroutine.
 type task struct{ run func() }
 
 func (request) event() {}
 func (copied) event()  {}
+func (stored) event()  {}
 func (task) event()    {}
 
 // Vault is one running host with a disk.
@@ -159,19 +163,22 @@
 // loadData reads the data folder.
 func (v *Vault) loadData() error {
 	unreadable := 0
-	l, err := wallog.Open(filepath.Join(v.site.Data, logFolder), int64(float64(v.site.Disk)*diskShare), func(data []byte) time.Time {
+	l, err := wallog.Open(filepath.Join(v.site.Data, logFolder), int64(float64(v.site.Disk)*diskShare), func(data []byte, at *wallog.Location) time.Time {
 		r, err := chains.Decode(data)
 		if err != nil {
 			unreadable++
 			return time.Time{}
 		}
 		v.chains.Add(r)
+		if t, ok := r.(*chains.Turn); ok {
+			v.chains.SetSource(t.ID, at)
+		}
 		return chains.ExpiresAt(r)
 	})
 	if err != nil {
 		return err
 	}
-	v.writer = newWriter(l, v.meters.sync, v.log)
+	v.writer = newWriter(l, v.noteStored, v.meters.sync, v.log)
 	if data, err := os.ReadFile(filepath.Join(v.site.Data, rosterFile)); err == nil {
 		if err := json.Unmarshal(data, v.roster); err != nil {
 			v.log.Warn().Err(err).Msg("roster file unreadable; using the registry's")
@@ -280,11 +287,24 @@
 		for _, r := range e.records {
 			v.chains.Add(r)
 		}
+	case stored:
+		for _, t := range e.turns {
+			v.chains.SetSource(t.id, t.at)
+		}
 	case task:
 		e.run()
 	}
 }
 
+// noteStored notes where turns are on disk. If too many events wait, their texts
+// stay in memory.
+func (v *Vault) noteStored(turns []storedTurn) {
+	select {
+	case v.mailbox <- stored{turns}:
+	default:
+	}
+}
+
 // runOnControl runs a function on the control goroutine and waits for it.
 func (v *Vault) runOnControl(ctx context.Context, run func()) error {
 	done := make(chan struct{})
--- a/vault/write.go
+++ b/vault/write.go
@@ -18,10 +18,18 @@
 
 var errClosed = errors.New("vault: stopping")
 
+// storedTurn is a turn and where its record is on disk.
+type storedTurn struct {
+	id string
+	at *wallog.Location
+}
+
 // entry is a record to be written to disk.
 type entry struct {
 	data    []byte
 	expires time.Time
+	// turn is the ID of the turn that the record holds, or "".
+	turn string
 	// done is called once the record is on disk or could not be written.
 	done func(error)
 }
@@ -32,6 +40,8 @@
 	log         zerolog.Logger
 	syncSeconds *metrics.Histogram
 	finished    chan struct{}
+	// onStored is called with the turns of each batch that was written.
+	onStored func([]storedTurn)
 
 	mu     sync.Mutex
 	wakeup *sync.Cond
@@ -45,8 +55,8 @@
 	wal *wallog.Log
 }
 
-func newWriter(l *wallog.Log, latency *metrics.Histogram, log zerolog.Logger) *writer {
-	w := &writer{wal: l, syncSeconds: latency, log: log, finished: make(chan struct{})}
+func newWriter(l *wallog.Log, onStored func([]storedTurn), latency *metrics.Histogram, log zerolog.Logger) *writer {
+	w := &writer{wal: l, onStored: onStored, syncSeconds: latency, log: log, finished: make(chan struct{})}
 	w.wakeup = sync.NewCond(&w.mu)
 	return w
 }
@@ -61,7 +71,11 @@
 			done(err)
 			return
 		}
-		entries = append(entries, entry{data: data, expires: chains.ExpiresAt(r)})
+		e := entry{data: data, expires: chains.ExpiresAt(r)}
+		if t, ok := r.(*chains.Turn); ok {
+			e.turn = t.ID
+		}
+		entries = append(entries, e)
 	}
 	if len(entries) == 0 {
 		done(nil)
@@ -115,10 +129,16 @@
 // writeBatch writes and syncs a batch and reports whether the disk failed.
 func (w *writer) writeBatch(batch []entry, failing bool) bool {
 	started := time.Now()
+	var turns []storedTurn
 	for _, e := range batch {
-		w.wal.Add(e.data, e.expires)
+		if at := w.wal.Add(e.data, e.expires); e.turn != "" {
+			turns = append(turns, storedTurn{e.turn, at})
+		}
 	}
 	err := w.wal.Sync()
+	if err == nil && len(turns) > 0 {
+		w.onStored(turns)
+	}
 	w.syncSeconds.UpdateDuration(started)
 	if failed := err != nil; failed != failing {
 		w.log.Warn().Err(err).Bool("failing", failed).Msg("disk began or stopped failing")
