Spares read the roster only when a seat's holder is silent or knows a newer one

Cause: 31 hosts with disks and no seat read the roster twice a second each, although they ask the seats' holders as often anyway and hear the roster's version from them.

Change: a spare reads it every 5 s, and at once when a holder does not answer or has a newer one.

--- a/vault/seat.go
+++ b/vault/seat.go
@@ -24,6 +24,9 @@
 	// caughtUpEvery is the pause once this host counts. Newer rosters also come
 	// from gates and other vaults.
 	caughtUpEvery = 2 * time.Second
+	// spareRefreshEvery is the pause between two reads of the roster by a spare while
+	// all seats' holders answer and none knows a newer roster.
+	spareRefreshEvery = 5 * time.Second
 	// lostAfter is how long a seat's holder must be unresponsive before its
 	// seat may go to another host: longer than a restart takes, and well within
 	// the time to catch up.
@@ -64,11 +67,16 @@
 // until this host counts as a copy.
 func (v *Vault) seatLoop(ctx context.Context) {
 	holders := holderStates{}
-	announced := false
+	announced, calm := false, false
 	started := time.Now()
+	var refreshed time.Time
 	for ctx.Err() == nil {
 		pause := seatEvery
-		v.refreshRoster(ctx)
+		if !calm || time.Since(refreshed) >= spareRefreshEvery {
+			v.refreshRoster(ctx)
+			refreshed = time.Now()
+		}
+		calm = false
 		roster, caughtUp := v.seatState()
 		switch {
 		case caughtUp:
@@ -81,7 +89,7 @@
 		case v.isRetiring():
 			pause = caughtUpEvery
 		default:
-			v.watchSeats(ctx, roster, holders)
+			calm = v.watchSeats(ctx, roster, holders) && announced
 			yield := v.site.FirstStart && time.Since(started) < seatSpreadTime
 			if _, free := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, holders.at(time.Now())); free {
 				v.claimSeat(ctx, holders, yield)
@@ -141,11 +149,13 @@
 }
 
 // watchSeats asks the holders of the seats whether they count as replicas, and
-// records the answers in holders.
-func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, holders holderStates) {
+// records the answers in holders. It reports whether all answered and none knows a
+// newer roster.
+func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, holders holderStates) bool {
 	type probe struct {
 		seat    seats.Seat
 		replica bool
+		newer   bool
 		err     error
 	}
 	probes := make(chan probe, len(roster.Seats))
@@ -155,11 +165,13 @@
 			defer cancel()
 			m, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
 			a, ok := m.(*vaults.AdoptReply)
-			probes <- probe{s, ok && a.CaughtUp && a.Version == roster.Version, err}
+			probes <- probe{s, ok && a.CaughtUp && a.Version == roster.Version, ok && a.Version > roster.Version, err}
 		}()
 	}
+	calm := len(roster.Seats) > 0
 	for range roster.Seats {
 		p := <-probes
+		calm = calm && p.err == nil && !p.newer
 		state := holderState{}
 		switch {
 		case p.err != nil:
@@ -171,6 +183,7 @@
 		}
 		holders[p.seat.Node] = state
 	}
+	return calm
 }
 
 // claimSeat claims a free seat or that of a lost host. If yield is set, it
