Gates read the roster as a stale read first

Change: the first read may be seconds old, at a tenth; only if it has too few seats the next is a full one. A gate that acts on an old roster is told of the newer one by any vault.

Result: gate's tests.

--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -126,7 +126,7 @@
 	if c.site.FirstStart {
 		pause = rosterEvery // the vaults are starting too and will send the roster
 	}
-	for ctx.Err() == nil {
+	for recent := true; ctx.Err() == nil; recent = !recent {
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -141,7 +141,7 @@
 				return
 			}
 		}
-		r, err := c.readRoster(ctx, complete)
+		r, err := c.readRoster(ctx, recent || complete)
 		if err != nil {
 			c.log.Warn().Err(err).Msg("reading the roster failed")
 		} else {
@@ -156,7 +156,7 @@
 }
 
 // readRoster reads the roster from the key-value service. One that may be seconds old
-// is enough if a complete one is known: vaults tell of newer ones.
+// is enough if it has a quorum's seats, because vaults tell of newer ones.
 func (c *vaultClient) readRoster(ctx context.Context, recent bool) (*seats.Roster, error) {
 	if recent {
 		return c.rosters.RecentRoster(ctx)
