--- a/bench/soak/host.go
+++ b/bench/soak/host.go
@@ -94,19 +94,28 @@
 
 // stop asks the process to stop, with further signals during the drain, and reports
 // whether it exited by itself within its grace period. After that period it is killed.
+// A process that has not begun to run may be ended by the signal itself.
 func (h *host) stop() bool {
+	begun := h.hasLogged()
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
 		h.signal(s)
 	}
 	select {
 	case <-h.exited():
-		return h.cmd.ProcessState.Exited()
+		return h.cmd.ProcessState.Exited() || !begun
 	case <-time.After(h.Grace):
 		h.kill()
 		return false
 	}
 }
 
+// hasLogged reports whether the current incarnation has written to its log, which it
+// does once it catches signals.
+func (h *host) hasLogged() bool {
+	info, err := h.log.Stat()
+	return err == nil && info.Size() > h.incarnationStart()
+}
+
 // wipeData empties the data folder. The process must have exited.
 func (h *host) wipeData() error {
 	if err := os.RemoveAll(h.Data); err != nil {
