A test holds when a host may catch up; the model's hosts are called hosts

Cause: read again as a newcomer: that a fresh host need not count itself as missing was held by no test, and the model had the platform's word for a host. Change: a table of cases for Roster.CanCatchUp; names. No code of the product changed.

--- a/coordination/seats/model_test.go
+++ b/coordination/seats/model_test.go
@@ -12,8 +12,8 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 )
 
-// machine is a host with a disk in the model.
-type machine struct {
+// diskHost is a host with a disk in the model.
+type diskHost struct {
 	up bool
 	// records, countedSince and claimed are on its disk.
 	records               map[int]bool
@@ -24,40 +24,40 @@
 // world is a model of hosts that change their seats while disks are lost, hosts
 // are away, and records are stored.
 type world struct {
-	t        *rapid.T
-	losses   int
-	roster   *seats.Roster
-	machines map[string]*machine
-	records  int
+	t       *rapid.T
+	losses  int
+	roster  *seats.Roster
+	hosts   map[string]*diskHost
+	records int
 }
 
 func newWorld(t *rapid.T, losses, spares int) *world {
-	w := &world{t: t, losses: losses, roster: &seats.Roster{MaxLosses: losses}, machines: map[string]*machine{}}
+	w := &world{t: t, losses: losses, roster: &seats.Roster{MaxLosses: losses}, hosts: map[string]*diskHost{}}
 	for i := range seats.TargetCount(losses) + spares {
-		w.machines[fmt.Sprint("m", i)] = &machine{up: true, records: map[int]bool{}}
+		w.hosts[fmt.Sprint("m", i)] = &diskHost{up: true, records: map[int]bool{}}
 	}
 	for i := range seats.TargetCount(losses) {
 		name := fmt.Sprint("m", i)
 		w.claim(name)
-		w.machines[name].countedSince = w.roster.Version // Initial
+		w.hosts[name].countedSince = w.roster.Version // Initial
 	}
 	return w
 }
 
-func (w *world) names() []string { return slices.Sorted(maps.Keys(w.machines)) }
+func (w *world) names() []string { return slices.Sorted(maps.Keys(w.hosts)) }
 
 // replica reports whether the holder of a seat counts.
-func (w *world) replica(s seats.Seat) bool { return w.machines[s.Node].countedSince == s.SinceVersion }
+func (w *world) replica(s seats.Seat) bool { return w.hosts[s.Node].countedSince == s.SinceVersion }
 
 // fresh reports whether the holder of a seat knows that it has never counted in it.
 func (w *world) fresh(s seats.Seat) bool {
-	return s.Fresh && w.machines[s.Node].claimed == s.SinceVersion && !w.replica(s)
+	return s.Fresh && w.hosts[s.Node].claimed == s.SinceVersion && !w.replica(s)
 }
 
 func (w *world) replicas() []string {
 	var names []string
 	for _, s := range w.roster.Seats {
-		if w.machines[s.Node].up && w.replica(s) {
+		if w.hosts[s.Node].up && w.replica(s) {
 			names = append(names, s.Node)
 		}
 	}
@@ -72,17 +72,17 @@
 	}
 	w.records++
 	for _, name := range rapid.Permutation(counted).Draw(w.t, "quorum")[:w.roster.Quorum()] {
-		w.machines[name].records[w.records] = true
+		w.hosts[name].records[w.records] = true
 	}
 }
 
 func (w *world) claim(name string) {
-	m := w.machines[name]
+	m := w.hosts[name]
 	if !m.up || m.retiring || w.roster.Find(name) != nil {
 		return
 	}
 	next, ok := w.roster.Claim(seats.Seat{Node: name}, w.losses, func(s seats.Seat) seats.Holder {
-		return seats.Holder{Lost: !w.machines[s.Node].up, Replica: w.machines[s.Node].up && w.replica(s)}
+		return seats.Holder{Lost: !w.hosts[s.Node].up, Replica: w.hosts[s.Node].up && w.replica(s)}
 	})
 	if !ok {
 		return
@@ -94,7 +94,7 @@
 // catchUp lets a host catch up from the seats that answer, and from source unless
 // that is empty. It reports whether the host counts then.
 func (w *world) catchUp(name, source string) bool {
-	m := w.machines[name]
+	m := w.hosts[name]
 	seat := w.roster.Find(name)
 	if seat == nil || !m.up {
 		return false
@@ -104,7 +104,7 @@
 	for _, s := range w.roster.Seats {
 		switch {
 		case s.Node == name:
-		case !w.machines[s.Node].up:
+		case !w.hosts[s.Node].up:
 			others.Failed++
 		default:
 			from = append(from, s.Node)
@@ -124,7 +124,7 @@
 		return w.replica(*seat)
 	}
 	for _, other := range from {
-		maps.Copy(m.records, w.machines[other].records)
+		maps.Copy(m.records, w.hosts[other].records)
 	}
 	m.countedSince = seat.SinceVersion
 	return true
@@ -143,7 +143,7 @@
 
 // retire empties a host as far as it can be now.
 func (w *world) retire(name string) {
-	m := w.machines[name]
+	m := w.hosts[name]
 	m.retiring = true
 	if !m.up || m.removed {
 		return
@@ -165,7 +165,7 @@
 func (w *world) lostSeats() int {
 	lost := 0
 	for _, s := range w.roster.Seats {
-		if !w.machines[s.Node].up || (!w.replica(s) && !w.fresh(s)) {
+		if !w.hosts[s.Node].up || (!w.replica(s) && !w.fresh(s)) {
 			lost++
 		}
 	}
@@ -174,7 +174,7 @@
 
 // lose takes a host away, with its disk or without, if one more loss is to be borne.
 func (w *world) lose(name string, wipe bool) {
-	m := w.machines[name]
+	m := w.hosts[name]
 	if w.roster.Find(name) == nil || !m.up || w.lostSeats() >= w.losses {
 		return
 	}
@@ -185,7 +185,7 @@
 }
 
 func (w *world) back(name string) {
-	if m := w.machines[name]; !m.removed {
+	if m := w.hosts[name]; !m.removed {
 		m.up = true
 	}
 }
@@ -195,7 +195,7 @@
 	for r := 1; r <= w.records; r++ {
 		without := 0
 		for _, s := range w.roster.Seats {
-			if w.replica(s) && !w.machines[s.Node].records[r] {
+			if w.replica(s) && !w.hosts[s.Node].records[r] {
 				without++
 			}
 		}
@@ -210,7 +210,7 @@
 	for _, name := range w.names() {
 		w.back(name)
 	}
-	for range 2 * len(w.machines) {
+	for range 2 * len(w.hosts) {
 		for _, name := range w.names() {
 			w.claim(name)
 			w.catchUp(name, "")
@@ -246,7 +246,7 @@
 			case "back":
 				w.back(name)
 			case "power off":
-				for _, m := range w.machines {
+				for _, m := range w.hosts {
 					m.up = false
 				}
 				// They return one by one, and those that are up act meanwhile.
@@ -271,7 +271,7 @@
 		w.store()
 		w.retire("m0")
 		w.claim("m0")
-		g.Expect(w.machines["m0"].removed).To(gomega.BeTrue())
+		g.Expect(w.hosts["m0"].removed).To(gomega.BeTrue())
 		w.lose("m1", true)
 		w.checkLive()
 		w.checkSafe()
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -84,6 +84,28 @@
 	}
 }
 
+// Of five seats three store a record. A host that never held one in its seat need not
+// count itself among those that may be missed.
+func TestAHostCatchesUpFromEnoughOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := full(2)
+	for _, c := range []struct {
+		fresh  bool
+		others seats.Others
+		want   bool
+	}{
+		{false, seats.Others{Failed: 1}, true},
+		{false, seats.Others{Failed: 1, Behind: 1}, false},
+		{true, seats.Others{Failed: 1, Behind: 1}, true},
+		{true, seats.Others{Failed: 1, Behind: 2}, false},
+		{false, seats.Others{Behind: 1, Fresh: 2}, true},
+		{false, seats.Others{Behind: 4}, true},
+		{false, seats.Others{Failed: 1, Behind: 3}, false},
+	} {
+		g.Expect(r.CanCatchUp(c.fresh, c.others)).To(gomega.Equal(c.want), "fresh %t, %+v", c.fresh, c.others)
+	}
+}
+
 func TestRemoveLeavesAQuorum(t *testing.T) {
 	g := gomega.NewWithT(t)
 	next, ok := full(1).Remove("n0")
