Gates read and log the limits that endpoints name

Cause: endpoints in trouble name in their answers the requests a second that they take from all gates together. Gates did not read it, and no log line or metric could tell whether they ignore it, keep to it each by itself, or exceed it by repeated requests.

No decision changes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/coordination/stall"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
+	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -88,6 +89,8 @@
 	outliers *eject.Detector
 	stalls   *stall.Detector
 	loads    map[string]*load
+	// caps holds the limits that endpoints named.
+	caps *caps.Caps
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// successes and failures count recently ended calls by endpoint.
@@ -99,7 +102,7 @@
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
-		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
--- a/gate/load.go
+++ b/gate/load.go
@@ -84,9 +84,11 @@
 	g.vaults.exchange.markChanged()
 	g.stalls.CallSent(now, entries[i].ID)
 	c := choices[i]
+	limit, _ := g.caps.Rate(c.ID, entries[i].StartedAt)
 	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
 		Str("service", q.service.Name).Str("endpoint", c.ID).Int("of", len(choices)).Int("mine", c.OwnCalls).Int("others", c.OtherCalls).
-		Dur("othersAge", age).Float64("slow", c.Slowdown).Float64("share", c.Share).Bool("near", c.SameCentre).Int("held", c.CachedTokens).Msg("placed")
+		Dur("othersAge", age).Float64("slow", c.Slowdown).Float64("share", c.Share).Bool("near", c.SameCentre).Int("held", c.CachedTokens).
+		Float64("limit", limit).Int("attempt", len(q.tried)).Msg("placed")
 	return placement{
 		Entry: entries[i], unread: max(0, q.PromptTokens-c.CachedTokens), load: float64(c.OwnCalls+c.OtherCalls) / float64(c.Slots),
 	}, true
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -18,19 +18,22 @@
 	streamsCut *metrics.Counter
 	// leaving counts the endpoints that said in an answer that they are leaving.
 	leaving *metrics.Counter
+	// limitChanges counts how often an endpoint named another limit, or none any more.
+	limitChanges *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
 	return &meters{
-		set:        set,
-		firstEvent: set.NewHistogram("cowslipstage_gate_first_event_seconds"),
-		stream:     set.NewHistogram("cowslipstage_gate_stream_seconds"),
-		call:       set.NewHistogram("cowslipstage_gate_call_seconds"),
-		streamsCut: set.NewCounter("cowslipstage_gate_streams_cut_total"),
-		panics:     set.NewCounter("cowslipstage_gate_panics_total"),
-		leaving:    set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
+		set:          set,
+		firstEvent:   set.NewHistogram("cowslipstage_gate_first_event_seconds"),
+		stream:       set.NewHistogram("cowslipstage_gate_stream_seconds"),
+		call:         set.NewHistogram("cowslipstage_gate_call_seconds"),
+		streamsCut:   set.NewCounter("cowslipstage_gate_streams_cut_total"),
+		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
+		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
+		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
 }
 
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
+	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
@@ -189,9 +190,35 @@
 		g.log.Info().Str("request", q.ID).Str("endpoint", e.ID).Str("service", e.Service).Str("addr", e.Addr).
 			Int64("started", e.StartedAt).Int("status", a.Status).Msg("endpoint says that it is leaving; it gets no new work")
 	}
+	g.recordLimit(time.Now(), q, e, answer)
 	return answer
 }
 
+// recordLimit notes the limit that an endpoint names in an answer, or that it names
+// none.
+func (g *Gate) recordLimit(now time.Time, q *request, e fleet.Entry, answer meta.Answer) {
+	if answer.Moved {
+		return // another endpoint's answer
+	}
+	if answer.BadLimit {
+		g.log.Warn().Str("request", q.ID).Str("endpoint", e.ID).Msg("endpoint names a limit that cannot be read; ignored")
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	said := caps.Cap{Rate: answer.Limit, Lifted: !answer.HasLimit, StartedAt: e.StartedAt, HeardAt: now}
+	if !g.caps.Hear(e.ID, said) {
+		return
+	}
+	g.meters.limitChanges.Inc()
+	line := g.log.Info().Str("request", q.ID).Str("endpoint", e.ID).Str("service", e.Service)
+	if said.Lifted {
+		line.Msg("endpoint names no limit any more")
+		return
+	}
+	line.Float64("perSecond", said.Rate).Msg("endpoint names a limit")
+}
+
 // recordDecline notes that an endpoint did not run a request and returns
 // errDeclined.
 func (g *Gate) recordDecline(q *request, e fleet.Entry, status int, answer meta.Answer) error {
--- a/protocol/meta/meta.go
+++ b/protocol/meta/meta.go
@@ -55,6 +55,12 @@
 	Moved bool
 	// Leaving reports that the endpoint ends soon and gets no new work.
 	Leaving bool
+	// Limit is the number of requests a second that the endpoint takes from all gates
+	// together, if HasLimit is set.
+	Limit    float64
+	HasLimit bool
+	// BadLimit reports that a limit is named that cannot be read.
+	BadLimit bool
 }
 
 // Dialect reads and writes the headers of one platform.
