Gates keep together to the limits that endpoints name

What callers and operators saw: an endpoint that named a limit of 5 to 10 requests a second went on getting 17 to 21; callers saw nothing of it.

Cause: nothing acted on the limit. It holds for all gates together, of which each knows only its own requests.

Change: coordination/quota spaces a gate's requests to a limited endpoint by what the others report to have sent, and by rank if gates are many. Gates report through the vaults while any endpoint is limited; the newest statement of an endpoint wins. A request waits for its place until its route's aim at most, else it is refused at once with the time at which there is room.

Evidence: TestALimitedEndpointIsNotOverrun on the code before: 18,400 to 19,000 requests in four seconds where 29 are allowed, for each kind of route; now it passes.

Why it works: each gate counts its own requests at once and the others' within a tenth of a second; nobody sends while all together are a quarter above. What callers lose is the capacity that the endpoints refuse.

--- a/coordination/assign/assign.go
+++ b/coordination/assign/assign.go
@@ -35,6 +35,8 @@
 	Connected bool
 	// WarmupLeft is how much longer the endpoint is slow after its start.
 	WarmupLeft time.Duration
+	// LimitWait is how long a request has to wait because of the endpoint's limit.
+	LimitWait time.Duration
 }
 
 const (
@@ -76,6 +78,36 @@
 	return best
 }
 
+// PickWithin picks among the endpoints that have not reached their limits. If none of
+// them is sound, it returns the one with the shortest wait, if that is within patience.
+// If it returns -1, the request would have to wait for shortest, or there is no endpoint.
+func PickWithin(
+	candidates []Candidate, promptTokens int, patience time.Duration, speed gauge.Speed, random *rand.Rand,
+) (index int, shortest time.Duration) {
+	var free []Candidate
+	var indices []int
+	waiting := -1
+	for i, c := range candidates {
+		switch {
+		case c.LimitWait <= 0:
+			free, indices = append(free, c), append(indices, i)
+		case waiting < 0 || c.LimitWait < candidates[waiting].LimitWait:
+			waiting = i
+		}
+	}
+	best := Pick(free, promptTokens, speed, random)
+	sound := best >= 0 && free[best].Share > 0
+	switch {
+	case !sound && waiting >= 0 && candidates[waiting].LimitWait <= patience:
+		return waiting, 0
+	case best >= 0:
+		return indices[best], 0
+	case waiting >= 0:
+		return -1, candidates[waiting].LimitWait
+	}
+	return -1, 0
+}
+
 // cost returns the expected cost in units of a typical call's time.
 func (c Candidate) cost(promptTokens int, speed gauge.Speed) float64 {
 	slots := float64(max(1, c.Slots)) * max(0.05, c.Share)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -19,6 +19,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
+	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/coordination/stall"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
@@ -91,6 +92,8 @@
 	loads    map[string]*load
 	// caps holds the limits that endpoints named.
 	caps *caps.Caps
+	// quota spaces the requests to them.
+	quota *quota.Quota
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// successes and failures count recently ended calls by endpoint.
@@ -102,7 +105,7 @@
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
-		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
@@ -168,6 +171,7 @@
 	go g.vaults.rosterLoop(background)
 	go g.vaults.connectLoop(background)
 	go g.vaults.loadLoop(background)
+	go g.limitsLoop(background)
 	go g.sweep(background)
 	<-ctx.Done()
 	g.stop(callerListener)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	headerID       = "Id"
 	headerDeclined = "Declined"
 	headerLeaving  = "Leaving"
+	headerLimit    = "Limit"
 	// headerUnexpected makes ParseAnswer panic.
 	headerUnexpected = "Unexpected"
 )
@@ -46,7 +48,11 @@
 	if h.Get(headerUnexpected) != "" {
 		panic("unexpected")
 	}
-	return meta.Answer{ID: h.Get(headerID), NotRun: h.Get(headerDeclined) != "", Leaving: h.Get(headerLeaving) != ""}
+	limit, err := strconv.ParseFloat(h.Get(headerLimit), 64)
+	return meta.Answer{
+		ID: h.Get(headerID), NotRun: h.Get(headerDeclined) != "", Leaving: h.Get(headerLeaving) != "",
+		Limit: limit, HasLimit: err == nil,
+	}
 }
 
 func (dialect) RetryHeader() string { return "Retry-After" }
--- a/gate/load.go
+++ b/gate/load.go
@@ -48,12 +48,15 @@
 	unread int
 	// load is the number of calls there, relative to its slots.
 	load float64
+	// wait is how long the request waits because of the endpoint's limit.
+	wait time.Duration
 }
 
 // choose picks an endpoint of the request's service that is not in q.tried, and
 // counts the call there until release. previous is the endpoint that ran the
-// chain's previous turn, or "".
-func (g *Gate) choose(now time.Time, q *request, previous string) (placement, bool) {
+// chain's previous turn, or "". mayWait says whether the request may wait for an
+// endpoint that is limited.
+func (g *Gate) choose(now time.Time, q *request, previous string, mayWait bool) (placement, bool) {
 	usable := g.fleet.Usable(now, q.service.Name)
 	var others map[string]int
 	var age time.Duration
@@ -72,25 +75,33 @@
 			continue
 		}
 		c := g.candidate(now, e, meanStep)
-		c.OtherCalls, c.CachedTokens = others[e.ID], cached(e.ID)
+		c.OtherCalls, c.CachedTokens, c.LimitWait = others[e.ID], cached(e.ID), g.limitWait(now, e)
 		entries = append(entries, e)
 		choices = append(choices, c)
 	}
-	i := assign.Pick(choices, q.PromptTokens, g.speedOf(q.service.Name).Speed(), g.random)
+	patience := time.Duration(0)
+	if mayWait {
+		patience = q.patience(now)
+	}
+	i, shortest := assign.PickWithin(choices, q.PromptTokens, patience, g.speedOf(q.service.Name).Speed(), g.random)
+	q.limitWait = shortest
 	if i < 0 {
 		return placement{}, false
 	}
-	g.loadOf(entries[i].ID).calls++
-	g.vaults.exchange.markChanged()
-	g.stalls.CallSent(now, entries[i].ID)
 	c := choices[i]
-	limit, _ := g.caps.Rate(c.ID, entries[i].StartedAt)
+	g.loadOf(c.ID).calls++
+	limit, limited := g.caps.Rate(c.ID, entries[i].StartedAt)
+	if limited {
+		g.quota.Take(now, c.ID, c.LimitWait)
+	}
+	g.vaults.exchange.markChanged()
+	g.stalls.CallSent(now.Add(c.LimitWait), c.ID)
 	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
 		Str("service", q.service.Name).Str("endpoint", c.ID).Int("of", len(choices)).Int("mine", c.OwnCalls).Int("others", c.OtherCalls).
 		Dur("othersAge", age).Float64("slow", c.Slowdown).Float64("share", c.Share).Bool("near", c.SameCentre).Int("held", c.CachedTokens).
-		Float64("limit", limit).Int("attempt", len(q.tried)).Msg("placed")
+		Float64("limit", limit).Dur("wait", c.LimitWait).Int("attempt", len(q.tried)).Msg("placed")
 	return placement{
-		Entry: entries[i], unread: max(0, q.PromptTokens-c.CachedTokens), load: float64(c.OwnCalls+c.OtherCalls) / float64(c.Slots),
+		Entry: entries[i], unread: max(0, q.PromptTokens-c.CachedTokens), load: float64(c.OwnCalls+c.OtherCalls) / float64(c.Slots), wait: c.LimitWait,
 	}, true
 }
 
--- a/gate/loadexchange.go
+++ b/gate/loadexchange.go
@@ -48,6 +48,8 @@
 	runningCalls   func() map[string]int
 	recentOutcomes func() (good, bad map[string]int)
 	changed        chan struct{}
+	// limited is signalled when some endpoint names a limit.
+	limited chan struct{}
 	// fleet holds the endpoints that said that they are leaving.
 	fleet *fleet.Fleet
 
@@ -73,7 +75,7 @@
 	return &loadExchange{
 		site: s, runningCalls: func() map[string]int { return nil },
 		recentOutcomes: func() (good, bad map[string]int) { return nil, nil },
-		changed:        make(chan struct{}, 1), sentAt: map[string]time.Time{}, fleet: fleet.New(), leavingKnown: map[string]int{},
+		changed:        make(chan struct{}, 1), limited: make(chan struct{}, 1), sentAt: map[string]time.Time{}, fleet: fleet.New(), leavingKnown: map[string]int{},
 	}
 }
 
@@ -147,6 +149,14 @@
 	}
 }
 
+// markLimited notes that some endpoint names a limit.
+func (x *loadExchange) markLimited() {
+	select {
+	case x.limited <- struct{}{}:
+	default:
+	}
+}
+
 // receive stores the others' load from the answer of the vault at addr.
 func (x *loadExchange) receive(addr string, l *vaults.LoadReply) {
 	if l == nil {
@@ -155,6 +165,9 @@
 	for id, startedAt := range l.Leaving {
 		x.fleet.MarkLeaving(id, startedAt)
 	}
+	if l.Limited {
+		x.markLimited()
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.leavingKnown[addr] = l.LeavingCount
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
-	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
@@ -55,7 +54,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := &attempts{gate: g, request: q, results: make(chan result, maxDeclines+q.route.Attempts)}
-	a.startAttempt(ctx)
+	a.startAttempt(ctx, true)
 	hedge := time.NewTicker(g.hedgeDelay(time.Now(), q))
 	defer hedge.Stop()
 	var lastErr error
@@ -68,15 +67,15 @@
 				g.writeAnswer(q, r.endpoint, r.answer)
 				return
 			case ctx.Err() == nil && (errors.Is(r.err, pool.ErrNotSent) || errors.Is(r.err, errDeclined)):
-				a.startAttempt(ctx)
+				a.startAttempt(ctx, true)
 			default:
 				lastErr = r.err
 				a.mayHaveRun++
-				a.startAnother(ctx)
+				a.startAnother(ctx, true)
 			}
 		case <-hedge.C:
 			if g.site.Off.On(toggle.Hedges) {
-				a.startAnother(ctx)
+				a.startAnother(ctx, false)
 			}
 		}
 	}
@@ -88,19 +87,20 @@
 }
 
 // startAnother starts one more call if the request may run once more.
-func (a *attempts) startAnother(ctx context.Context) {
+func (a *attempts) startAnother(ctx context.Context, mayWait bool) {
 	if a.request.route.Kind == table.Idempotent && a.mayHaveRun+a.pending < a.request.route.Attempts && ctx.Err() == nil {
-		a.startAttempt(ctx)
+		a.startAttempt(ctx, mayWait)
 	}
 }
 
-// startAttempt calls an endpoint that has not been tried yet, if there is one.
-func (a *attempts) startAttempt(ctx context.Context) {
+// startAttempt calls an endpoint that has not been tried yet, if there is one. mayWait
+// says whether it may wait for a limited one.
+func (a *attempts) startAttempt(ctx context.Context, mayWait bool) {
 	q := a.request
 	if len(q.tried) >= maxDeclines+q.route.Attempts {
 		return
 	}
-	p, ok := a.gate.choose(time.Now(), q, "")
+	p, ok := a.gate.choose(time.Now(), q, "", mayWait)
 	if !ok {
 		return
 	}
@@ -116,7 +116,7 @@
 			}
 			a.results <- r
 		}()
-		r.answer, r.err = a.gate.callEndpoint(ctx, q, p.Entry)
+		r.answer, r.err = a.gate.callEndpoint(ctx, q, p)
 	}()
 }
 
@@ -152,8 +152,12 @@
 }
 
 // callEndpoint sends a request to one endpoint and reads the whole answer.
-func (g *Gate) callEndpoint(ctx context.Context, q *request, e fleet.Entry) (*fullAnswer, error) {
+func (g *Gate) callEndpoint(ctx context.Context, q *request, p placement) (*fullAnswer, error) {
+	e := p.Entry
 	defer g.release(e.ID)
+	if err := p.awaitTurn(ctx); err != nil {
+		return nil, err
+	}
 	started := time.Now()
 	a, err := g.pool.Send(ctx, g.endpointRequest(q, e.Addr, e.ID, q.body))
 	if err != nil {
@@ -194,31 +198,6 @@
 	return answer
 }
 
-// recordLimit notes the limit that an endpoint names in an answer, or that it names
-// none.
-func (g *Gate) recordLimit(now time.Time, q *request, e fleet.Entry, answer meta.Answer) {
-	if answer.Moved {
-		return // another endpoint's answer
-	}
-	if answer.BadLimit {
-		g.log.Warn().Str("request", q.ID).Str("endpoint", e.ID).Msg("endpoint names a limit that cannot be read; ignored")
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	said := caps.Cap{Rate: answer.Limit, Lifted: !answer.HasLimit, StartedAt: e.StartedAt, HeardAt: now}
-	if !g.caps.Hear(e.ID, said) {
-		return
-	}
-	g.meters.limitChanges.Inc()
-	line := g.log.Info().Str("request", q.ID).Str("endpoint", e.ID).Str("service", e.Service)
-	if said.Lifted {
-		line.Msg("endpoint names no limit any more")
-		return
-	}
-	line.Float64("perSecond", said.Rate).Msg("endpoint names a limit")
-}
-
 // recordDecline notes that an endpoint did not run a request and returns
 // errDeclined.
 func (g *Gate) recordDecline(q *request, e fleet.Entry, status int, answer meta.Answer) error {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
@@ -50,6 +51,9 @@
 	// tried holds the endpoints that were sent the request, or could not be
 	// reached.
 	tried map[string]bool
+	// limitWait is how long the request would have to wait for an endpoint, if all
+	// that were left had reached their limits.
+	limitWait time.Duration
 }
 
 // serve handles one request from a caller.
@@ -154,9 +158,12 @@
 	h := q.writer.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		wait := retryAfterMin + time.Duration(g.randomFloat()*float64(retryAfterSpread))
-		if !g.acceptsCallers() {
+		if !g.acceptsCallers() || q.limitWait >= quota.Never {
 			wait = retryElsewhereMin + time.Duration(g.randomFloat()*float64(retryElsewhereSpread))
 		}
+		if q.limitWait < quota.Never {
+			wait = max(wait, q.limitWait)
+		}
 		h.Set(g.dialect.RetryHeader(), strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain")
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -48,7 +48,7 @@
 		return
 	}
 	for len(q.tried) < maxDeclines+q.route.Attempts {
-		p, ok := g.choose(time.Now(), q, t.previousEndpoint)
+		p, ok := g.choose(time.Now(), q, t.previousEndpoint, true)
 		if !ok {
 			break
 		}
@@ -105,6 +105,9 @@
 func (g *Gate) runTurn(ctx context.Context, t *turn, p placement) error {
 	e := p.Entry
 	defer g.release(e.ID)
+	if err := p.awaitTurn(ctx); err != nil {
+		return err
+	}
 	sent := time.Now()
 	a, err := g.pool.Send(ctx, g.endpointRequest(t.request, e.Addr, e.ID, t.promptText))
 	if err != nil {
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -61,6 +61,40 @@
 	// how many the gate knows.
 	Leaving      map[string]int64 `cbor:"6,keyasint,omitempty"`
 	LeavingCount int              `cbor:"7,keyasint,omitempty"`
+	// Limits is nil if the gate knows of no endpoint that named a limit. OnlyLimits
+	// says that the message holds nothing else.
+	Limits     *Limits `cbor:"8,keyasint,omitempty"`
+	OnlyLimits bool    `cbor:"9,keyasint,omitempty"`
+}
+
+// Cap is what an endpoint said about its limit some time ago, as in caps.Cap.
+type Cap struct {
+	Rate      float64       `cbor:"1,keyasint,omitempty"`
+	Lifted    bool          `cbor:"2,keyasint,omitempty"`
+	StartedAt int64         `cbor:"3,keyasint,omitempty"`
+	Age       time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Limits reports what a gate knows and does about limits that endpoints named.
+type Limits struct {
+	// Sent counts the gate's recent requests by limited endpoint.
+	Sent map[string]int `cbor:"1,keyasint,omitempty"`
+	// Heard holds what the gate heard from endpoints itself.
+	Heard map[string]Cap `cbor:"2,keyasint,omitempty"`
+	// WantOthers requests what the other gates reported.
+	WantOthers bool `cbor:"3,keyasint,omitempty"`
+}
+
+// LimitsReply answers Limits.
+type LimitsReply struct {
+	// OtherGates is how many other gates there are. OtherSent counts their recent
+	// requests by limited endpoint.
+	OtherGates int            `cbor:"1,keyasint,omitempty"`
+	OtherSent  map[string]int `cbor:"2,keyasint,omitempty"`
+	// Ranks holds the gate's place among all gates by limited endpoint, as in quota.Rank.
+	Ranks map[string]int `cbor:"4,keyasint,omitempty"`
+	// Heard is the newest that any gate heard from an endpoint.
+	Heard map[string]Cap `cbor:"3,keyasint,omitempty"`
 }
 
 // LoadReply answers Load.
@@ -73,6 +107,9 @@
 	// Load, unless the gate knows as many. LeavingCount is how many the vault knows.
 	Leaving      map[string]int64 `cbor:"3,keyasint,omitempty"`
 	LeavingCount int              `cbor:"4,keyasint,omitempty"`
+	// Limited says that some endpoint named a limit. Limits answers Load.Limits.
+	Limited bool         `cbor:"5,keyasint,omitempty"`
+	Limits  *LimitsReply `cbor:"6,keyasint,omitempty"`
 }
 
 // BeginReply answers Begin.
--- a/state/caps/caps.go
+++ b/state/caps/caps.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// liftedAge is how long it is kept that an endpoint named no limit any more: longer
-// than older news of its limit can be on the way.
-const liftedAge = 30 * time.Second
+// keepAge is how long it counts what an endpoint said. An endpoint in use says it
+// again with each answer.
+const keepAge = time.Minute
 
 // Cap is what an endpoint last said about its limit.
 type Cap struct {
@@ -21,8 +21,9 @@
 	// StartedAt is the start of the lifetime that said so, in Unix milliseconds; 0 if
 	// it is not known.
 	StartedAt int64
-	// HeardAt is when it said so.
+	// HeardAt is when it said so, Own whether to this process.
 	HeardAt time.Time
+	Own     bool
 }
 
 // Caps holds the newest Cap of each endpoint. It is not safe for concurrent use.
@@ -55,8 +56,23 @@
 	return known.Rate, true
 }
 
-// All returns a copy of what is known, without what is outdated.
+// Limited reports whether any endpoint has a limit.
+func (c *Caps) Limited(now time.Time) bool {
+	c.expire(now)
+	for _, known := range c.caps {
+		if !known.Lifted {
+			return true
+		}
+	}
+	return false
+}
+
+// All returns a copy of what is known.
 func (c *Caps) All(now time.Time) map[string]Cap {
-	maps.DeleteFunc(c.caps, func(_ string, known Cap) bool { return known.Lifted && now.Sub(known.HeardAt) > liftedAge })
+	c.expire(now)
 	return maps.Clone(c.caps)
 }
+
+func (c *Caps) expire(now time.Time) {
+	maps.DeleteFunc(c.caps, func(_ string, known Cap) bool { return now.Sub(known.HeardAt) > keepAge })
+}
--- a/state/tally/tally.go
+++ b/state/tally/tally.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// Senders returns the senders that have reported recently, in no order.
+func (t *Tally) Senders(now time.Time) []string {
+	var names []string
+	for name, s := range t.senders {
+		if now.Sub(s.receivedAt) <= maxReportAge {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Totals returns the calls of all senders by endpoint. The result is valid until the next
 // Update and must not be changed.
 func (t *Tally) Totals() map[string]int { return t.totals }
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -128,6 +128,10 @@
 	if l == nil {
 		return nil
 	}
+	limits := v.exchangeLimits(now, l)
+	if l.OnlyLimits {
+		return &vaults.LoadReply{Limits: limits}
+	}
 	v.runningCalls.Update(now, l.Node, l.Calls)
 	v.successes.Update(now, l.Node, l.Succeeded)
 	v.failures.Update(now, l.Node, l.Failed)
@@ -137,7 +141,9 @@
 	if !l.WantOthers {
 		return nil
 	}
-	answer := &vaults.LoadReply{OtherCalls: v.runningCalls.TotalsExcept(l.Node), LeavingCount: v.leaving.Size()}
+	answer := &vaults.LoadReply{
+		OtherCalls: v.runningCalls.TotalsExcept(l.Node), LeavingCount: v.leaving.Size(), Limited: v.caps.Limited(now), Limits: limits,
+	}
 	if l.LeavingCount != answer.LeavingCount {
 		answer.Leaving = v.leaving.All()
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -21,6 +21,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/leave"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -115,8 +116,11 @@
 	// or failed.
 	chains                            *chains.Chains
 	runningCalls, successes, failures *tally.Tally
-	// leaving belongs to the control goroutine, too.
+	// sent counts by endpoint what gates recently sent to endpoints that named a limit.
+	sent *tally.Tally
+	// leaving and caps belong to the control goroutine, too.
 	leaving *leave.Marks
+	caps    *caps.Caps
 
 	peers wsrpc.Group
 
@@ -149,7 +153,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), leaving: leave.New(),
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(),
 		roster: &seats.Roster{}, views: map[string]*viewState{},
 	}
 	v.meters = meters{
