Gates notice and log that they reach no endpoint

Cause: a gate that is partitioned from all endpoints took it for failures of each of them, one request at a time. No line or metric told the two apart.

Change: coordination/cutoff counts how connecting to endpoints ends; three that fail in a row, with no success since, make a gate cut off. It probes some others after a first failure, logs the begin and the end, and shows it in cowslipstage_gate_cut_off. No decision changes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/coordination/cutoff"
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
@@ -94,6 +95,8 @@
 	caps *caps.Caps
 	// quota spaces the requests to them.
 	quota *quota.Quota
+	// cutoff notices that this gate reaches no endpoint.
+	cutoff *cutoff.Detector
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// successes and failures count recently ended calls by endpoint.
@@ -104,9 +107,10 @@
 // New returns a gate that has no routes and no endpoints yet.
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
-		site: s, dialect: d, log: log, meters: newMeters(set), pool: pool.New(set), fleet: fleet.New(),
-		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(),
+		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), cutoff: cutoff.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.pool = pool.New(set, g.dialEndpoint)
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
 	})
@@ -172,6 +176,7 @@
 	go g.vaults.connectLoop(background)
 	go g.vaults.loadLoop(background)
 	go g.limitsLoop(background)
+	go g.probeLoop(background)
 	go g.sweep(background)
 	<-ctx.Done()
 	g.stop(callerListener)
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -20,6 +20,8 @@
 	leaving *metrics.Counter
 	// limitChanges counts how often an endpoint named another limit, or none any more.
 	limitChanges *metrics.Counter
+	// cutOff is 1 while this gate reaches no endpoint.
+	cutOff *metrics.Gauge
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 }
@@ -32,6 +34,7 @@
 		call:         set.NewHistogram("cowslipstage_gate_call_seconds"),
 		streamsCut:   set.NewCounter("cowslipstage_gate_streams_cut_total"),
 		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
+		cutOff:       set.NewGauge("cowslipstage_gate_cut_off", nil),
 		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
 		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -168,6 +168,17 @@
 	return usable
 }
 
+// Addrs returns the addresses of all endpoints listed.
+func (f *Fleet) Addrs() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	addrs := make([]string, 0, len(f.members))
+	for _, m := range f.members {
+		addrs = append(addrs, m.Addr)
+	}
+	return addrs
+}
+
 // Size returns the number of endpoints listed.
 func (f *Fleet) Size() int {
 	f.mu.RLock()
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -108,14 +108,19 @@
 	dialled *metrics.Counter
 	reused  *metrics.Counter
 	stale   *metrics.Counter
+	dial    DialFunc
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// New returns an empty pool.
-func New(set *metrics.Set) *Pool {
+// DialFunc connects to an endpoint.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// New returns an empty pool that opens connections with dial.
+func New(set *metrics.Set, dial DialFunc) *Pool {
 	return &Pool{
+		dial:    dial,
 		idle:    map[string][]*conn{},
 		dialled: set.NewCounter("cowslipstage_endpoint_connections_total"),
 		reused:  set.NewCounter("cowslipstage_endpoint_connections_reused_total"),
@@ -182,16 +187,21 @@
 		_ = c.Close() // it can't be reused
 	}
 	p.dialled.Inc()
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount,
-	}, Control: setAckTimeout}
-	n, err := d.DialContext(ctx, "tcp", r.Addr)
+	n, err := p.dial(ctx, r.Addr)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// Dial connects to a host, with the time-outs that notice one that is lost.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount,
+	}, Control: setAckTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // setAckTimeout limits the time that sent bytes may stay unacknowledged.
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
