A gate that reaches no endpoint connects through another gate

Cause: a gate had one way to the endpoints and took its loss for failures of each endpoint. It stayed in rotation, let each request find out anew, and reported sound endpoints as failing.

Change: while connects to three endpoints in a row have failed and none has succeeded, a gate connects through another one, which passes bytes on (transport/relay). Gates offer that through the vaults. Without such a gate it is not ready and refuses at once. Its own cut is not held against endpoints.

Everything but the path stays with the gate that has the caller, so promises to callers are kept by the same code as before.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,7 @@
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/drain"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
+	"github.com/cowslipstage/cowslipstage/transport/relay"
 )
 
 const (
@@ -95,8 +96,16 @@
 	caps *caps.Caps
 	// quota spaces the requests to them.
 	quota *quota.Quota
+	// connect opens connections to endpoints and relays.
+	connect relay.DialFunc
 	// cutoff notices that this gate reaches no endpoint.
 	cutoff *cutoff.Detector
+	// relays holds the gates that connect for this one meanwhile.
+	relays relays
+	// relay connects for other gates.
+	relay *relay.Server
+	// cutChanged is signalled when a cut begins or ends.
+	cutChanged chan struct{}
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// successes and failures count recently ended calls by endpoint.
@@ -108,9 +117,10 @@
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(),
-		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), cutoff: cutoff.New(), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), connect: pool.Dial, cutoff: cutoff.New(), relays: relays{failedAt: map[string]time.Time{}}, cutChanged: make(chan struct{}, 1), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.pool = pool.New(set, g.dialEndpoint)
+	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
 	})
@@ -177,15 +187,19 @@
 	go g.vaults.loadLoop(background)
 	go g.limitsLoop(background)
 	go g.probeLoop(background)
+	go g.relayLoop(background)
 	go g.sweep(background)
+	relayListener := g.listenRelay()
 	<-ctx.Done()
-	g.stop(callerListener)
+	g.stop(callerListener, relayListener)
 	return balancerServer.Close()
 }
 
 // acceptsCallers reports whether new connections are welcome. If no vault can
-// be reached, another gate serves callers better.
-func (g *Gate) acceptsCallers() bool { return g.ready.Load() && !g.vaults.cutOff() }
+// be reached, or no endpoint in any way, another gate serves callers better.
+func (g *Gate) acceptsCallers() bool {
+	return g.ready.Load() && !g.vaults.cutOff() && !g.stranded(time.Now())
+}
 
 func (g *Gate) listen(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -207,20 +221,24 @@
 // stop drains the gate: it reports not ready, then closes the listener and idle
 // connections, then waits for the requests in progress until most of the grace
 // period is over.
-func (g *Gate) stop(listener *drain.Listener) {
+func (g *Gate) stop(listener *drain.Listener, relayListener net.Listener) {
 	g.log.Info().Int64("active", g.active.Load()).Msg("stopping, draining requests")
 	started := time.Now()
 	g.stopping.Store(true)
 	g.ready.Store(false)
+	g.signalCut() // withdraws the offer to relay
 	deadline := started.Add(time.Duration(float64(g.site.Grace) * graceShare))
 	time.Sleep(min(drainDelay, g.site.Grace/3))
 	if err := listener.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("closing the listener failed")
 	}
+	if relayListener != nil {
+		_ = relayListener.Close() // other gates have been told
+	}
 	// A connection accepted before the listener closed may be read only now, so
 	// two checks in a row must find nothing in progress.
 	for quiet := 0; quiet < 2 && time.Now().Before(deadline); time.Sleep(drainCheckEvery) {
-		if listener.CloseIdle() == 0 && g.active.Load() == 0 {
+		if listener.CloseIdle() == 0 && g.active.Load() == 0 && g.relay.Active() == 0 {
 			quiet++
 		} else {
 			quiet = 0
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -68,23 +68,28 @@
 
 // newGateFixture starts a gate with one route and one endpoint per handler.
 func newGateFixture(t *testing.T, grace time.Duration, route table.Route, handlers ...http.HandlerFunc) *gateFixture {
-	g := gomega.NewWithT(t)
-	front, ready := freePort(g), freePort(g)
-	s := &site.Site{
-		Node: "gate", Centre: "c", Memory: 64 << 20,
-		Frontend: fmt.Sprintf("127.0.0.1:%d", front), Ready: fmt.Sprintf("127.0.0.1:%d", ready),
-		Grace: grace,
-	}
-	h := &gateFixture{g: g, gate: New(s, dialect{}, coord.New(), metrics.NewSet(), zerolog.Nop())}
-	route.Host, route.Prefix, route.Shares = "h", "/", []table.Share{{Service: "s", Weight: 1}}
-	h.gate.SetRoutes(table.New(1, []*table.Route{&route}, []table.Service{{Name: "s"}}, table.Limits{}))
 	var entries []fleet.Entry
 	for i, handler := range handlers {
 		e := httptest.NewServer(handler)
 		t.Cleanup(e.Close)
 		entries = append(entries, fleet.Entry{ID: fmt.Sprint("e", i), Service: "s", Addr: strings.TrimPrefix(e.URL, "http://"), Centre: "c", Slots: 8})
 	}
+	return startGate(t, &site.Site{Node: "gate", Centre: "c", Memory: 64 << 20, Grace: grace}, coord.New(), route, entries)
+}
+
+// startGate starts a gate with one route. prepare may change it before it runs.
+func startGate(
+	t *testing.T, s *site.Site, rosters RosterSource, route table.Route, entries []fleet.Entry, prepare ...func(*Gate),
+) *gateFixture {
+	g := gomega.NewWithT(t)
+	s.Frontend, s.Ready = fmt.Sprintf("127.0.0.1:%d", freePort(g)), fmt.Sprintf("127.0.0.1:%d", freePort(g))
+	h := &gateFixture{g: g, gate: New(s, dialect{}, rosters, metrics.NewSet(), zerolog.Nop())}
+	route.Host, route.Prefix, route.Shares = "h", "/", []table.Share{{Service: "s", Weight: 1}}
+	h.gate.SetRoutes(table.New(1, []*table.Route{&route}, []table.Service{{Name: "s"}}, table.Limits{}))
 	h.gate.SetEndpoints(entries, false)
+	for _, p := range prepare {
+		p(h.gate)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	h.done.Go(func() { _ = h.gate.Run(ctx) })
--- a/gate/limits.go
+++ b/gate/limits.go
@@ -160,7 +160,7 @@
 func (g *Gate) sendLimits(ctx context.Context, addr string, l *vaults.Limits) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	m, err := g.vaults.connection(addr).Call(ctx, &vaults.Load{Node: g.site.Node, Limits: l, OnlyLimits: true})
+	m, err := g.vaults.connection(addr).Call(ctx, &vaults.Load{Node: g.site.Node, Limits: l, Partial: true})
 	if err != nil {
 		g.log.Debug().Err(err).Str("vault", addr).Msg("sending limits failed; the next report repeats it")
 		return
--- a/gate/limits_test.go
+++ b/gate/limits_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/cowslipstage/cowslipstage/state/caps"
+	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
 )
 
@@ -87,18 +87,9 @@
 // whether it is still limited, also a gate that has never heard of the limit itself.
 func TestGatesShareTheLimitOfAnEndpoint(t *testing.T) {
 	r := newVaultCluster(t, 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	start := func(name string) *Gate {
-		h := newGateFixture(t, time.Second, plainRoute(table.Idempotent, 1))
-		c := r.newClient(1)
-		c.site.Node = name
-		c.exchange.runningCalls = h.gate.runningCalls
-		h.gate.site.Node, h.gate.vaults = name, c
-		go c.connectLoop(ctx)
-		go c.loadLoop(ctx)
-		go h.gate.limitsLoop(ctx)
-		return h.gate
+		s := &site.Site{Node: name, Centre: "centre-0", MaxLostHosts: 1, Memory: 64 << 20, Grace: time.Second}
+		return startGate(t, s, r.registry, plainRoute(table.Idempotent, 1), nil).gate
 	}
 	hear := func(g *Gate, said caps.Cap) {
 		said.HeardAt, said.Own = time.Now(), true
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -22,6 +22,8 @@
 	limitChanges *metrics.Counter
 	// cutOff is 1 while this gate reaches no endpoint.
 	cutOff *metrics.Gauge
+	// relayed counts the connections to endpoints that were asked for by other gates.
+	relayed *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 }
@@ -35,6 +37,7 @@
 		streamsCut:   set.NewCounter("cowslipstage_gate_streams_cut_total"),
 		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
 		cutOff:       set.NewGauge("cowslipstage_gate_cut_off", nil),
+		relayed:      set.NewCounter("cowslipstage_gate_relayed_connections_total"),
 		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
 		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
--- a/gate/path.go
+++ b/gate/path.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipstage/cowslipstage/transport/pool"
+	"github.com/cowslipstage/cowslipstage/state/recent"
 )
 
 const (
@@ -18,10 +18,22 @@
 	probeTimeout = 100 * time.Millisecond
 )
 
-// dialEndpoint connects to an endpoint.
-func (g *Gate) dialEndpoint(ctx context.Context, addr string) (net.Conn, error) {
+// dialEndpoint connects to an endpoint, through another gate while this one is cut off.
+func (g *Gate) dialEndpoint(ctx context.Context, addr string) (conn net.Conn, relayed bool, err error) {
+	if !g.isCutOff() {
+		conn, err = g.dialDirect(ctx, addr)
+		if err == nil || ctx.Err() != nil || !g.isCutOff() {
+			return conn, false, err
+		}
+	}
+	conn, err = g.dialRelayed(ctx, addr)
+	return conn, true, err
+}
+
+// dialDirect connects to an endpoint and notes how that ended.
+func (g *Gate) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	started := time.Now()
-	conn, err := pool.Dial(ctx, addr)
+	conn, err := g.connect(ctx, addr)
 	g.recordDial(ctx, started, addr, err)
 	return conn, err
 }
@@ -47,9 +59,11 @@
 	switch {
 	case began:
 		g.meters.cutOff.Set(1)
+		g.noteCut(silent)
 		g.log.Warn().Err(err).Int("endpoints", known).Bool("silent", silent).Msg("no endpoint can be reached")
 	case ended:
 		g.meters.cutOff.Set(0)
+		g.signalCut()
 		g.log.Info().Str("addr", addr).Msg("endpoints can be reached again")
 	}
 	if probe {
@@ -57,6 +71,26 @@
 	}
 }
 
+// noteCut acts on a cut that has been noticed. Open connections are dead if the endpoints
+// give no answer, and the failures so far were this gate's own.
+func (g *Gate) noteCut(silent bool) {
+	if silent {
+		g.pool.CloseAllIdle()
+	}
+	g.mu.Lock()
+	g.failures = recent.New()
+	g.mu.Unlock()
+	g.signalCut()
+}
+
+// signalCut makes relayLoop act at once.
+func (g *Gate) signalCut() {
+	select {
+	case g.cutChanged <- struct{}{}:
+	default:
+	}
+}
+
 // isCutOff reports whether this gate reaches no endpoint.
 func (g *Gate) isCutOff() bool {
 	g.mu.Lock()
@@ -81,7 +115,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
 			started := time.Now()
-			conn, err := pool.Dial(ctx, a)
+			conn, err := g.connect(ctx, a)
 			if err == nil {
 				_ = conn.Close() // it has carried nothing
 			}
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -214,6 +214,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if g.isCutOff() {
+		g.log.Info().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr).Msg("endpoint not reached while this gate is cut off")
+		return
+	}
 	if errors.Is(err, pool.ErrNotSent) {
 		g.recordUnreachable(time.Now(), e.Service, e.ID)
 	} else {
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/spend"
 )
 
@@ -61,10 +62,14 @@
 	// how many the gate knows.
 	Leaving      map[string]int64 `cbor:"6,keyasint,omitempty"`
 	LeavingCount int              `cbor:"7,keyasint,omitempty"`
-	// Limits is nil if the gate knows of no endpoint that named a limit. OnlyLimits
-	// says that the message holds nothing else.
-	Limits     *Limits `cbor:"8,keyasint,omitempty"`
-	OnlyLimits bool    `cbor:"9,keyasint,omitempty"`
+	// Limits is nil if the gate knows of no endpoint that named a limit.
+	Limits *Limits `cbor:"8,keyasint,omitempty"`
+	// Partial says that the message holds nothing but Limits or Relay.
+	Partial bool `cbor:"9,keyasint,omitempty"`
+	// Relay is the gate's offer to connect others to endpoints; without an address it is
+	// withdrawn. WantRelays requests the others' offers.
+	Relay      *peers.Peer `cbor:"10,keyasint,omitempty"`
+	WantRelays bool        `cbor:"11,keyasint,omitempty"`
 }
 
 // Cap is what an endpoint said about its limit some time ago, as in caps.Cap.
@@ -110,6 +115,8 @@
 	// Limited says that some endpoint named a limit. Limits answers Load.Limits.
 	Limited bool         `cbor:"5,keyasint,omitempty"`
 	Limits  *LimitsReply `cbor:"6,keyasint,omitempty"`
+	// Relays holds the other gates' offers if Load.WantRelays is set.
+	Relays []peers.Peer `cbor:"7,keyasint,omitempty"`
 }
 
 // BeginReply answers Begin.
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -56,6 +56,8 @@
 	bufferBytes       = 4 << 10
 )
 
+var keepalive = net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount}
+
 // Request is one request to one endpoint.
 type Request struct {
 	Addr   string
@@ -96,6 +98,8 @@
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
+	// relayed connections carry one request only.
+	relayed bool
 	// reused is set once the connection has carried an earlier request.
 	reused bool
 	// writeDone receives the result of a background write of the body; nil if there
@@ -114,8 +118,15 @@
 	idle map[string][]*conn
 }
 
-// DialFunc connects to an endpoint.
-type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+// DialFunc connects to an endpoint. relayed says that the connection leads through another
+// host; it then carries one request only.
+type DialFunc func(ctx context.Context, addr string) (conn net.Conn, relayed bool, err error)
+
+// Direct is the DialFunc without relays.
+func Direct(ctx context.Context, addr string) (net.Conn, bool, error) {
+	conn, err := Dial(ctx, addr)
+	return conn, false, err
+}
 
 // New returns an empty pool that opens connections with dial.
 func New(set *metrics.Set, dial DialFunc) *Pool {
@@ -187,21 +198,25 @@
 		_ = c.Close() // it can't be reused
 	}
 	p.dialled.Inc()
-	n, err := p.dial(ctx, r.Addr)
+	n, relayed, err := p.dial(ctx, r.Addr)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
 }
 
 // Dial connects to a host, with the time-outs that notice one that is lost.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount,
-	}, Control: setAckTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive, Control: setAckTimeout}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// Listen accepts connections with the same time-outs.
+func Listen(addr string) (net.Listener, error) {
+	l := net.ListenConfig{KeepAliveConfig: keepalive, Control: setAckTimeout}
+	return l.Listen(context.Background(), "tcp", addr)
+}
+
 // setAckTimeout limits the time that sent bytes may stay unacknowledged.
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
@@ -287,7 +302,7 @@
 			continue
 		}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		a := &Answer{Status: response.StatusCode, Header: response.Header, conn: c, framed: framed, closeConn: response.Close || !framed}
+		a := &Answer{Status: response.StatusCode, Header: response.Header, conn: c, framed: framed, closeConn: response.Close || !framed || c.relayed}
 		a.Body = &body{answer: a, reader: response.Body}
 		c.idleTimeout = idleTimeoutFrom(response.Header)
 		return a, nil
@@ -383,6 +398,18 @@
 	delete(p.idle, addr)
 }
 
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, idle := range p.idle {
+		for _, c := range idle {
+			_ = c.Close() // it will not be used again
+		}
+	}
+	clear(p.idle)
+}
+
 // CloseExpired closes idle connections whose idle timeout has passed.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -75,7 +75,7 @@
 
 func TestAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := pool.New(metrics.NewSet(), pool.Dial)
+	p := pool.New(metrics.NewSet(), pool.Direct)
 	addr := endpoint(t, answer("1", "one"), answer("1", "late")+answer("2", "two"))
 	g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"))
 	g.Expect(get(p, request(addr, "2"))).To(gomega.Equal("two"))
@@ -91,20 +91,20 @@
 		copy string
 		want string
 	}{{answer("1", "one"), "two"}, {chunked, "two"}, {withoutID, ""}, {withoutID + withoutID, ""}} {
-		p := pool.New(metrics.NewSet(), pool.Dial)
+		p := pool.New(metrics.NewSet(), pool.Direct)
 		addr := endpoint(t, answer("1", "one"), c.copy+answer("2", "two"))
 		g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"))
 		got, err := get(p, request(addr, "2"))
 		g.Expect(got).To(gomega.Equal(c.want), "%q", c.copy)
 		g.Expect(errors.Is(err, pool.ErrMayHaveRun)).To(gomega.Equal(c.want == ""))
 	}
-	p := pool.New(metrics.NewSet(), pool.Dial)
+	p := pool.New(metrics.NewSet(), pool.Direct)
 	g.Expect(get(p, request(endpoint(t, withoutID), "1"))).To(gomega.Equal("one"), "a new connection has carried nothing else")
 }
 
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := pool.New(metrics.NewSet(), pool.Dial)
+	p := pool.New(metrics.NewSet(), pool.Direct)
 	addr := endpoint(t, answer("1", "one")+answer("1", "one"), answer("2", "bad"))
 	g.Expect(get(p, request(addr, "1"))).To(gomega.Equal("one"))
 	time.Sleep(20 * time.Millisecond) // the second answer is on its way
@@ -113,7 +113,7 @@
 
 func TestTruncatedAnswerIsAnError(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := pool.New(metrics.NewSet(), pool.Dial)
+	p := pool.New(metrics.NewSet(), pool.Direct)
 	for _, broken := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
@@ -129,7 +129,7 @@
 func TestAnswerMayEndWithItsConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	addr := endpoint(t, "HTTP/1.1 200 OK\r\n\r\nto the end")
-	g.Expect(get(pool.New(metrics.NewSet(), pool.Dial), request(addr, "1"))).To(gomega.Equal("to the end"))
+	g.Expect(get(pool.New(metrics.NewSet(), pool.Direct), request(addr, "1"))).To(gomega.Equal("to the end"))
 }
 
 func TestRefusedConnectionIsNotSent(t *testing.T) {
@@ -137,7 +137,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(l.Close()).To(gomega.Succeed())
-	_, err = get(pool.New(metrics.NewSet(), pool.Dial), request(l.Addr().String(), "1"))
+	_, err = get(pool.New(metrics.NewSet(), pool.Direct), request(l.Addr().String(), "1"))
 	g.Expect(errors.Is(err, pool.ErrNotSent)).To(gomega.BeTrue(), "%v", err)
 }
 
@@ -163,7 +163,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
 		}
 	}()
-	p := pool.New(metrics.NewSet(), pool.Dial)
+	p := pool.New(metrics.NewSet(), pool.Direct)
 	for range 2 {
 		r := request(l.Addr().String(), "1")
 		r.Body = make([]byte, 8<<20)
--- /dev/null
+++ b/transport/relay/relay.go
@@ -0,0 +1,200 @@
+// Package relay (transport layer) lets a gate that reaches no endpoint connect to one
+// through another gate, which only passes bytes on.
+//
+// A connection begins with the endpoint's IP:port and a line feed. The relay answers with
+// one byte of type outcome. After connected, the connection carries the endpoint's bytes
+// in both directions. It ends as the endpoint's does: closed, or reset.
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// The errors of Dial.
+var (
+	// ErrRelay means that the relay cannot help: it was not reached, or reaches no
+	// endpoint itself.
+	ErrRelay = errors.New("relay: no relay")
+	// ErrEndpoint means that the relay does not reach this endpoint.
+	ErrEndpoint = errors.New("relay: endpoint not reached")
+)
+
+// outcome is a relay's answer to an address.
+type outcome byte
+
+const (
+	connected outcome = 'c'
+	// failed: connecting to the endpoint failed.
+	failed outcome = 'f'
+	// unable: the relay reaches no endpoint, or does not know this one.
+	unable outcome = 'u'
+)
+
+const (
+	// maxAddress bounds the first line.
+	maxAddress = 64
+	// openTimeout bounds the first line and its answer. It is longer than connecting to an
+	// endpoint may take.
+	openTimeout = 400 * time.Millisecond
+	// closeTimeout is how long the other side may take to close after the endpoint has.
+	closeTimeout = time.Second
+	// copyBytes is the most that is passed on at once.
+	copyBytes = 16 << 10
+)
+
+// DialFunc connects a relay to an endpoint that it knows. ErrRelay marks the errors of a
+// relay that cannot help.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// Server is a gate's relay for others. It is safe for concurrent use.
+type Server struct {
+	dial DialFunc
+	log  zerolog.Logger
+	// active counts the connections being relayed.
+	active atomic.Int64
+}
+
+// New returns a server that connects with dial.
+func New(dial DialFunc, log zerolog.Logger) *Server { return &Server{dial: dial, log: log} }
+
+// Active returns how many connections are being relayed.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return errors.Wrap(err, "relay: accepting")
+		}
+		s.active.Add(1)
+		go func() {
+			defer s.active.Add(-1)
+			s.relay(c)
+		}()
+	}
+}
+
+// relay serves one connection of another gate.
+func (s *Server) relay(from net.Conn) {
+	defer func() { _ = from.Close() }() // both directions have ended
+	_ = from.SetDeadline(time.Now().Add(openTimeout))
+	reader := bufio.NewReaderSize(io.LimitReader(from, maxAddress), maxAddress)
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		s.log.Debug().Err(err).Str("peer", from.RemoteAddr().String()).Msg("no address to relay to")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	to, err := s.dial(ctx, strings.TrimSuffix(line, "\n"))
+	answer := connected
+	switch {
+	case errors.Is(err, ErrRelay):
+		answer = unable
+	case err != nil:
+		answer = failed
+	}
+	if _, writeErr := from.Write([]byte{byte(answer)}); writeErr != nil || err != nil {
+		if err == nil {
+			_ = to.Close() // it has carried nothing
+		}
+		return
+	}
+	_ = from.SetDeadline(time.Time{})
+	pass(from, to)
+}
+
+// pass copies bytes between a gate and an endpoint until one of them ends. A gate that
+// closes has given up its request, so the endpoint sees that at once.
+func pass(gate, endpoint net.Conn) {
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_ = copyBuffered(endpoint, gate) // either end has gone, which the other copy notices
+		_ = endpoint.Close()
+	}()
+	err := copyBuffered(gate, endpoint)
+	closer, isTCP := gate.(*net.TCPConn)
+	switch {
+	case !isTCP:
+	case err == nil:
+		_ = closer.CloseWrite()
+		_ = gate.SetReadDeadline(time.Now().Add(closeTimeout))
+		<-gone
+	default:
+		_ = closer.SetLinger(0) // an answer that was reset must not look complete
+	}
+	_ = gate.Close()
+	<-gone
+}
+
+// copyBuffered copies until the source ends. It returns nil if the source was closed.
+func copyBuffered(to io.Writer, from io.Reader) error {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// Dial connects to an endpoint through the relay at via. connect opens the connection to
+// the relay.
+func Dial(ctx context.Context, connect DialFunc, via, addr string) (net.Conn, error) {
+	c, err := connect(ctx, via)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "relay: %s", via), ErrRelay)
+	}
+	answer, err := open(ctx, c, addr)
+	if err == nil && answer == connected {
+		return c, nil
+	}
+	_ = c.Close() // it leads nowhere
+	switch {
+	case err != nil:
+		return nil, errors.Mark(errors.Wrapf(err, "relay: %s", via), ErrRelay)
+	case answer == failed:
+		return nil, errors.Wrapf(ErrEndpoint, "%s by %s", addr, via)
+	default:
+		return nil, errors.Wrapf(ErrRelay, "%s by %s: %q", addr, via, byte(answer))
+	}
+}
+
+// open sends the address and reads the answer.
+func open(ctx context.Context, c net.Conn, addr string) (outcome, error) {
+	deadline := time.Now().Add(openTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.SetDeadline(deadline); err != nil {
+		return 0, err
+	}
+	if _, err := io.WriteString(c, addr+"\n"); err != nil {
+		return 0, err
+	}
+	// Exactly one byte: what follows is the endpoint's.
+	var answer [1]byte
+	if _, err := io.ReadFull(c, answer[:]); err != nil {
+		return 0, err
+	}
+	return outcome(answer[0]), c.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/transport/relay/relay_test.go
@@ -0,0 +1,137 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/transport/pool"
+	"github.com/cowslipstage/cowslipstage/transport/relay"
+)
+
+// listen serves each connection with handle and returns the address.
+func listen(t *testing.T, handle func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// newRelay starts a relay and returns its address.
+func newRelay(t *testing.T, dial relay.DialFunc) (*relay.Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	s := relay.New(dial, zerolog.Nop())
+	go func() { _ = s.Serve(l) }()
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, via, addr string) net.Conn {
+	c, err := relay.Dial(context.Background(), pool.Dial, via, addr)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	gomega.NewWithT(t).Expect(c.SetDeadline(time.Now().Add(2 * time.Second))).To(gomega.Succeed())
+	return c
+}
+
+func TestBytesPassInBothDirections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := strings.Repeat("a long answer ", 20000)
+	endpoint := listen(t, func(c net.Conn) {
+		request := make([]byte, 4)
+		_, _ = io.ReadFull(c, request)
+		_, _ = io.WriteString(c, string(request)+text)
+		_ = c.Close()
+	})
+	s, via := newRelay(t, pool.Dial)
+	c := dial(t, via, endpoint)
+	_, err := io.WriteString(c, "ping")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answer, err := io.ReadAll(c)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the endpoint closed, so the answer is complete")
+	g.Expect(string(answer)).To(gomega.Equal("ping" + text))
+	_ = c.Close()
+	g.Eventually(s.Active).WithTimeout(2 * time.Second).Should(gomega.BeZero())
+}
+
+// An answer without a length ends with its connection. If the endpoint resets it, the
+// answer must not look complete behind the relay.
+func TestAResetPassesAsAReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	endpoint := listen(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "half")
+		time.Sleep(50 * time.Millisecond) // else the reset overtakes the bytes
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	_, via := newRelay(t, pool.Dial)
+	_, err := io.ReadAll(dial(t, via, endpoint))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+func TestAGateThatClosesEndsTheEndpointsConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ended := make(chan struct{})
+	endpoint := listen(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(ended)
+	})
+	_, via := newRelay(t, pool.Dial)
+	_ = dial(t, via, endpoint).Close()
+	g.Eventually(ended).WithTimeout(500 * time.Millisecond).Should(gomega.BeClosed())
+}
+
+func TestErrorsTellTheRelayFromTheEndpoint(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(gone.Close()).To(gomega.Succeed())
+	_, sound := newRelay(t, pool.Dial)
+	_, cut := newRelay(t, func(context.Context, string) (net.Conn, error) { return nil, relay.ErrRelay })
+	mute := listen(t, func(net.Conn) {})
+	closing := listen(t, func(c net.Conn) { _ = c.Close() })
+	for name, c := range map[string]struct {
+		via  string
+		want error
+	}{
+		"endpoint gone": {sound, relay.ErrEndpoint}, "relay cut off": {cut, relay.ErrRelay}, "relay gone": {gone.Addr().String(), relay.ErrRelay},
+		"relay mute": {mute, relay.ErrRelay}, "relay closes": {closing, relay.ErrRelay},
+	} {
+		_, err := relay.Dial(context.Background(), pool.Dial, c.via, gone.Addr().String())
+		g.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%s: %v", name, err)
+	}
+}
+
+// Bytes that are no address end a connection and hold no memory.
+func TestAnAddressWithoutEndIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, via := newRelay(t, pool.Dial)
+	c, err := net.Dial("tcp", via)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = c.Close() }()
+	go func() {
+		for {
+			if _, err := io.WriteString(c, "no address"); err != nil {
+				return
+			}
+		}
+	}()
+	g.Eventually(func() int64 { return s.Active() }).WithTimeout(2 * time.Second).Should(gomega.BeZero())
+}
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -129,8 +129,9 @@
 		return nil
 	}
 	limits := v.exchangeLimits(now, l)
-	if l.OnlyLimits {
-		return &vaults.LoadReply{Limits: limits}
+	relays := v.exchangeRelays(now, l)
+	if l.Partial {
+		return &vaults.LoadReply{Limits: limits, Relays: relays}
 	}
 	v.runningCalls.Update(now, l.Node, l.Calls)
 	v.successes.Update(now, l.Node, l.Succeeded)
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -24,6 +24,7 @@
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/leave"
+	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/tally"
 	"github.com/cowslipstage/cowslipstage/transport/files"
@@ -118,9 +119,10 @@
 	runningCalls, successes, failures *tally.Tally
 	// sent counts by endpoint what gates recently sent to endpoints that named a limit.
 	sent *tally.Tally
-	// leaving and caps belong to the control goroutine, too.
+	// leaving, caps and relays belong to the control goroutine, too.
 	leaving *leave.Marks
 	caps    *caps.Caps
+	relays  *peers.Peers
 
 	peers wsrpc.Group
 
@@ -153,7 +155,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(),
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(),
 		roster: &seats.Roster{}, views: map[string]*viewState{},
 	}
 	v.meters = meters{
