A sound endpoint may be silent for a second without losing requests

What callers saw: 502 "it may have run" for a request that was being sent to an endpoint which took no bytes for 0.6 s and then went on.

Cause: connections to endpoints had a TCP_USER_TIMEOUT of 600 ms, which ends them while sent bytes stay unacknowledged, or unread with full windows. It also decides when keepalive probes give up.

Change: it is 2 s, the time after which keepalive probes end a connection.

Evidence: TestAnEndpointMayBeSilentForASecond on Linux: reset after 0.6 s before, served now. Endpoints without power are still noticed by calls that stall and by connects.

--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -40,11 +40,12 @@
 	// maxFreshAge is the maximum idle time of a connection for a request that must
 	// not run twice: an endpoint may have dropped an older one unnoticed.
 	maxFreshAge = time.Second
-	// ackTimeout is how long sent bytes may stay unacknowledged. An unreachable
-	// host acknowledges nothing, while a slow one still does so immediately.
-	ackTimeout = 600 * time.Millisecond
+	// ackTimeout is how long sent bytes may stay unacknowledged, or unread with full
+	// windows. A sound host may be silent for a second or so.
+	ackTimeout = 2 * time.Second
 	// keepaliveIdle, keepaliveInterval and keepaliveCount set the TCP keepalive
-	// probes, which detect a host without power within about two seconds.
+	// probes, which detect a host without power within about two seconds. ackTimeout
+	// decides when they give up, too, whatever their count.
 	keepaliveIdle     = time.Second
 	keepaliveInterval = time.Second
 	keepaliveCount    = 2
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -172,3 +173,36 @@
 		g.Expect(heads).To(gomega.Receive(gomega.Equal("POST /a HTTP/1.1")))
 	}
 }
+
+// An endpoint is sound and falls silent for a second: it takes no bytes and sends none. The
+// request then goes on.
+func TestAnEndpointMayBeSilentForASecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		time.Sleep(1300 * time.Millisecond)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		body := strconv.FormatInt(n, 10)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	}()
+	r := request(l.Addr().String(), "1")
+	r.Method, r.Body = http.MethodPost, make([]byte, 32<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a, err := pool.New(metrics.NewSet(), pool.Direct).Send(ctx, r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body)).To(gomega.Equal(strconv.Itoa(len(r.Body))))
+}
