Bytes without end are no answer, in a head or in a body

What callers could see: a body without end became a complete answer of 1 MB with status 200; a head, an event or a skipped answer without end held the request until its deadline.

Cause: what an endpoint sends was cut off at a bound without asking whether more would come, or had no bound.

Change: heads, skipped answers, events, answers of plain services and the output of streams have bounds. What is longer may have run and is no answer; its connection is closed.

--- a/gate/plain.go
+++ b/gate/plain.go
@@ -22,9 +22,8 @@
 	// maxDeclines bounds how many endpoints may decline one request or be
 	// unreachable, in addition to those that run it.
 	maxDeclines = 4
-	// maxBufferedBytes is the largest answer that is read whole before the
-	// caller gets its headers. Until then a broken answer can be replaced or
-	// reported.
+	// maxBufferedBytes is the largest answer of a plain service, and the most output
+	// of a stream. What is longer is taken for bytes without end.
 	maxBufferedBytes = 1 << 20
 )
 
@@ -166,7 +165,7 @@
 	}
 	defer a.Close()
 	answer := g.parseAnswer(q, e, a)
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	body, err := readAnswer(a)
 	if answer.NotRun {
 		g.recordProgress(time.Now(), e.ID)
 		return nil, g.recordDecline(q, e, a.Status, answer)
@@ -183,6 +182,15 @@
 	return &fullAnswer{a.Status, a.Header, body}, nil
 }
 
+// readAnswer reads the whole body of an answer that is not a stream.
+func readAnswer(a *pool.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errors.Mark(errors.Newf("the answer is longer than %d bytes", maxBufferedBytes), pool.ErrMayHaveRun)
+	}
+	return body, err
+}
+
 // parseAnswer reads the headers of an endpoint's answer, and gives the endpoint no new
 // work if it is leaving.
 func (g *Gate) parseAnswer(q *request, e fleet.Entry, a *pool.Answer) meta.Answer {
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -18,6 +18,8 @@
 	// readBytes is the most that is read from an endpoint at once. An event has
 	// some hundred bytes.
 	readBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 256 << 10
 	// settleTime bounds the attempts to record what a turn has spent. Until
 	// that is recorded, the turn's maximum counts as spent.
 	settleTime = 3 * time.Second
@@ -137,7 +139,7 @@
 
 // passFailure sends an endpoint's answer that is not a stream to the caller.
 func (g *Gate) passFailure(t *turn, a *pool.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	body, err := readAnswer(a)
 	if err != nil {
 		return err
 	}
@@ -186,6 +188,8 @@
 			}
 		}
 		switch {
+		case split.Buffered() > maxEventBytes || len(t.output) > maxBufferedBytes:
+			return errors.Mark(errors.New("the stream has no end, or an event in it"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF) && split.Buffered() > 0:
 			return errors.Mark(errors.New("the stream ended within an event"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF):
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -55,8 +55,37 @@
 	// maxForeignAnswers bounds the skipped answers to earlier requests.
 	maxForeignAnswers = 3
 	bufferBytes       = 4 << 10
+	// maxHeadBytes bounds the head of an answer, and maxForeignBytes the body of one that
+	// is skipped. An endpoint in trouble may send bytes without end.
+	maxHeadBytes    = 64 << 10
+	maxForeignBytes = 1 << 20
 )
 
+// errLongHead means that the head of an answer does not end in time.
+var errLongHead = errors.New("the answer's head is too long")
+
+// boundedReader fails once it has read as many bytes as are left.
+type boundedReader struct {
+	reader io.Reader
+	// left is negative if there is no bound.
+	left int
+}
+
+// Read reads from the connection.
+func (b *boundedReader) Read(data []byte) (int, error) {
+	if b.left == 0 {
+		return 0, errLongHead
+	}
+	if b.left > 0 && len(data) > b.left {
+		data = data[:b.left]
+	}
+	n, err := b.reader.Read(data)
+	if b.left > 0 {
+		b.left -= n
+	}
+	return n, err
+}
+
 var keepalive = net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount}
 
 // Request is one request to one endpoint.
@@ -96,6 +125,8 @@
 
 type conn struct {
 	net.Conn
+	// bounded reads from the connection, and reader from bounded.
+	bounded     *boundedReader
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
@@ -203,7 +234,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
+	b := &boundedReader{reader: n, left: -1}
+	return &conn{Conn: n, bounded: b, reader: bufio.NewReaderSize(b, bufferBytes), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
 }
 
 // Dial connects to a host, with the time-outs that notice one that is lost.
@@ -286,7 +318,9 @@
 func (c *conn) read(r Request) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxForeignAnswers {
+		c.bounded.left = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // Answer.Close ends the connection below it
+		c.bounded.left = -1
 		if err != nil {
 			return nil, err
 		}
@@ -297,8 +331,9 @@
 		case nobody:
 			return nil, errors.New("answer without an id on a connection that was used before")
 		case other:
-			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-				return nil, errors.Newf("answered another request: %v", err)
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
+			if err != nil || response.Close || n == maxForeignBytes {
+				return nil, errors.Newf("answered another request: %d bytes, %v", n, err)
 			}
 			continue
 		}
