Names and places in what came for limits and relays

awaitLimit instead of awaitTurn, since a turn is something else; fields of Gate that never change stand above its mutex; offers to relay have a file of their own in vault. No behaviour changes; tests of gate and vault compile alike.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -77,10 +77,16 @@
 	routine zerolog.Logger
 	meters  *meters
 	pool    *pool.Pool
-	vaults  *vaultClient
-	fleet   *fleet.Fleet
-	table   atomic.Pointer[table.Table]
-	ready   atomic.Bool
+	// connect opens connections to endpoints and relays.
+	connect relay.DialFunc
+	// relay connects to endpoints for other gates.
+	relay *relay.Server
+	// cutChanged is signalled when a cut begins or ends.
+	cutChanged chan struct{}
+	vaults     *vaultClient
+	fleet      *fleet.Fleet
+	table      atomic.Pointer[table.Table]
+	ready      atomic.Bool
 	// stopping tells callers to use other connections.
 	stopping atomic.Bool
 	// active counts the requests in progress.
@@ -96,16 +102,10 @@
 	caps *caps.Caps
 	// quota spaces the requests to them.
 	quota *quota.Quota
-	// connect opens connections to endpoints and relays.
-	connect relay.DialFunc
 	// cutoff notices that this gate reaches no endpoint.
 	cutoff *cutoff.Detector
-	// relays holds the gates that connect for this one meanwhile.
+	// relays holds the gates that connect for this one while it is cut off.
 	relays relays
-	// relay connects for other gates.
-	relay *relay.Server
-	// cutChanged is signalled when a cut begins or ends.
-	cutChanged chan struct{}
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// successes and failures count recently ended calls by endpoint.
@@ -116,8 +116,11 @@
 // New returns a gate that has no routes and no endpoints yet.
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
-		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(),
-		outliers: eject.New(), stalls: stall.New(), loads: map[string]*load{}, caps: caps.New(), quota: quota.New(), connect: pool.Dial, cutoff: cutoff.New(), relays: relays{failedAt: map[string]time.Time{}}, cutChanged: make(chan struct{}, 1), speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(), connect: pool.Dial,
+		outliers: eject.New(), stalls: stall.New(), cutoff: cutoff.New(), caps: caps.New(), quota: quota.New(),
+		relays: relays{failedAt: map[string]time.Time{}}, cutChanged: make(chan struct{}, 1),
+		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
--- a/gate/limits.go
+++ b/gate/limits.go
@@ -86,9 +86,9 @@
 	return max(0, min(q.started.Add(aim).Sub(now), q.deadline.Sub(now)/2))
 }
 
-// awaitTurn waits until the placement's request may be sent. The error means that it
+// awaitLimit waits until the endpoint's limit allows the request. The error means that it
 // has not been sent.
-func (p placement) awaitTurn(ctx context.Context) error {
+func (p placement) awaitLimit(ctx context.Context) error {
 	if p.wait <= 0 {
 		return nil
 	}
--- a/gate/path.go
+++ b/gate/path.go
@@ -16,6 +16,8 @@
 	// probeTimeout bounds a probe: many round trips, and short against the time after
 	// which callers give up.
 	probeTimeout = 100 * time.Millisecond
+	// probeCheckEvery is the pause between two checks whether a probe is due.
+	probeCheckEvery = 250 * time.Millisecond
 )
 
 // dialEndpoint connects to an endpoint, through another gate while this one is cut off.
@@ -142,6 +144,3 @@
 		}
 	}
 }
-
-// probeCheckEvery is the pause between two checks whether a probe is due.
-const probeCheckEvery = 250 * time.Millisecond
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -154,7 +154,7 @@
 func (g *Gate) callEndpoint(ctx context.Context, q *request, p placement) (*fullAnswer, error) {
 	e := p.Entry
 	defer g.release(e.ID)
-	if err := p.awaitTurn(ctx); err != nil {
+	if err := p.awaitLimit(ctx); err != nil {
 		return nil, err
 	}
 	started := time.Now()
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -107,7 +107,7 @@
 func (g *Gate) runTurn(ctx context.Context, t *turn, p placement) error {
 	e := p.Entry
 	defer g.release(e.ID)
-	if err := p.awaitTurn(ctx); err != nil {
+	if err := p.awaitLimit(ctx); err != nil {
 		return err
 	}
 	sent := time.Now()
--- a/vault/limits.go
+++ b/vault/limits.go
@@ -7,20 +7,8 @@
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/caps"
-	"github.com/cowslipstage/cowslipstage/state/peers"
 )
 
-// exchangeRelays stores a gate's offer to relay and returns the others', if wanted.
-func (v *Vault) exchangeRelays(now time.Time, l *vaults.Load) []peers.Peer {
-	if l.Relay != nil {
-		v.relays.Put(now, l.Node, *l.Relay)
-	}
-	if !l.WantRelays {
-		return nil
-	}
-	return v.relays.Others(now, l.Node)
-}
-
 // exchangeLimits stores what a gate reports of limits that endpoints named, and
 // returns what the other gates reported, if wanted.
 func (v *Vault) exchangeLimits(now time.Time, l *vaults.Load) *vaults.LimitsReply {
