A gate that reaches no endpoint is called cut off everywhere

Two words stood for one thing: "stranded" in gate and its tests, "cut off" in logs, metrics, pages and coordination/cutoff. No behaviour changes.

--- a/gate/stranded_test.go
+++ b/gate/cutoff_test.go
@@ -44,9 +44,9 @@
 	return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
 }
 
-// strandedFixture is a gate that can be cut off from its endpoints, another one that
+// cutOffFixture is a gate that can be cut off from its endpoints, another one that
 // reaches them, and vaults.
-type strandedFixture struct {
+type cutOffFixture struct {
 	*gateFixture
 	partition *partition
 	other     *gateFixture
@@ -54,9 +54,9 @@
 	ran atomic.Int64
 }
 
-func newStrandedFixture(t *testing.T, kind table.Kind, silent bool) *strandedFixture {
+func newCutOffFixture(t *testing.T, kind table.Kind, silent bool) *cutOffFixture {
 	r := newVaultCluster(t, 1)
-	f := &strandedFixture{partition: &partition{silent: silent}}
+	f := &cutOffFixture{partition: &partition{silent: silent}}
 	var entries []fleet.Entry
 	for i := range 5 {
 		e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -75,7 +75,7 @@
 		return startGate(t, s, r.registry, plainRoute(kind, 1), entries, prepare...)
 	}
 	f.other = start("other")
-	f.gateFixture = start("stranded", func(g *Gate) { g.connect = f.partition.connect })
+	f.gateFixture = start("cut-off", func(g *Gate) { g.connect = f.partition.connect })
 	for _, h := range []*gateFixture{f.other, f.gateFixture} {
 		r.g.Eventually(h.gate.acceptsCallers).WithTimeout(5 * time.Second).Should(gomega.BeTrue())
 		r.g.Eventually(func() int { return len(h.gate.vaults.currentRoster().Seats) }).WithTimeout(5 * time.Second).Should(gomega.Equal(3))
@@ -86,12 +86,12 @@
 // A gate reaches no endpoint, while callers, vaults and other gates reach it. Within three
 // seconds its callers must be served as others are, whether connects are refused or get
 // no answer. After the cut it connects by itself again.
-func TestCallersOfAStrandedGateAreServed(t *testing.T) {
+func TestCallersOfACutOffGateAreServed(t *testing.T) {
 	for _, kind := range []table.Kind{table.Idempotent, table.Unsafe, table.Stream} {
 		for _, silent := range []bool{false, true} {
 			t.Run(fmt.Sprint("kind ", kind, ", silent ", silent), func(t *testing.T) {
 				t.Parallel()
-				f := newStrandedFixture(t, kind, silent)
+				f := newCutOffFixture(t, kind, silent)
 				f.partition.cut.Store(true)
 				f.gate.pool.CloseAllIdle()
 				for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
@@ -115,10 +115,10 @@
 	}
 }
 
-// A stranded gate that knows no gate with a way to the endpoints refuses its callers at once,
+// A gate that is cut off and knows no gate with a way to the endpoints refuses its callers at once,
 // says that nothing has run, and takes no new ones.
-func TestAStrandedGateWithoutRelaysRefusesAtOnce(t *testing.T) {
-	f := newStrandedFixture(t, table.Unsafe, true)
+func TestACutOffGateWithoutRelaysRefusesAtOnce(t *testing.T) {
+	f := newCutOffFixture(t, table.Unsafe, true)
 	f.other.stop()
 	f.other.done.Wait()
 	f.partition.cut.Store(true)
@@ -139,7 +139,7 @@
 
 // A gate connects for another one only to endpoints that it knows.
 func TestAGateRelaysToEndpointsOnly(t *testing.T) {
-	f := newStrandedFixture(t, table.Unsafe, false)
+	f := newCutOffFixture(t, table.Unsafe, false)
 	_, err := f.other.gate.dialForPeer(context.Background(), f.gate.site.Frontend)
 	f.g.Expect(err).To(gomega.HaveOccurred())
 	conn, err := f.other.gate.dialForPeer(context.Background(), f.partition.addrs[0])
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -201,7 +201,7 @@
 // acceptsCallers reports whether new connections are welcome. If no vault can
 // be reached, or no endpoint in any way, another gate serves callers better.
 func (g *Gate) acceptsCallers() bool {
-	return g.ready.Load() && !g.vaults.cutOff() && !g.stranded(time.Now())
+	return g.ready.Load() && !g.vaults.cutOff() && !g.isolated(time.Now())
 }
 
 func (g *Gate) listen(s *http.Server, l net.Listener) {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -113,8 +113,8 @@
 	return addrs[g.random.IntN(len(addrs))], true
 }
 
-// stranded reports whether this gate reaches no endpoint and knows no gate that does.
-func (g *Gate) stranded(now time.Time) bool {
+// isolated reports whether this gate reaches no endpoint and knows no gate that does.
+func (g *Gate) isolated(now time.Time) bool {
 	g.mu.Lock()
 	cut := g.cutoff.Cut()
 	g.mu.Unlock()
