Gates say which requests were in progress at an endpoint that ended

Cause: the logs could not tell whether an endpoint had ended or had broken off one answer, nor whether two attempts were the same request, so the hypotheses of the incident could not be told apart.

Change: when an answer breaks off, the gate connects to the endpoint once more, once a lifetime and second. If that fails, it logs the request with a digest of its content, and counts the lifetime. No decision changes.

--- /dev/null
+++ b/gate/crash.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/transport/pool"
+)
+
+// crashProbeAge is how long it counts whether an endpoint had ended when a connection to
+// it broke. Its other connections break within moments.
+const crashProbeAge = time.Second
+
+// lifetime is one run of an endpoint's process.
+type lifetime struct {
+	endpoint  string
+	startedAt int64
+}
+
+// crashProbe finds out whether an endpoint has ended.
+type crashProbe struct {
+	startedAt time.Time
+	// done is closed once ended is set.
+	done  chan struct{}
+	ended bool
+}
+
+// brokeOff reports whether the connection broke before the answer's end.
+func brokeOff(err error) bool {
+	return errors.Is(err, pool.ErrMayHaveRun) &&
+		(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
+// checkCrash finds out in the background whether an endpoint ended while it ran a
+// request. An endpoint may also break off a single answer.
+func (g *Gate) checkCrash(now time.Time, q *request, e fleet.Entry, err error) {
+	if !brokeOff(err) {
+		return
+	}
+	p, first := g.probeCrash(now, e)
+	go func() {
+		if first {
+			p.ended = g.hasEnded(e.Addr)
+			close(p.done)
+		}
+		<-p.done
+		if p.ended {
+			g.recordCrash(q, e, first)
+		}
+	}()
+}
+
+// probeCrash returns the probe of an endpoint's lifetime. first says that it is new and
+// that the caller has to carry it out.
+func (g *Gate) probeCrash(now time.Time, e fleet.Entry) (p *crashProbe, first bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for l, known := range g.crashProbes {
+		if now.Sub(known.startedAt) > crashProbeAge {
+			delete(g.crashProbes, l)
+		}
+	}
+	l := lifetime{e.ID, e.StartedAt}
+	if known := g.crashProbes[l]; known != nil {
+		return known, false
+	}
+	p = &crashProbe{startedAt: now, done: make(chan struct{})}
+	g.crashProbes[l] = p
+	return p, true
+}
+
+// hasEnded reports whether nobody accepts connections at an address.
+func (g *Gate) hasEnded(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := g.connect(ctx, addr)
+	if err == nil {
+		_ = conn.Close() // it has carried nothing
+	}
+	return err != nil
+}
+
+// recordCrash notes that an endpoint ended while it ran a request.
+func (g *Gate) recordCrash(q *request, e fleet.Entry, first bool) {
+	if first {
+		g.meters.crashes.Inc()
+	}
+	g.log.Warn().Str("request", q.ID).Str("program", q.Program).Str("content", q.content()).Str("endpoint", e.ID).Str("addr", e.Addr).
+		Int64("started", e.StartedAt).Msg("endpoint ended while it ran the request")
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -108,6 +108,8 @@
 	relays relays
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
+	// crashProbes holds the recent probes of endpoints whose connections broke.
+	crashProbes map[lifetime]*crashProbe
 	// successes and failures count recently ended calls by endpoint.
 	successes, failures *recent.Recent
 	random              *rand.Rand
@@ -118,7 +120,7 @@
 	g := &Gate{
 		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(), connect: pool.Dial,
 		outliers: eject.New(), stalls: stall.New(), cutoff: cutoff.New(), caps: caps.New(), quota: quota.New(),
-		relays: relays{failedAt: map[string]time.Time{}}, cutChanged: make(chan struct{}, 1),
+		relays: relays{failedAt: map[string]time.Time{}}, crashProbes: map[lifetime]*crashProbe{}, cutChanged: make(chan struct{}, 1),
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -24,6 +24,8 @@
 	cutOff *metrics.Gauge
 	// relayed counts the connections to endpoints that were asked for by other gates.
 	relayed *metrics.Counter
+	// crashes counts the endpoints that ended while they ran requests of this gate.
+	crashes *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 }
@@ -38,6 +40,7 @@
 		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
 		cutOff:       set.NewGauge("cowslipstage_gate_cut_off", nil),
 		relayed:      set.NewCounter("cowslipstage_gate_relayed_connections_total"),
+		crashes:      set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
 		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
 		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -230,6 +230,7 @@
 		g.recordUnreachable(time.Now(), e.Service, e.ID)
 	} else {
 		g.recordOutcome(time.Now(), e.Service, e.ID, false)
+		g.checkCrash(time.Now(), q, e, err)
 	}
 	g.log.Warn().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr).Msg("endpoint failed")
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -191,7 +191,7 @@
 		case split.Buffered() > maxEventBytes || len(t.output) > maxBufferedBytes:
 			return errors.Mark(errors.New("the stream has no end, or an event in it"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF) && split.Buffered() > 0:
-			return errors.Mark(errors.New("the stream ended within an event"), pool.ErrMayHaveRun)
+			return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream ended within an event"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF):
 			g.recordCall(p, firstEvent, lastEvent.Sub(sent))
 			return nil
