A gate blocks by its own count only while it reaches no vault

Callers whose request ran at four crashes seen by one gate, with the cause at other gates, would have been refused everywhere: that gate blocked by itself and told the vaults.

Cause: a gate's own count lacks the requests of others that explain a crash, and was used beside the vaults' verdicts. Crashes also counted for as long as a content was reported, not for the block time only.

Change: a gate decides while no vault is connected, else the vaults do. Crashes older than the block time no longer count, which a test of state/blame now holds.

--- a/gate/blame.go
+++ b/gate/blame.go
@@ -16,7 +16,8 @@
 // suspects holds what this gate knows of requests that crash endpoints. The gate's mutex
 // guards it.
 type suspects struct {
-	// blame counts this gate's own requests only, and takes over what vaults decide.
+	// blame counts this gate's own requests only and takes over what vaults decide. The
+	// gate decides only while it reaches no vault.
 	blame *blame.Blame
 	// watched holds the contents and targets of which the vaults want to know that a request
 	// ran to its end.
@@ -44,7 +45,6 @@
 	if g.suspects.blame.Empty() {
 		return 0
 	}
-	g.decide(now)
 	return g.suspects.blame.BlockLeft(now, q.content())
 }
 
@@ -69,9 +69,14 @@
 	g.signalSuspects()
 }
 
-// decide blocks what this gate alone has seen crash endpoints too often. The caller holds
-// the mutex.
-func (g *Gate) decide(now time.Time) { g.logBlocked(g.suspects.blame.Decide(now), g.site.Node) }
+// decideAlone blocks what this gate has seen crash endpoints too often. Other gates' requests
+// may explain some of these crashes.
+func (g *Gate) decideAlone(now time.Time) {
+	g.mu.Lock()
+	blocked := g.suspects.blame.Decide(now)
+	g.mu.Unlock()
+	g.logBlocked(blocked, g.site.Node)
+}
 
 // addEnd records that a request ran to its end, if it is under suspicion.
 func (g *Gate) addEnd(now time.Time, q *request) {
@@ -114,15 +119,24 @@
 		case <-ctx.Done():
 			return
 		}
+		reached := false
 		for _, addr := range g.vaults.vaultAddrs() {
 			if g.vaults.connection(addr).Connected() {
+				reached = true
 				go g.sendSuspects(ctx, addr)
 			}
 		}
+		pause := loadPause
+		if !reached {
+			pause = blame.SettleTime
+		}
 		select {
-		case <-time.After(loadPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
+		if !reached {
+			g.decideAlone(time.Now())
+		}
 	}
 }
 
@@ -151,7 +165,6 @@
 	if s.blame.Empty() {
 		return
 	}
-	g.decide(now)
 	for len(s.news) > 0 && now.Sub(s.news[0].at) > crashNewsAge {
 		s.news = s.news[1:]
 	}
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -26,9 +26,9 @@
 	// maxContents bounds the contents that are remembered. When it is exceeded, the oldest
 	// are dropped.
 	maxContents = 4096
-	// settleTime is how long reports of one crash are awaited before it counts: gates notice
-	// it within some milliseconds.
-	settleTime = 30 * time.Millisecond
+	// SettleTime is how long reports of one crash are awaited before Decide counts it: gates
+	// notice it within some milliseconds.
+	SettleTime = 30 * time.Millisecond
 	// sweepEvery is the pause between two removals of what no longer counts.
 	sweepEvery = time.Second
 )
@@ -77,7 +77,10 @@
 // alone explains them: Crashes for one that hears of all crashes, SureCrashes for one
 // that does not.
 func New(enough int) *Blame {
-	return &Blame{enough: enough, contents: map[string]*record{}, targets: map[string]time.Time{}, ended: map[string]time.Time{}, ran: map[Crash][]string{}, undecided: map[Crash]time.Time{}}
+	return &Blame{
+		enough: enough, contents: map[string]*record{}, targets: map[string]time.Time{}, ended: map[string]time.Time{},
+		ran: map[Crash][]string{}, undecided: map[Crash]time.Time{},
+	}
 }
 
 // AddCrash records that a content ran at an endpoint that ended. target is what the content
@@ -178,7 +181,7 @@
 func (b *Blame) Decide(now time.Time) []string {
 	var contents []string
 	for c, reportedAt := range b.undecided {
-		if now.Sub(reportedAt) >= settleTime {
+		if now.Sub(reportedAt) >= SettleTime {
 			delete(b.undecided, c)
 			contents = append(contents, b.ran[c]...)
 		}
@@ -222,11 +225,11 @@
 	return ok && now.Sub(blockedAt) < BlockTime && !b.ended[target].After(blockedAt)
 }
 
-// unexplained returns the crashes at which a content ran and no blocked one.
+// unexplained returns the crashes that count at which a content ran and no blocked one.
 func (b *Blame) unexplained(now time.Time, content string, r *record) []Crash {
 	var crashes []Crash
-	for c := range r.crashes {
-		explained := slices.ContainsFunc(b.ran[c], func(other string) bool {
+	for c, at := range r.crashes {
+		explained := now.Sub(at) >= BlockTime || slices.ContainsFunc(b.ran[c], func(other string) bool {
 			return other != content && b.contents[other].blocked(now)
 		})
 		if !explained {
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -36,6 +36,8 @@
 	addCrash(b, 3, "x")
 	g.Expect(b.BlockLeft(at(4), "x")).To(gomega.BeNumerically("~", blame.BlockTime, time.Second))
 	g.Expect(b.BlockLeft(at(4).Add(blame.BlockTime), "x")).To(gomega.BeZero())
+	addCrash(b, 5+int(blame.BlockTime.Seconds()), "x")
+	g.Expect(b.BlockLeft(at(6).Add(blame.BlockTime), "x")).To(gomega.BeZero(), "crashes before the block no longer count")
 }
 
 // Other requests that happened to run at a crash are not blocked, in whatever order the
