A gate beside vaults of the build before blocks by its own count

Cause: a connected vault was taken for one that decides.

Change: verdicts have a revision from the start, and only a vault that has sent one counts as deciding. Vaults send it once to gates that ask.

--- a/gate/blame.go
+++ b/gate/blame.go
@@ -17,14 +17,15 @@
 // guards it.
 type suspects struct {
 	// blame counts this gate's own requests only and takes over what vaults decide. The
-	// gate decides only while it reaches no vault.
+	// gate decides only while it reaches no vault that does.
 	blame *blame.Blame
 	// watched holds the contents and targets of which the vaults want to know that a request
 	// ran to its end.
 	watched map[string]bool
 	// news holds this gate's recent reports, oldest first.
 	news []crashNews
-	// revisions holds the revision of each vault's verdicts that this gate has.
+	// revisions holds the revision of each vault's verdicts that this gate has. Vaults of
+	// earlier builds, which decide nothing, have none.
 	revisions map[string]uint64
 }
 
@@ -119,22 +120,22 @@
 		case <-ctx.Done():
 			return
 		}
-		reached := false
+		decided := false
 		for _, addr := range g.vaults.vaultAddrs() {
 			if g.vaults.connection(addr).Connected() {
-				reached = true
+				decided = decided || g.verdictsRevision(addr) != 0
 				go g.sendSuspects(ctx, addr)
 			}
 		}
 		pause := loadPause
-		if !reached {
+		if !decided {
 			pause = blame.SettleTime
 		}
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
 		}
-		if !reached {
+		if !decided {
 			g.decideAlone(time.Now())
 		}
 	}
@@ -179,7 +180,7 @@
 }
 
 // verdictsRevision returns the revision of the verdicts of the vault at addr that this
-// gate has, 0 for none.
+// gate has, 0 if the vault has sent none.
 func (g *Gate) verdictsRevision(addr string) uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -5,17 +5,22 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/standin/coord"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
 // Bodies of requests to a mortal.
@@ -223,6 +228,38 @@
 	f.g.Expect(f.crashes()).To(gomega.BeNumerically("<=", 3+3))
 }
 
+// A vault of the build before takes reports of crashes as messages without them, and has
+// no verdicts. A gate that reaches no other counts by itself.
+func TestARequestThatCrashesEndpointsIsBlockedBesideEarlierVaults(t *testing.T) {
+	t.Parallel()
+	var reports atomic.Int64
+	earlier := httptest.NewServer(wsrpc.NewHandler(t.Context(), func(m vaults.Message, answer func(vaults.Message)) {
+		if l, ok := m.(*vaults.Load); ok {
+			reports.Add(int64(len(l.Crashes)))
+			answer(&vaults.LoadReply{})
+		}
+	}, zerolog.Nop()))
+	t.Cleanup(earlier.CloseClientConnections)
+	s := &site.Site{
+		Node: "gate", Centre: "centre-0", MaxLostHosts: 1, Memory: 64 << 20, Grace: time.Second,
+		Seeds: []string{strings.TrimPrefix(earlier.URL, "http://")},
+	}
+	f := newMortalFleet(t, coord.New(), 0, 4, table.Unsafe)
+	var entries []fleet.Entry
+	for _, m := range f.mortals {
+		entries = append(entries, m.entry)
+	}
+	f.gates = []*gateFixture{startGate(t, s, coord.New(), plainRoute(table.Unsafe, 1), entries)}
+	f.g.Eventually(func() bool { return f.gates[0].gate.vaults.connection(s.Seeds[0]).Connected() }).Should(gomega.BeTrue())
+	f.awaitServed()
+	for range 12 {
+		f.post(0, crashingBody)
+		f.awaitServed()
+	}
+	f.g.Expect(reports.Load()).To(gomega.BeNumerically(">", 0), "the gate uses this vault")
+	f.g.Expect(f.crashes()).To(gomega.BeNumerically("<=", 3+3))
+}
+
 // Every process of the system restarts. A gate that has started blocks what was blocked
 // before as soon as it hears from a vault.
 func TestABlockOutlivesARestartOfEveryProcess(t *testing.T) {
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -133,7 +133,7 @@
 	Limits  *LimitsReply `cbor:"6,keyasint,omitempty"`
 	// Relays holds the other gates' offers if Load.WantRelays is set.
 	Relays []peers.Peer `cbor:"7,keyasint,omitempty"`
-	// Verdicts is nil unless the gate lacks this revision of them.
+	// Verdicts is nil unless the gate lacks this revision of them and there are any.
 	Verdicts         *blame.Verdicts `cbor:"8,keyasint,omitempty"`
 	VerdictsRevision uint64          `cbor:"9,keyasint,omitempty"`
 }
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -54,7 +54,8 @@
 	// undecided holds when each crash was first reported that Decide has not yet seen.
 	undecided map[Crash]time.Time
 	lastSweep time.Time
-	// revision changes with what Verdicts returns. It does not repeat after a restart.
+	// revision changes with what Verdicts returns. It does not repeat after a restart and is
+	// never 0.
 	revision uint64
 }
 
@@ -79,7 +80,7 @@
 func New(enough int) *Blame {
 	return &Blame{
 		enough: enough, contents: map[string]*record{}, targets: map[string]time.Time{}, ended: map[string]time.Time{},
-		ran: map[Crash][]string{}, undecided: map[Crash]time.Time{},
+		ran: map[Crash][]string{}, undecided: map[Crash]time.Time{}, revision: 1,
 	}
 }
 
@@ -297,7 +298,7 @@
 	return v
 }
 
-// Revision changes whenever Verdicts does. It is 0 before the first change.
+// Revision changes whenever Verdicts does. It is never 0.
 func (b *Blame) Revision() uint64 { return b.revision }
 
 func (b *Blame) change(now time.Time) { b.revision = max(b.revision+1, uint64(now.UnixMilli())) }
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -104,7 +104,7 @@
 	g := gomega.NewWithT(t)
 	a, b := blame.New(blame.Crashes), blame.New(blame.SureCrashes)
 	g.Expect(a.Verdicts(start)).To(gomega.BeNil())
-	g.Expect(a.Revision()).To(gomega.BeZero())
+	g.Expect(a.Revision()).NotTo(gomega.BeZero())
 	for n := range blame.Crashes {
 		addCrash(a, n, "x")
 	}
