--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -61,7 +61,10 @@
 	For  time.Duration
 	// Binary is the path of the program under test. Folder receives its data and logs.
 	Binary, Folder string
-	Callers        int
+	// Before is the path of the build before, with which all hosts start and from which they
+	// are upgraded one after the other; "" for a run with one build.
+	Before  string
+	Callers int
 }
 
 // Report is the result of a run.
@@ -156,6 +159,12 @@
 	end := time.Now().Add(dp.options.For)
 	var running sync.WaitGroup
 	var failed error
+	upgraded := make(chan error, 1)
+	if dp.options.Before == "" {
+		upgraded <- nil
+	} else {
+		go func() { upgraded <- dp.upgrade(dp.options.Seed) }()
+	}
 	for n := uint64(2); time.Now().Before(end); n++ {
 		f := faults[random.IntN(len(faults))]
 		d := time.Duration(random.Int64N(int64(maxFaultDuration)))
@@ -171,7 +180,7 @@
 		time.Sleep(time.Duration(random.Int64N(int64(maxFaultPause))))
 	}
 	running.Wait()
-	return failed
+	return errors.CombineErrors(failed, <-upgraded)
 }
 
 // continueChains continues the last chains of each caller after all faults have ended
@@ -254,6 +263,9 @@
 	// Concurrent runs use different IPs.
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, dp.options.Seed%250, 1+i)
 	h := &host{binary: dp.options.Binary, folder: dp.options.Folder, role: "vault"}
+	if dp.options.Before != "" {
+		h.binary = dp.options.Before
+	}
 	h.Host = fake.Host{
 		Name: fmt.Sprint("vault-", i), IP: ip, Centre: centres[i%len(centres)], Centres: centres, Port: basePort,
 		Store: store, MaxLostHosts: maxLostHosts, FirstStart: true, Grace: stopGrace,
@@ -314,17 +326,23 @@
 // waitCounted waits until a vault logs in its current incarnation that it counts as
 // a copy. If it does not in time, a violation is recorded.
 func (dp *deployment) waitCounted(h *host) error {
+	return dp.waitLogged(h, "counts as a copy", "does not count as a copy again")
+}
+
+// waitLogged waits until a process has logged a text in its current incarnation. If it
+// does not in time, a violation is recorded.
+func (dp *deployment) waitLogged(h *host, text, violation string) error {
 	end := time.Now().Add(2 * recoveryTimeout)
 	for {
 		data, err := os.ReadFile(h.log.Name())
 		if err != nil {
 			return errors.Wrap(err, "soak: log")
 		}
-		if strings.Contains(string(data[h.incarnationStart():]), "counts as a copy") {
+		if strings.Contains(string(data[h.incarnationStart():]), text) {
 			return nil
 		}
 		if time.Now().After(end) {
-			dp.ledger.recordNotRecovered(h.Name + " does not count as a copy again")
+			dp.ledger.recordNotRecovered(h.Name + " " + violation)
 			return nil
 		}
 		time.Sleep(restartPause / 2)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,6 +39,11 @@
 				return err
 			}
 			o.Binary = binary
+			if o.Before != "" {
+				if o.Before, err = filepath.Abs(o.Before); err != nil {
+					return err
+				}
+			}
 			folder := o.Folder
 			broken := 0
 			for range seeds {
@@ -69,6 +74,7 @@
 	c.Flags().DurationVar(&o.For, "for", 20*time.Second, "how long things go wrong, for each seed")
 	c.Flags().IntVar(&o.Callers, "callers", 8, "callers at once")
 	c.Flags().StringVar(&o.Binary, "binary", "target/cowslipstage", "the program under test")
+	c.Flags().StringVar(&o.Before, "before", "", "the build before; hosts are upgraded from it one after the other, back, and forward again")
 	c.Flags().StringVar(&o.Folder, "folder", filepath.Join(os.TempDir(), "soak"), "where data and logs go; kept where a promise was broken")
 	return c
 }
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -46,9 +46,9 @@
 	// enough is how many crashes block a content that alone explains them.
 	enough   int
 	contents map[string]*record
-	// targets holds when a content sent there was last blocked, and ended when any last ran
-	// to its end since.
-	targets, ended map[string]time.Time
+	// targetBlocks holds by target when a content sent there was last blocked, targetEnds when
+	// any last ran to its end since.
+	targetBlocks, targetEnds map[string]time.Time
 	// ran holds the contents that ran at each crash.
 	ran map[Crash][]string
 	// undecided holds when each crash was first reported that Decide has not yet seen.
@@ -79,7 +79,7 @@
 // that does not.
 func New(enough int) *Blame {
 	return &Blame{
-		enough: enough, contents: map[string]*record{}, targets: map[string]time.Time{}, ended: map[string]time.Time{},
+		enough: enough, contents: map[string]*record{}, targetBlocks: map[string]time.Time{}, targetEnds: map[string]time.Time{},
 		ran: map[Crash][]string{}, undecided: map[Crash]time.Time{}, revision: 1,
 	}
 }
@@ -103,9 +103,9 @@
 // AddEnd records that a content, or one sent to a target, ran to its end. That clears a
 // content of earlier crashes.
 func (b *Blame) AddEnd(now, at time.Time, content string) {
-	if blockedAt, isTarget := b.targets[content]; isTarget {
-		if at.After(blockedAt) && b.suspects(now, content) {
-			b.ended[content] = at
+	if blockedAt, isTarget := b.targetBlocks[content]; isTarget {
+		if at.After(blockedAt) && b.isTargetSuspected(now, content) {
+			b.targetEnds[content] = at
 			b.change(now)
 		}
 		return
@@ -138,8 +138,8 @@
 	}
 	for target, age := range v.Targets {
 		at := now.Add(-max(0, age))
-		if age < BlockTime && !b.suspects(now, target) && at.After(b.ended[target]) {
-			b.targets[target] = at
+		if age < BlockTime && !b.isTargetSuspected(now, target) && at.After(b.targetEnds[target]) {
+			b.targetBlocks[target] = at
 			b.change(now)
 		}
 	}
@@ -204,7 +204,7 @@
 		var found []string
 		rivals := b.rivals(now, content, crashes)
 		switch {
-		case b.suspects(now, r.target) || len(crashes) >= b.enough && len(rivals) == 0:
+		case b.isTargetSuspected(now, r.target) || len(crashes) >= b.enough && len(rivals) == 0:
 			found = []string{content}
 		case len(crashes) >= SureCrashes:
 			found = append(rivals, content)
@@ -219,11 +219,11 @@
 	return blocked
 }
 
-// suspects reports whether whatever crashed an endpoint was probably what was sent to a
-// target: another content sent there was blocked, and nothing has run to its end since.
-func (b *Blame) suspects(now time.Time, target string) bool {
-	blockedAt, ok := b.targets[target]
-	return ok && now.Sub(blockedAt) < BlockTime && !b.ended[target].After(blockedAt)
+// isTargetSuspected reports whether what is sent to a target probably crashes endpoints:
+// another content sent there was blocked, and nothing has run to its end since.
+func (b *Blame) isTargetSuspected(now time.Time, target string) bool {
+	blockedAt, ok := b.targetBlocks[target]
+	return ok && now.Sub(blockedAt) < BlockTime && !b.targetEnds[target].After(blockedAt)
 }
 
 // unexplained returns the crashes that count at which a content ran and no blocked one.
@@ -252,7 +252,7 @@
 	r := b.contents[content]
 	r.blockedAt = now
 	if r.target != "" {
-		b.targets[r.target] = now
+		b.targetBlocks[r.target] = now
 	}
 	b.change(now)
 }
@@ -286,8 +286,8 @@
 			v.Watched = append(v.Watched, content)
 		}
 	}
-	for target, blockedAt := range b.targets {
-		if b.suspects(now, target) {
+	for target, blockedAt := range b.targetBlocks {
+		if b.isTargetSuspected(now, target) {
 			v.Targets[target] = now.Sub(blockedAt)
 		}
 	}
@@ -342,10 +342,10 @@
 			b.drop(content)
 		}
 	}
-	for target, blockedAt := range b.targets {
+	for target, blockedAt := range b.targetBlocks {
 		if now.Sub(blockedAt) >= BlockTime {
-			delete(b.targets, target)
-			delete(b.ended, target)
+			delete(b.targetBlocks, target)
+			delete(b.targetEnds, target)
 		}
 	}
 	if over := len(b.contents) - maxContents; over > 0 {
