Budgets bind turns of every route, and sessions return to the endpoint that has their prompt

Cause: holds were taken only on routes whose turns the system keeps, so runaway programs on other routes had no bound, and a session there was placed without knowing which endpoint had its prompt cached.

Change: every turn with a program, a budget and a maximum is held and settled at the vaults. With the hold a gate asks for the home of the session, and with the settlement it tells it (state/homes). Vaults and gates keep homes in bounded memory.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -27,6 +27,7 @@
 	"github.com/cowslipstage/cowslipstage/state/blame"
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
@@ -54,6 +55,8 @@
 	headerTime     = 5 * time.Second
 	idleTime       = 60 * time.Second
 	maxHeaderBytes = 64 << 10
+	// homeBytes is the memory for which a gate remembers the home of one session.
+	homeBytes = 32 << 10
 	// routineLines is how many log lines a second report requests that end
 	// well. Beyond it, one in routineSampleN is logged. A gate at peak load
 	// writes some 300 a second.
@@ -107,6 +110,8 @@
 	cutoff *cutoff.Detector
 	// relays holds the gates that connect for this one while it is cut off.
 	relays relays
+	// homes holds the endpoints of the sessions whose last turn ran through this gate.
+	homes *homes.Homes
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
@@ -130,6 +135,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
--- a/gate/load.go
+++ b/gate/load.go
@@ -68,6 +68,10 @@
 	g.ejectReported(now, usable)
 	meanStep := g.meanStepSeconds(now, usable)
 	cached := g.cachedTokens(q, previous, usable)
+	home := q.home
+	if !g.site.Off.On(toggle.Previous) {
+		home.Endpoint = ""
+	}
 	var entries []fleet.Entry
 	var choices []assign.Candidate
 	for _, e := range usable {
@@ -76,6 +80,9 @@
 		}
 		c := g.candidate(now, e, meanStep)
 		c.OtherCalls, c.CachedTokens, c.LimitWait = others[e.ID], cached(e.ID), g.limitWait(now, e)
+		if e.ID == home.Endpoint && e.StartedAt == home.StartedAt {
+			c.CachedTokens = max(c.CachedTokens, min(home.Tokens, q.PromptTokens))
+		}
 		entries = append(entries, e)
 		choices = append(choices, c)
 	}
@@ -129,9 +136,9 @@
 	return c
 }
 
-// homes returns the endpoints that are to cache a prompt's shared head: some in
+// prefixHomes returns the endpoints that are to cache a prompt's shared head: some in
 // each data centre, so that one is always near.
-func (g *Gate) homes(head string, entries []fleet.Entry) map[string]bool {
+func (g *Gate) prefixHomes(head string, entries []fleet.Entry) map[string]bool {
 	if head == "" {
 		return nil
 	}
@@ -155,7 +162,7 @@
 	}
 	var homes map[string]bool
 	if g.site.Off.On(toggle.Homes) {
-		homes = g.homes(q.Prefix, usable)
+		homes = g.prefixHomes(q.Prefix, usable)
 	}
 	return func(id string) int {
 		switch {
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	spent := &chains.Spent{Program: "p", Turn: "new", Retention: time.Minute}
-	m.g.Expect(m.client.settle(ctx, spent)).To(gomega.Succeed())
+	m.g.Expect(m.client.settle(ctx, spent, nil)).To(gomega.Succeed())
 }
 
 // Vaults lose power in the middle of a write, lose their disks one at a time,
--- a/gate/open.go
+++ b/gate/open.go
@@ -13,19 +13,49 @@
 	"github.com/cowslipstage/cowslipstage/state/spend"
 )
 
+// opening is what a gate wants of the vaults before a turn runs.
+type opening struct {
+	hold *chains.Hold
+	// budget is that of the program; a negative one means that the turn has none.
+	budget int
+	// previous is the turn whose chain is wanted, "" if there is none.
+	previous string
+	// session is the session whose home is wanted, "" if none is.
+	session string
+}
+
+// opened is what the vaults answered.
+type opened struct {
+	// chain is the chain up to the previous turn, oldest first.
+	chain []*chains.Turn
+	// home is where the session's last turn ran, nil if no vault knows.
+	home *vaults.Home
+	// underWay reports whether the program has spent tokens before.
+	underWay bool
+}
+
+// addHome keeps the home that a vault answered, if it is the longest: a session's prompt
+// only grows.
+func (o *opened) addHome(h *vaults.Home) {
+	if h != nil && (o.home == nil || h.Tokens > o.home.Tokens) {
+		o.home = h
+	}
+}
+
 // openTurn has the vaults hold the tokens that a turn may spend and returns the
-// turn's chain. A negative budget means that the turn has none.
-func (c *vaultClient) openTurn(ctx context.Context, hold *chains.Hold, budget int, previous string) ([]*chains.Turn, error) {
+// turn's chain.
+func (c *vaultClient) openTurn(ctx context.Context, wanted opening) (*opened, error) {
 	started := time.Now()
 	defer c.beginSeconds.UpdateDuration(started)
-	chain, cached := c.cachedChain(previous)
-	if budget < 0 && cached {
-		return chain, nil
+	result := &opened{underWay: wanted.previous != ""}
+	var cached bool
+	if result.chain, cached = c.cachedChain(wanted.previous); wanted.budget < 0 && cached {
+		return result, nil
 	}
-	var found []*chains.Turn
-	wanted := ""
-	if !cached {
-		wanted = previous
+	previous := wanted.previous
+	if cached {
+		wanted.previous = ""
+	} else {
 		c.cacheMisses.Inc()
 	}
 	waiter := await.New(started)
@@ -34,23 +64,16 @@
 		return waiter.MayRetry(now, c.seatedVaults(now), deadline.Sub(now))
 	}
 	err := c.retryUncertain(ctx, mayRetry, func() error {
-		return c.withRoster(ctx, func(roster *seats.Roster) error {
-			var err error
-			found, err = c.sendBegin(ctx, roster, hold, budget, wanted)
-			return err
-		})
+		return c.withRoster(ctx, func(roster *seats.Roster) error { return c.sendBegin(ctx, roster, wanted, result) })
 	})
-	if err != nil {
-		return nil, err
-	}
-	if cached {
-		return chain, nil
+	if err != nil || cached {
+		return result, err
 	}
-	c.cacheTurns(found...)
-	if chain, cached = c.cachedChain(previous); cached {
-		return chain, nil
+	if result.chain, cached = c.cachedChain(previous); cached {
+		return result, nil
 	}
-	return c.fetchChain(ctx, previous)
+	result.chain, err = c.fetchChain(ctx, previous)
+	return result, err
 }
 
 // withRoster runs a step with the known roster, and again if the roster changed
@@ -74,19 +97,19 @@
 	return errors.Wrap(errUncertain, "the roster keeps changing")
 }
 
-// sendBegin stores the hold at a quorum of vaults and returns the turns of the
-// chain that they sent.
-func (c *vaultClient) sendBegin(ctx context.Context, roster *seats.Roster, hold *chains.Hold, budget int, wanted string) ([]*chains.Turn, error) {
-	var turns []*chains.Turn
+// sendBegin stores the hold at a quorum of vaults, adds what they answered to the
+// result, and caches the turns of the chain that they sent.
+func (c *vaultClient) sendBegin(ctx context.Context, roster *seats.Roster, wanted opening, result *opened) error {
+	hold, budget := wanted.hold, wanted.budget
 	var sums []spend.Summary
 	message := func(i int, s seats.Seat) vaults.Message {
 		m := &vaults.Begin{Version: roster.Version, Budget: budget}
 		if budget >= 0 {
 			copied := *hold
-			m.Hold = &copied
+			m.Hold, m.Session = &copied, wanted.session
 		}
 		if i == 0 {
-			m.Chain = wanted
+			m.Chain = wanted.previous
 		}
 		m.Load = c.exchange.loadFor(time.Now(), roster, s)
 		return m
@@ -102,17 +125,16 @@
 			return false
 		}
 		c.exchange.receive(s.Addr, a.LoadReply)
-		turns = append(turns, a.Turns...)
+		c.cacheTurns(a.Turns...)
+		result.addHome(a.Home)
+		result.underWay = result.underWay || a.Summary.Spent > 0
 		sums = append(sums, a.Summary)
 		return true
 	})
-	if err != nil {
-		return nil, err
-	}
-	if budget < 0 || spend.SummariesAllow(sums, hold.MaxTokens, budget) {
-		return turns, nil
+	if err != nil || budget < 0 || spend.SummariesAllow(sums, hold.MaxTokens, budget) {
+		return err
 	}
-	return turns, c.checkBudget(ctx, roster, order, hold, budget)
+	return c.checkBudget(ctx, roster, order, hold, budget)
 }
 
 // checkBudget decides whether a turn fits its budget from the merged accounts
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
+	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
@@ -48,6 +49,9 @@
 	deadline time.Time
 	// version is the version of the routes, for the log.
 	version uint64
+	// home is where the prompt of the request's session is probably cached. Its endpoint
+	// is "" if that is not known.
+	home homes.Home
 	// tried holds the endpoints that were sent the request, or could not be
 	// reached.
 	tried map[string]bool
--- a/gate/starting_test.go
+++ b/gate/starting_test.go
@@ -26,7 +26,7 @@
 	go fresh.connectLoop(ctx)
 	r.g.Eventually(func() int { return len(fresh.currentRoster().Seats) }).Should(gomega.Equal(3))
 	open := func() error {
-		_, err := fresh.openTurn(ctx, &chains.Hold{Program: "p", Turn: "new", MaxTokens: 10, Retention: time.Minute}, 1000, "a")
+		_, err := fresh.openTurn(ctx, opening{hold: &chains.Hold{Program: "p", Turn: "new", MaxTokens: 10, Retention: time.Minute}, budget: 1000, previous: "a"})
 		return err
 	}
 	opened := make(chan error, 10)
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/protocol/events"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
 
@@ -23,6 +25,8 @@
 	// settleTime bounds the attempts to record what a turn has spent. Until
 	// that is recorded, the turn's maximum counts as spent.
 	settleTime = 3 * time.Second
+	// defaultRetention is how long a turn's program may pause if the route does not say.
+	defaultRetention = time.Minute
 )
 
 // turn is a request that is answered with a stream of events.
@@ -33,6 +37,8 @@
 	// previousEndpoint is the endpoint that ran the chain's previous turn, or
 	// "".
 	previousEndpoint string
+	// underWay reports whether the program has run turns before.
+	underWay bool
 	// hasHold says that the vaults hold tokens of the budget for this turn.
 	hasHold bool
 	// begun says that part of an answer was sent to the caller. eventsSent counts the
@@ -46,9 +52,10 @@
 // serveStream serves a request that is answered with events.
 func (g *Gate) serveStream(ctx context.Context, q *request) {
 	t := &turn{request: q, promptText: q.body}
-	if q.route.KeepsTurns && !g.prepareTurn(ctx, t) {
+	if (q.route.KeepsTurns || t.hasBudget()) && !g.prepareTurn(ctx, t) {
 		return
 	}
+	g.recallHome(time.Now(), t)
 	for len(q.tried) < maxDeclines+q.route.Attempts && g.blockLeft(time.Now(), q) == 0 {
 		p, ok := g.choose(time.Now(), q, t.previousEndpoint, true)
 		if !ok {
@@ -66,42 +73,90 @@
 		g.abandonTurn(ctx, t, p.Entry, err)
 		return
 	}
-	g.settleTurn(t)
+	g.settleTurn(t, nil)
 	g.refuseUnplaced(q)
 }
 
+// hasBudget reports whether the turn's tokens count against a program's budget.
+func (q *request) hasBudget() bool { return q.Budget >= 0 && q.Program != "" && q.MaxOutputTokens > 0 }
+
+// accountRetention returns how long the account of a turn's program is kept.
+func (q *request) accountRetention() time.Duration {
+	if q.route.Retention <= 0 {
+		return keepFactor * defaultRetention
+	}
+	return keepFactor * q.route.Retention
+}
+
 // prepareTurn reads the chain and has the vaults hold the tokens that the turn
 // may spend. It reports whether the turn may run; if not, the caller has been
 // refused.
 func (g *Gate) prepareTurn(ctx context.Context, t *turn) bool {
-	hold := &chains.Hold{Program: t.Program, Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: keepFactor * t.route.Retention}
-	budget := t.Budget
-	if t.Program == "" || t.MaxOutputTokens == 0 {
-		budget = -1
+	wanted := opening{
+		hold:   &chains.Hold{Program: t.Program, Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
+		budget: -1,
 	}
-	t.hasHold = budget >= 0
-	chain, err := g.vaults.openTurn(ctx, hold, budget, t.Previous)
+	if t.hasHold = t.hasBudget(); t.hasHold {
+		wanted.budget = t.Budget
+	}
+	if t.route.KeepsTurns {
+		wanted.previous = t.Previous
+	} else {
+		wanted.session = t.Session
+	}
+	result, err := g.vaults.openTurn(ctx, wanted)
 	switch {
 	case errors.Is(err, errSpent):
-		g.settleTurn(t)
+		g.settleTurn(t, nil)
 		g.refuse(t.request, http.StatusPaymentRequired, err.Error())
 		return false
 	case errors.Is(err, errUnknown):
-		g.settleTurn(t)
+		g.settleTurn(t, nil)
 		g.refuse(t.request, http.StatusNotFound, err.Error())
 		return false
 	case err != nil:
-		g.settleTurn(t)
+		g.settleTurn(t, nil)
 		g.refuse(t.request, http.StatusServiceUnavailable, "its chain or budget is not certain; it has not run: "+err.Error())
 		return false
 	}
-	if len(chain) > 0 {
+	if chain := result.chain; len(chain) > 0 {
 		t.previousEndpoint = chain[len(chain)-1].Endpoint
 		t.promptText = chains.BuildInput(chain, t.body)
 	}
+	if h := result.home; h != nil {
+		t.home = homes.Home{Endpoint: h.Endpoint, StartedAt: h.StartedAt, Tokens: h.Tokens}
+	}
+	t.underWay = result.underWay
 	return true
 }
 
+// recallHome takes the home of the turn's session from this gate's own turns, if no vault
+// named one. The vaults are asked only for turns that have a budget.
+func (g *Gate) recallHome(now time.Time, t *turn) {
+	if t.route.KeepsTurns || t.home.Endpoint != "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.home, _ = g.homes.Get(now, t.Program, t.Session)
+}
+
+// rememberHome notes that an endpoint has run the turn to its end and returns what the
+// vaults are told of it, nil if the system keeps the turn's chain or it has no session.
+func (g *Gate) rememberHome(now time.Time, t *turn, e fleet.Entry) *vaults.Home {
+	if t.route.KeepsTurns || t.Session == "" {
+		return nil
+	}
+	tokens := t.PromptTokens + t.usedTokens()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.homes.Put(now, t.Program, t.Session, homes.Home{Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens})
+	return &vaults.Home{Program: t.Program, Session: t.Session, Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens}
+}
+
+// usedTokens returns the tokens that the caller got.
+func (t *turn) usedTokens() int { return t.eventsSent * t.service.TokensPerEvent }
+
 // runTurn sends a turn to one endpoint and relays its events. Without an error
 // the stream was complete, and the caller's answer has not been ended yet.
 func (g *Gate) runTurn(ctx context.Context, t *turn, p placement) error {
@@ -212,12 +267,14 @@
 	if t.route.KeepsTurns {
 		record := &chains.Turn{
 			ID: t.ID, Previous: t.Previous, Program: t.Program, Endpoint: e.ID, Input: t.body, Output: t.output,
-			Used: t.eventsSent * t.service.TokensPerEvent, Retention: t.route.Retention,
+			Used: t.usedTokens(), Retention: t.route.Retention,
 		}
 		if err := g.vaults.recordTurn(ctx, record); err != nil {
-			g.settleTurn(t)
+			g.settleTurn(t, nil)
 			g.cutStream(t, errors.Wrap(err, "the turn could not be kept"))
 		}
+	} else {
+		g.settleTurn(t, g.rememberHome(time.Now(), t, e))
 	}
 	g.meters.countAnswer("done")
 	g.meters.observeSince(g.meters.stream, t.started)
@@ -227,7 +284,7 @@
 
 // abandonTurn ends a turn that failed at an endpoint.
 func (g *Gate) abandonTurn(ctx context.Context, t *turn, e fleet.Entry, err error) {
-	g.settleTurn(t)
+	g.settleTurn(t, nil)
 	switch {
 	case errors.Is(err, errPassed):
 		g.meters.countAnswer("passed")
@@ -248,16 +305,17 @@
 	panic(http.ErrAbortHandler)
 }
 
-// settleTurn records in the background what an incomplete turn has spent.
-func (g *Gate) settleTurn(t *turn) {
+// settleTurn records in the background what a turn that is not kept has spent, and where
+// it ran unless home is nil.
+func (g *Gate) settleTurn(t *turn, home *vaults.Home) {
 	if !t.hasHold {
 		return
 	}
-	s := &chains.Spent{Program: t.Program, Turn: t.ID, Used: t.eventsSent * t.service.TokensPerEvent, Retention: keepFactor * t.route.Retention}
+	s := &chains.Spent{Program: t.Program, Turn: t.ID, Used: t.usedTokens(), Retention: t.accountRetention()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
-		if err := g.vaults.settle(ctx, s); err != nil {
+		if err := g.vaults.settle(ctx, s, home); err != nil {
 			g.log.Warn().Err(err).Str("request", s.Turn).Str("program", s.Program).Int("used", s.Used).
 				Msg("turn not settled; its maximum counts as spent")
 		}
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -359,11 +359,12 @@
 	return err
 }
 
-// settle stores what an incomplete turn has spent.
-func (c *vaultClient) settle(ctx context.Context, s *chains.Spent) error {
+// settle stores what a turn that is not kept has spent, and where it ran unless home is
+// nil.
+func (c *vaultClient) settle(ctx context.Context, s *chains.Spent, home *vaults.Home) error {
 	return c.sendEnd(ctx, s.Program, func(version uint64) *vaults.End {
 		copied := *s
-		return &vaults.End{Version: version, Spent: &copied}
+		return &vaults.End{Version: version, Spent: &copied, Home: home}
 	})
 }
 
--- a/gate/vaultclient_test.go
+++ b/gate/vaultclient_test.go
@@ -153,7 +153,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	hold := &chains.Hold{Program: "p", Turn: "new", MaxTokens: 10, Retention: time.Minute}
-	return r.client.openTurn(ctx, hold, 1000, previous)
+	o, err := r.client.openTurn(ctx, opening{hold: hold, budget: 1000, previous: previous})
+	if err != nil {
+		return nil, err
+	}
+	return o.chain, nil
 }
 
 func newTurn(id, previous string) *chains.Turn {
@@ -352,7 +356,7 @@
 	open := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		_, err := b.openTurn(ctx, &chains.Hold{Program: "p", Turn: "t", MaxTokens: 1, Retention: time.Minute}, 100, "")
+		_, err := b.openTurn(ctx, opening{hold: &chains.Hold{Program: "p", Turn: "t", MaxTokens: 1, Retention: time.Minute}, budget: 100})
 		return err
 	}
 	r.g.Eventually(open).WithTimeout(5 * time.Second).Should(gomega.Succeed())
--- a/gate/vaults_test.go
+++ b/gate/vaults_test.go
@@ -22,14 +22,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	hold := &chains.Hold{Program: "p", Turn: turn, MaxTokens: most, Retention: time.Minute}
-	_, err := r.client.openTurn(ctx, hold, budget, "")
+	_, err := r.client.openTurn(ctx, opening{hold: hold, budget: budget})
 	switch {
 	case err != nil:
 		used = 0 // the turn does not run
 	case used < 0:
 		return nil
 	}
-	settled := r.client.settle(ctx, &chains.Spent{Program: "p", Turn: turn, Used: used, Retention: time.Minute})
+	settled := r.client.settle(ctx, &chains.Spent{Program: "p", Turn: turn, Used: used, Retention: time.Minute}, nil)
 	return errors.CombineErrors(err, settled)
 }
 
@@ -212,7 +212,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			hold := &chains.Hold{Program: "p", Turn: fmt.Sprint(i), MaxTokens: 10, Retention: time.Minute}
-			_, err := clients[i%3].openTurn(ctx, hold, 75, "")
+			_, err := clients[i%3].openTurn(ctx, opening{hold: hold, budget: 75})
 			granted <- err == nil
 		}()
 	}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -45,6 +45,19 @@
 	// Chain is the turn whose chain is requested, "" if none is.
 	Chain string `cbor:"4,keyasint,omitempty"`
 	Load  *Load  `cbor:"5,keyasint,omitempty"`
+	// Owner is the customer that may continue the chain, "" if there are no customers.
+	Owner string `cbor:"6,keyasint,omitempty"`
+	// Session requests the home of a session of the hold's program, "" if none is wanted.
+	Session string `cbor:"7,keyasint,omitempty"`
+}
+
+// Home is the endpoint that ran a session's last turn, as in homes.Home.
+type Home struct {
+	Program   string `cbor:"1,keyasint,omitempty"`
+	Session   string `cbor:"2,keyasint,omitempty"`
+	Endpoint  string `cbor:"3,keyasint,omitempty"`
+	StartedAt int64  `cbor:"4,keyasint,omitempty"`
+	Tokens    int    `cbor:"5,keyasint,omitempty"`
 }
 
 // Load reports a gate's running and recently ended calls.
@@ -152,6 +165,8 @@
 	ChainComplete bool           `cbor:"5,keyasint,omitempty"`
 	// LoadReply answers Begin.Load if that set WantOthers.
 	LoadReply *LoadReply `cbor:"6,keyasint,omitempty"`
+	// Home answers Begin.Session; nil if none is known.
+	Home *Home `cbor:"8,keyasint,omitempty"`
 }
 
 // End records what a turn has spent, or the complete turn.
@@ -159,6 +174,8 @@
 	Version uint64        `cbor:"1,keyasint"`
 	Turn    *chains.Turn  `cbor:"2,keyasint,omitempty"`
 	Spent   *chains.Spent `cbor:"3,keyasint,omitempty"`
+	// Home is where the turn ran, nil if that need not be remembered.
+	Home *Home `cbor:"4,keyasint,omitempty"`
 }
 
 // EndReply answers End.
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -7,6 +7,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/homes"
 )
 
 const (
@@ -81,6 +82,9 @@
 		go func() { answer(v.withTurns(b, kept)) }()
 		return
 	}
+	if m.Session != "" {
+		b.Home = v.findHome(now, m.Hold.Program, m.Session)
+	}
 	m.Hold.Written = now.UnixMilli()
 	v.chains.Add(m.Hold)
 	account := v.chains.Account(m.Hold.Program)
@@ -100,6 +104,15 @@
 	}, m.Hold)
 }
 
+// findHome returns the home of a session, or nil if none is known.
+func (v *Vault) findHome(now time.Time, program, session string) *vaults.Home {
+	h, ok := v.homes.Get(now, program, session)
+	if !ok {
+		return nil
+	}
+	return &vaults.Home{Endpoint: h.Endpoint, StartedAt: h.StartedAt, Tokens: h.Tokens}
+}
+
 // withTurns adds a chain's turns to an answer.
 func (v *Vault) withTurns(b *vaults.BeginReply, kept []chains.Kept) *vaults.BeginReply {
 	turns, err := v.loadTurns(kept)
@@ -175,6 +188,9 @@
 		m.Spent.Written = now.UnixMilli()
 		records = append(records, m.Spent)
 	}
+	if h := m.Home; h != nil {
+		v.homes.Put(now, h.Program, h.Session, homes.Home{Endpoint: h.Endpoint, StartedAt: h.StartedAt, Tokens: h.Tokens})
+	}
 	for _, r := range records {
 		v.chains.Add(r)
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -24,6 +24,7 @@
 	"github.com/cowslipstage/cowslipstage/state/blame"
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/chains"
+	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/leave"
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -62,6 +63,9 @@
 	expireEvery = 5 * time.Second
 	// mailboxSize bounds the messages that wait for the control goroutine.
 	mailboxSize = 4096
+	// homeBytes is the memory for which a vault remembers the home of one session: some
+	// thousand sessions on the smallest hosts, at a hundredth of their memory.
+	homeBytes = 32 << 10
 	// maxWait is how long a gate's message may wait for the control goroutine. The
 	// gate gives up soon after that, and work on what it no longer awaits would keep
 	// a vault behind that has fallen behind once.
@@ -125,6 +129,8 @@
 	caps    *caps.Caps
 	relays  *peers.Peers
 	blame   *blame.Blame
+	// homes holds the endpoints of sessions; it belongs to the control goroutine, too.
+	homes *homes.Homes
 	// unsaved holds the verdicts that are to be written to disk.
 	unsaved chan savedVerdicts
 
@@ -159,7 +165,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), unsaved: make(chan savedVerdicts, 1),
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), homes: homes.New(int(s.Memory / homeBytes)), unsaved: make(chan savedVerdicts, 1),
 		roster: &seats.Roster{}, views: map[string]*viewState{},
 	}
 	v.meters = meters{
