Requests carry the key of a customer, and endpoints get the customer's name

Cause: customers did not exist for gates: keys were passed on to endpoints, and any key was let through.

Change: a configuration may hold customers (state/keys). A gate refuses an unknown key with 401 unless the route is public, removes the key and names the customer to the endpoint. Without customers in the configuration nothing changes.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -85,7 +85,7 @@
 	s.Frontend, s.Ready = fmt.Sprintf("127.0.0.1:%d", freePort(g)), fmt.Sprintf("127.0.0.1:%d", freePort(g))
 	h := &gateFixture{g: g, gate: New(s, dialect{}, rosters, metrics.NewSet(), zerolog.Nop())}
 	route.Host, route.Prefix, route.Shares = "h", "/", []table.Share{{Service: "s", Weight: 1}}
-	h.gate.SetRoutes(table.New(1, []*table.Route{&route}, []table.Service{{Name: "s"}}, table.Limits{}))
+	h.gate.SetRoutes(table.New(1, []*table.Route{&route}, []table.Service{{Name: "s"}}, nil, table.Limits{}))
 	h.gate.SetEndpoints(entries, false)
 	for _, p := range prepare {
 		p(h.gate)
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
 	"github.com/cowslipstage/cowslipstage/state/homes"
+	"github.com/cowslipstage/cowslipstage/state/keys"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
@@ -41,6 +42,8 @@
 	httpRequest *http.Request
 	writer      http.ResponseWriter
 	route       *table.Route
+	// customer is nil if the configuration has no customers or the route is public.
+	customer *keys.Customer
 	// service is the service that the route chose for this request.
 	service table.Service
 	body    []byte
@@ -85,6 +88,9 @@
 		g.refuse(q, http.StatusNotFound, "no route")
 		return
 	}
+	if !g.authenticate(q, t) {
+		return
+	}
 	if !g.readBody(q, t.Limits()) || g.refuseBlocked(q.started, q) {
 		return
 	}
@@ -139,7 +145,9 @@
 // endpointRequest builds the request that is sent to an endpoint.
 func (g *Gate) endpointRequest(q *request, addr, endpoint string, body []byte) pool.Request {
 	header := q.httpRequest.Header.Clone()
-	g.dialect.Forward(header, meta.Forwarded{Endpoint: endpoint, TimeLeft: time.Until(q.deadline) - replyMargin})
+	g.dialect.Forward(header, meta.Forwarded{
+		Endpoint: endpoint, TimeLeft: time.Until(q.deadline) - replyMargin, Customer: q.customerName(),
+	})
 	target := q.httpRequest.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = q.httpRequest.URL.RequestURI()
--- a/protocol/meta/meta.go
+++ b/protocol/meta/meta.go
@@ -33,6 +33,8 @@
 	// if not given. PrefixTokens is its length.
 	Prefix       string
 	PrefixTokens int
+	// Key is the caller's credential, "" if not given. It must not be logged or passed on.
+	Key string
 	// Previous is the ID of the turn that this one continues.
 	Previous string
 }
@@ -43,6 +45,12 @@
 	Endpoint string
 	// TimeLeft is how long the endpoint may work, 0 for no bound.
 	TimeLeft time.Duration
+	// Customer is the name of the caller's customer, "" if there is none.
+	Customer string
+	// Urgency ranks the request at the endpoint, from 0, the first, to 9, if HasUrgency is
+	// set.
+	Urgency    int
+	HasUrgency bool
 }
 
 // Answer is the metadata that an endpoint sends with its answer.
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/keys"
 )
 
 // Kind says whether requests may be repeated and how they are answered.
@@ -42,6 +44,13 @@
 	// Retention.
 	KeepsTurns bool
 	Retention  time.Duration
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be continued at another endpoint after their last event.
+	Resumable bool
+	// GapTarget is the longest pause between two events of an answer that has its full
+	// value; 0 if not given.
+	GapTarget time.Duration
 }
 
 // Share is a service's part of a route's requests.
@@ -92,13 +101,15 @@
 	version  uint64
 	limits   Limits
 	services map[string]Service
+	// customers is nil if requests need no key.
+	customers *keys.Keys
 	// hosts holds each host's routes, longest prefix first.
 	hosts map[string][]*Route
 }
 
-// New returns the table of one version.
-func New(version uint64, routes []*Route, services []Service, limits Limits) *Table {
-	t := &Table{version: version, limits: limits, services: map[string]Service{}, hosts: map[string][]*Route{}}
+// New returns the table of one version. Without customers, requests need no key.
+func New(version uint64, routes []*Route, services []Service, customers *keys.Keys, limits Limits) *Table {
+	t := &Table{version: version, limits: limits, customers: customers, services: map[string]Service{}, hosts: map[string][]*Route{}}
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
@@ -117,6 +128,9 @@
 // Limits returns the bounds on callers.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Keys returns the customers, nil if requests need no key.
+func (t *Table) Keys() *keys.Keys { return t.customers }
+
 // Service returns a service, and false if there is none of that name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/state/table/table_test.go
+++ b/state/table/table_test.go
@@ -15,7 +15,7 @@
 	}
 	tb := table.New(1, []*table.Route{
 		route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/b/c/"),
-	}, nil, table.Limits{})
+	}, nil, nil, table.Limits{})
 	g.Expect(tb.Find("h", "/a/b/c/d").Name).To(gomega.Equal("long"))
 	g.Expect(tb.Find("h:80", "/a/x").Name).To(gomega.Equal("short"))
 	g.Expect(tb.Find("h", "/ab/")).To(gomega.BeNil())
