Admission by room at the engines: programs under way first, late ones last

Cause: gates sent every call at once, so load beyond capacity filled the engines' queues with work that could no longer be in time.

Change: where customers share engines, or callers send whole prompts with each turn, a turn is admitted by the calls of all gates against the slots (coordination/admit): programs under way nearly always, beginning ones up to a short queue, returning ones that can hardly end in time only with room to spare. Refused callers get a time to come back from the forecast, spread. Vaults tell a program's age with its hold. Engines get the rank of each call. Calls that endpoints decline are sent again up to a share of those served.

--- /dev/null
+++ b/coordination/admit/admit.go
@@ -0,0 +1,165 @@
+// Package admit (coordination layer) decides whether a call of a pool of engines is sent
+// at once, waits at its gate, or is refused. Load pattern: programs of several turns
+// arrive faster than the engines can serve them. Half a program is worth nothing, so
+// programs that are under way take the room first, and one that begins is refused at
+// once while there is none. Without that, late work crowds out work that could still be
+// in time, and the pool stays overloaded after the load has fallen.
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Call is a call that asks to be sent.
+type Call struct {
+	// UnderWay says that the call's program has run before.
+	UnderWay bool
+	// Arrived is when the call reached the gate.
+	Arrived time.Time
+	// Age is how long ago the program first asked to be served, ProgramLeft the time within
+	// which it should end. ProgramLeft is 0 if that time is over or not known.
+	Age, ProgramLeft time.Duration
+	// Target is the time to the first event up to which an answer has its full value.
+	Target time.Duration
+	// TimeLeft is how long the caller waits from now on.
+	TimeLeft time.Duration
+	// Importance is the place of the call's customer and route among all, from 0 to 1, the
+	// most important.
+	Importance float64
+}
+
+// Room is what a gate knows of a pool of engines.
+type Room struct {
+	// Slots is how many calls the sound engines run at once. 0 means that it is not known.
+	Slots float64
+	// Calls counts the calls of all gates that run at the engines or wait there.
+	Calls float64
+	// Waiting counts the calls that wait at this gate.
+	Waiting int
+	// Call is how long a call takes.
+	Call time.Duration
+}
+
+// Verdict is what is to be done with a call: Send, Wait or Refuse.
+type Verdict interface{ verdict() }
+
+// Send means that the call is to be sent now.
+type Send struct{}
+
+// Wait means that the call may wait for room, until a time.
+type Wait struct{ Until time.Time }
+
+// Refuse means that the call is to be refused. The caller may come back after a while.
+type Refuse struct{ RetryAfter time.Duration }
+
+func (Send) verdict()   {}
+func (Wait) verdict()   {}
+func (Refuse) verdict() {}
+
+const (
+	// beginQueue is how many calls per slot may wait at the engines before programs that
+	// begin are refused. With so short a queue no slot stays free while gates' knowledge
+	// of each other is late, and a program that waits as long with every turn is still
+	// within the tightest of the usual targets, 1.2 times its unloaded time.
+	beginQueue = 0.1
+	// waitShare is the part of a call's target that it may wait at the gate. A caller that
+	// is refused later than that could have come back in time.
+	waitShare = 0.25
+	// importanceRoom is the share of the slots that is kept for beginning programs of the
+	// highest importance.
+	importanceRoom = 0.1
+	// returnRoom is the share of the slots up to which programs are admitted that begin too
+	// late to end in time. Above it they would take the room of programs that can.
+	returnRoom = 0.85
+	// slackShare is the part of its time that a program can lose before it begins and still
+	// end in time. The tighter targets, 1.2 to 1.3 times the unloaded time, leave about as
+	// much.
+	slackShare = 0.15
+	// maxQueue is how many calls per slot may wait at the engines before calls of programs
+	// under way wait at their gates: less than engines take before they decline.
+	maxQueue = 2.0
+	// returnShare is the part of the caller's time within which it may be told to come
+	// back; callers do not wait longer than a third.
+	returnShare = 0.3
+	// minReturn is the shortest time to come back.
+	minReturn = 150 * time.Millisecond
+)
+
+// Decide returns the verdict for a call. random spreads the times to come back.
+func Decide(now time.Time, c Call, r Room, random *rand.Rand) Verdict {
+	if r.Slots <= 0 || r.allows(c) {
+		return Send{}
+	}
+	until := c.Arrived.Add(time.Duration(waitShare * float64(c.Target)))
+	if c.UnderWay {
+		// Its program is lost without the call, so it waits as long as its caller allows.
+		until = now.Add(c.TimeLeft / 2)
+	}
+	if now.Before(until) && !now.Add(r.forecast(c)).After(until) {
+		return Wait{Until: until}
+	}
+	return Refuse{RetryAfter: r.returnTime(c, random)}
+}
+
+// allows reports whether there is room for a call now.
+func (r Room) allows(c Call) bool {
+	return r.Calls+1 <= r.limit(c)
+}
+
+// limit returns how many calls may be at the engines once a call is sent.
+func (r Room) limit(c Call) float64 {
+	switch {
+	case c.UnderWay:
+		return (1 + maxQueue) * r.Slots
+	case c.late():
+		return returnRoom * r.Slots
+	}
+	return (1 + beginQueue - importanceRoom*(1-c.Importance)) * r.Slots
+}
+
+// late reports whether the call's program can hardly end in time any more.
+func (c Call) late() bool {
+	if c.UnderWay {
+		return c.Age > 0 && c.ProgramLeft <= 0
+	}
+	return float64(c.Age) > slackShare*float64(c.Age+c.ProgramLeft)
+}
+
+// forecast returns how long it takes until there is room for a call, from the rate at
+// which calls end.
+func (r Room) forecast(c Call) time.Duration {
+	ahead := float64(r.Waiting) + r.Calls + 1 - r.limit(c)
+	return time.Duration(max(0, ahead) / r.Slots * float64(r.Call))
+}
+
+// returnTime returns when a refused caller may come back: about when there is room, and
+// spread so that callers that are refused together do not return together.
+func (r Room) returnTime(c Call, random *rand.Rand) time.Duration {
+	after := max(minReturn, r.forecast(c), r.Call)
+	after += time.Duration(random.Float64() * float64(after))
+	return min(after, max(minReturn, time.Duration(returnShare*float64(c.TimeLeft))))
+}
+
+// The ranks of calls at engines that admit the most urgent one first.
+const (
+	urgencyInTime = 3
+	urgencyBegins = 5
+	urgencyLate   = 7
+)
+
+// Urgency returns the rank of a call at the engines, 0 first. Engines then admit programs under way first, and last those that begin
+// too late to end in time.
+func Urgency(c Call) int {
+	urgency := urgencyBegins
+	switch {
+	case c.UnderWay && !c.late():
+		urgency = urgencyInTime
+	case !c.UnderWay && c.late():
+		urgency = urgencyLate
+	}
+	if c.Importance >= 1 {
+		urgency--
+	}
+	return urgency
+}
--- /dev/null
+++ b/coordination/admit/admit_test.go
@@ -0,0 +1,78 @@
+package admit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/coordination/admit"
+)
+
+// goodput returns the programs in time a second under a constant load, without the first
+// seconds.
+func goodput(control bool, load float64) float64 {
+	const first, last = 4, 12
+	inTime := play(control, func(int) float64 { return load }, last)
+	total := 0
+	for s := first; s < last; s++ {
+		total += inTime[s]
+	}
+	return float64(total) / (last - first)
+}
+
+// Load beyond capacity must not lower what is served in time: beyond it, goodput stays at
+// 0.95 of its highest.
+func TestGoodputHoldsBeyondCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	highest := 0.0
+	for _, load := range []float64{0.5, 0.9, 1, 1.2, 1.5, 2, 2.5} {
+		with, without := goodput(true, load), goodput(false, load)
+		t.Logf("load %.1f: %.0f programs a second in time, %.0f without admission control", load, with, without)
+		highest = max(highest, with)
+		if load > 1 {
+			g.Expect(with).To(gomega.BeNumerically(">=", 0.95*highest), "load %.1f", load)
+		}
+	}
+}
+
+// A burst of twice the capacity ends: two seconds later programs are in time again.
+func TestServiceRecoversWithinTwoSecondsOfABurst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	load := func(s int) float64 {
+		if s >= 3 && s < 8 {
+			return 2.2
+		}
+		return 0.7
+	}
+	inTime := play(true, load, 14)
+	for s := 10; s < 14; s++ {
+		g.Expect(inTime[s]).To(gomega.BeNumerically(">=", 0.95*load(s)*capacity), "second %d of %v", s, inTime)
+	}
+}
+
+// A call of a program under way goes before one that begins, and one that begins is
+// refused at once, with a time to come back that its caller honours.
+func TestProgramsUnderWayGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	random := rand.New(rand.NewPCG(1, 1))
+	c := admit.Call{Arrived: now, Target: 200 * time.Millisecond, TimeLeft: 4 * time.Second}
+	full := admit.Room{Slots: 80, Calls: 140, Call: 400 * time.Millisecond}
+	v := admit.Decide(now, c, full, random)
+	g.Expect(v).To(gomega.BeAssignableToTypeOf(admit.Refuse{}))
+	after := v.(admit.Refuse).RetryAfter
+	g.Expect(after).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", c.TimeLeft/3)))
+	c.UnderWay = true
+	g.Expect(admit.Decide(now, c, full, random)).To(gomega.Equal(admit.Send{}))
+	full.Calls = 260
+	g.Expect(admit.Decide(now, c, full, random)).To(gomega.BeAssignableToTypeOf(admit.Wait{}))
+	g.Expect(admit.Urgency(c)).To(gomega.BeNumerically("<", admit.Urgency(admit.Call{})))
+}
+
+// A gate that knows nothing of a pool's slots does not refuse its calls.
+func TestAnUnknownPoolGetsItsCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(admit.Decide(time.Now(), admit.Call{}, admit.Room{Calls: 100}, nil)).To(gomega.Equal(admit.Send{}))
+}
--- a/gate/customer.go
+++ b/gate/customer.go
@@ -29,13 +29,3 @@
 	}
 	return q.customer.Name()
 }
-
-// priority returns the request's rank, 0 first.
-func (q *request) priority() int {
-	if q.customer != nil {
-		if rank, set := q.customer.Priority(); set {
-			return rank
-		}
-	}
-	return q.route.Priority
-}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
+	"github.com/cowslipstage/cowslipstage/coordination/retry"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/coordination/stall"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
@@ -112,6 +113,11 @@
 	relays relays
 	// homes holds the endpoints of the sessions whose last turn ran through this gate.
 	homes *homes.Homes
+	// waiting counts the calls that wait for room.
+	waiting waiting
+	// resends bounds by service how often calls that endpoints declined are sent again,
+	// where admission is controlled.
+	resends map[string]*retry.Budget
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
@@ -135,6 +141,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.waiting.calls, g.resends = map[string]int{}, map[string]*retry.Budget{}
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -28,24 +28,30 @@
 	crashes *metrics.Counter
 	// blocked counts the requests refused because they crash endpoints.
 	blocked *metrics.Counter
+	// waited counts the calls that waited for room at the endpoints, shed those that were
+	// refused because there was none, and resendsDenied those that were not sent again.
+	waited, shed, resendsDenied *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
 	return &meters{
-		set:          set,
-		firstEvent:   set.NewHistogram("cowslipstage_gate_first_event_seconds"),
-		stream:       set.NewHistogram("cowslipstage_gate_stream_seconds"),
-		call:         set.NewHistogram("cowslipstage_gate_call_seconds"),
-		streamsCut:   set.NewCounter("cowslipstage_gate_streams_cut_total"),
-		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
-		cutOff:       set.NewGauge("cowslipstage_gate_cut_off", nil),
-		relayed:      set.NewCounter("cowslipstage_gate_relayed_connections_total"),
-		crashes:      set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
-		blocked:      set.NewCounter("cowslipstage_gate_requests_blocked_total"),
-		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
-		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
+		set:           set,
+		firstEvent:    set.NewHistogram("cowslipstage_gate_first_event_seconds"),
+		stream:        set.NewHistogram("cowslipstage_gate_stream_seconds"),
+		call:          set.NewHistogram("cowslipstage_gate_call_seconds"),
+		streamsCut:    set.NewCounter("cowslipstage_gate_streams_cut_total"),
+		limitChanges:  set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
+		cutOff:        set.NewGauge("cowslipstage_gate_cut_off", nil),
+		relayed:       set.NewCounter("cowslipstage_gate_relayed_connections_total"),
+		crashes:       set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
+		blocked:       set.NewCounter("cowslipstage_gate_requests_blocked_total"),
+		waited:        set.NewCounter("cowslipstage_gate_calls_waited_total"),
+		shed:          set.NewCounter("cowslipstage_gate_calls_shed_total"),
+		resendsDenied: set.NewCounter("cowslipstage_gate_resends_denied_total"),
+		panics:        set.NewCounter("cowslipstage_gate_panics_total"),
+		leaving:       set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
 }
 
--- a/gate/open.go
+++ b/gate/open.go
@@ -30,8 +30,10 @@
 	chain []*chains.Turn
 	// home is where the session's last turn ran, nil if no vault knows.
 	home *vaults.Home
-	// underWay reports whether the program has spent tokens before.
+	// underWay reports whether the program has spent tokens before, age how long ago it
+	// first opened a turn.
 	underWay bool
+	age      time.Duration
 }
 
 // addHome keeps the home that a vault answered, if it is the longest: a session's prompt
@@ -128,6 +130,7 @@
 		c.cacheTurns(a.Turns...)
 		result.addHome(a.Home)
 		result.underWay = result.underWay || a.Summary.Spent > 0
+		result.age = max(result.age, a.Age)
 		sums = append(sums, a.Summary)
 		return true
 	})
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -11,11 +11,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cowslipstage/cowslipstage/coordination/admit"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/keys"
 	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/state/toggle"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
 
@@ -55,9 +57,20 @@
 	// home is where the prompt of the request's session is probably cached. Its endpoint
 	// is "" if that is not known.
 	home homes.Home
+	// underWay reports whether the request's program has run turns before.
+	underWay bool
+	// age is how long ago the program first asked for a turn, as far as that is known.
+	age time.Duration
 	// tried holds the endpoints that were sent the request, or could not be
 	// reached.
 	tried map[string]bool
+	// admission says that the request is admitted by the room at its endpoints.
+	admission bool
+	// importance is the place of the request's customer and route among all, 1 for the
+	// most important.
+	importance float64
+	// retryAfter is when a refused caller may come back, 0 for the usual time.
+	retryAfter time.Duration
 	// limitWait is how long the request would have to wait for an endpoint, if all
 	// that were left had reached their limits.
 	limitWait time.Duration
@@ -102,6 +115,7 @@
 		timeout = time.Minute
 	}
 	q.deadline = q.started.Add(timeout)
+	q.admission, q.importance = g.controlsAdmission(t, q.route), t.Importance(q.customer, q.route)
 	q.service, _ = t.Service(q.route.PickService(g.randomFloat()))
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -145,9 +159,11 @@
 // endpointRequest builds the request that is sent to an endpoint.
 func (g *Gate) endpointRequest(q *request, addr, endpoint string, body []byte) pool.Request {
 	header := q.httpRequest.Header.Clone()
-	g.dialect.Forward(header, meta.Forwarded{
-		Endpoint: endpoint, TimeLeft: time.Until(q.deadline) - replyMargin, Customer: q.customerName(),
-	})
+	f := meta.Forwarded{Endpoint: endpoint, TimeLeft: time.Until(q.deadline) - replyMargin, Customer: q.customerName()}
+	if q.admission && g.site.Off.On(toggle.Urgency) {
+		f.Urgency, f.HasUrgency = admit.Urgency(q.admitCall(time.Now())), true
+	}
+	g.dialect.Forward(header, f)
 	target := q.httpRequest.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = q.httpRequest.URL.RequestURI()
@@ -178,6 +194,9 @@
 		if q.limitWait < quota.Never {
 			wait = max(wait, q.limitWait)
 		}
+		if q.retryAfter > 0 {
+			wait = q.retryAfter
+		}
 		if q.blockLeft > 0 {
 			wait = q.blockLeft
 		}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -37,8 +37,6 @@
 	// previousEndpoint is the endpoint that ran the chain's previous turn, or
 	// "".
 	previousEndpoint string
-	// underWay reports whether the program has run turns before.
-	underWay bool
 	// hasHold says that the vaults hold tokens of the budget for this turn.
 	hasHold bool
 	// begun says that part of an answer was sent to the caller. eventsSent counts the
@@ -52,10 +50,14 @@
 // serveStream serves a request that is answered with events.
 func (g *Gate) serveStream(ctx context.Context, q *request) {
 	t := &turn{request: q, promptText: q.body}
+	t.underWay = t.Previous != ""
 	if (q.route.KeepsTurns || t.hasBudget()) && !g.prepareTurn(ctx, t) {
 		return
 	}
 	g.recallHome(time.Now(), t)
+	if !g.admit(ctx, t) {
+		return
+	}
 	for len(q.tried) < maxDeclines+q.route.Attempts && g.blockLeft(time.Now(), q) == 0 {
 		p, ok := g.choose(time.Now(), q, t.previousEndpoint, true)
 		if !ok {
@@ -68,7 +70,12 @@
 			g.finishTurn(ctx, t, p.Entry)
 			return
 		case ctx.Err() == nil && (errors.Is(err, pool.ErrNotSent) || errors.Is(err, errDeclined)):
-			continue
+			if g.mayResend(time.Now(), q) {
+				continue
+			}
+			g.settleTurn(t, nil)
+			g.refuseUnplaced(q)
+			return
 		}
 		g.abandonTurn(ctx, t, p.Entry, err)
 		return
@@ -126,7 +133,7 @@
 	if h := result.home; h != nil {
 		t.home = homes.Home{Endpoint: h.Endpoint, StartedAt: h.StartedAt, Tokens: h.Tokens}
 	}
-	t.underWay = result.underWay
+	t.underWay, t.age = t.underWay || result.underWay, result.age
 	return true
 }
 
@@ -187,6 +194,7 @@
 	now := time.Now()
 	g.recordOutcome(now, e.Service, e.ID, true)
 	g.addEnd(now, t.request)
+	g.recordServed(now, t.request)
 	return nil
 }
 
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -167,6 +167,8 @@
 	LoadReply *LoadReply `cbor:"6,keyasint,omitempty"`
 	// Home answers Begin.Session; nil if none is known.
 	Home *Home `cbor:"8,keyasint,omitempty"`
+	// Age is how long ago the program's account was opened, 0 if that was just now.
+	Age time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // End records what a turn has spent, or the complete turn.
--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -61,6 +61,8 @@
 
 type account struct {
 	*spend.Account
+	// openedAt is when the first of its records was written.
+	openedAt  time.Time
 	expiresAt time.Time
 }
 
@@ -90,12 +92,12 @@
 		}
 		if r.Program != "" {
 			entry := spend.Entry{Used: r.Used, Settled: true}
-			added = c.merge(r.Program, r.ID, entry, r.writtenAt().Add(r.Retention)) || added
+			added = c.merge(r.Program, r.ID, entry, r.writtenAt(), r.Retention) || added
 		}
 	case *Hold:
-		added = c.merge(r.Program, r.Turn, spend.Entry{MaxTokens: r.MaxTokens}, r.writtenAt().Add(r.Retention))
+		added = c.merge(r.Program, r.Turn, spend.Entry{MaxTokens: r.MaxTokens}, r.writtenAt(), r.Retention)
 	case *Spent:
-		added = c.merge(r.Program, r.Turn, spend.Entry{Used: r.Used, Settled: true}, r.writtenAt().Add(r.Retention))
+		added = c.merge(r.Program, r.Turn, spend.Entry{Used: r.Used, Settled: true}, r.writtenAt(), r.Retention)
 	}
 	if added {
 		c.received = append(c.received, stored)
@@ -143,12 +145,15 @@
 	}
 }
 
-func (c *Chains) merge(program, turn string, e spend.Entry, until time.Time) bool {
-	a := c.accounts[program]
+func (c *Chains) merge(program, turn string, e spend.Entry, written time.Time, retention time.Duration) bool {
+	a, until := c.accounts[program], written.Add(retention)
 	if a == nil {
-		a = &account{Account: spend.New()}
+		a = &account{Account: spend.New(), openedAt: written}
 		c.accounts[program] = a
 	}
+	if written.Before(a.openedAt) {
+		a.openedAt = written
+	}
 	if a.expiresAt.Before(until) {
 		a.expiresAt = until
 	}
@@ -163,6 +168,14 @@
 	return nil
 }
 
+// AccountAge returns how long ago a program's account was opened, 0 if there is none.
+func (c *Chains) AccountAge(now time.Time, program string) time.Duration {
+	if a := c.accounts[program]; a != nil {
+		return max(0, now.Sub(a.openedAt))
+	}
+	return 0
+}
+
 // Turn returns the turn with an id and whether it is held.
 func (c *Chains) Turn(id string) (Kept, bool) {
 	if k := c.turns[id]; k != nil {
--- a/state/keys/keys.go
+++ b/state/keys/keys.go
@@ -100,5 +100,17 @@
 	return c, ok
 }
 
+// All returns the customers, in no order; none of a nil set.
+func (k *Keys) All() []*Customer {
+	if k == nil {
+		return nil
+	}
+	all := make([]*Customer, 0, len(k.names))
+	for _, c := range k.names {
+		all = append(all, c)
+	}
+	return all
+}
+
 // Size returns how many customers there are.
 func (k *Keys) Size() int { return len(k.names) }
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -105,6 +105,8 @@
 	customers *keys.Keys
 	// hosts holds each host's routes, longest prefix first.
 	hosts map[string][]*Route
+	// ranks holds the distinct ranks of requests in ascending order.
+	ranks []int
 }
 
 // New returns the table of one version. Without customers, requests need no key.
@@ -119,9 +121,51 @@
 	for _, ordered := range t.hosts {
 		slices.SortStableFunc(ordered, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.ranks = t.collectRanks()
 	return t
 }
 
+// rank returns the order of a request of a customer, nil for none, on a route: first by the
+// customer's priority if it has one, then by the route's.
+func rank(c *keys.Customer, r *Route) int {
+	const routeRanks = 1 << 10 // more than any route's priority
+	routePriority := min(max(r.Priority, 0), routeRanks-1)
+	if c != nil {
+		if p, set := c.Priority(); set {
+			return p*routeRanks + routePriority
+		}
+	}
+	return routePriority
+}
+
+// collectRanks returns the distinct ranks of all customers' requests for streams, ascending.
+func (t *Table) collectRanks() []int {
+	var ranks []int
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Kind != Stream {
+				continue
+			}
+			ranks = append(ranks, rank(nil, r))
+			for _, c := range t.customers.All() {
+				ranks = append(ranks, rank(c, r))
+			}
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
+// Importance returns the place of a customer's requests on a route among all requests for
+// streams, from 1 for the most important to 0. It is 1 if there are no differences.
+func (t *Table) Importance(c *keys.Customer, r *Route) float64 {
+	if len(t.ranks) < 2 {
+		return 1
+	}
+	i, _ := slices.BinarySearch(t.ranks, rank(c, r))
+	return 1 - float64(min(i, len(t.ranks)-1))/float64(len(t.ranks)-1)
+}
+
 // Version returns the version, which rises with each change.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -85,6 +85,7 @@
 	if m.Session != "" {
 		b.Home = v.findHome(now, m.Hold.Program, m.Session)
 	}
+	b.Age = v.chains.AccountAge(now, m.Hold.Program)
 	m.Hold.Written = now.UnixMilli()
 	v.chains.Add(m.Hold)
 	account := v.chains.Account(m.Hold.Program)
