Quotas of customers hold over all gates together

Cause: a customer's rate and burst were read from the configuration and held nobody back.

Change: each gate computes a customer's token bucket from what all gates passed in the last eight seconds, as vaults add it up (state/usage), and takes a part of the room that is left (coordination/allot). No request waits for a message. Reports go to all vaults three times a second, and up to every 20 to 40 ms while a customer nears its quota. A request over the quota is refused with 429 and the time at which there is room; those that begin a program are refused first. Without customers that have a rate nothing is sent.

--- /dev/null
+++ b/coordination/allot/report.go
@@ -0,0 +1,145 @@
+package allot
+
+import (
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/usage"
+)
+
+const (
+	// slowPause is the pause between two reports while no customer is near its quota.
+	// Vaults know the gates by these.
+	slowPause = 300 * time.Millisecond
+	// quickPause is the pause between two reports of a customer near its quota, for
+	// quickAge after a request of it.
+	quickPause = 100 * time.Millisecond
+	quickAge   = time.Second
+	// urgentPause is the least pause between two reports, and urgentPerGate its minimum for
+	// each gate, so that the vaults' load does not grow with the square of a deployment.
+	urgentPause   = 20 * time.Millisecond
+	urgentPerGate = 500 * time.Microsecond
+	// forgetAge is how long a customer without requests is kept.
+	forgetAge = time.Minute
+)
+
+// Report is what a gate tells the vaults.
+type Report struct {
+	// Number identifies the report when a view answers it.
+	Number uint64
+	SentAt time.Time
+	// Counts holds the customers whose counts changed, or of which a view is wanted.
+	Counts map[string]usage.Count
+	// WantNear requests a view of all customers near their quota.
+	WantNear bool
+}
+
+// View is what all gates passed, this one included, as a vault answers a report.
+type View struct {
+	// Gates report to the vault; Missing ones went silent recently.
+	Gates, Missing int
+	// Phase is how much of the vault's current interval has passed, and Passed holds the
+	// counts of usage.Ring.Counts by customer.
+	Phase  time.Duration
+	Passed map[string][]int
+}
+
+// Report returns what is due now.
+func (a *Allot) Report(now time.Time) Report {
+	a.reports++
+	a.reportAt = now
+	r := Report{Number: a.reports, SentAt: now, Counts: map[string]usage.Count{}, WantNear: now.Sub(a.nearAt) >= slowPause}
+	if r.WantNear {
+		a.nearAt = now
+	}
+	for name, c := range a.customers {
+		if now.Sub(c.askedAt) > forgetAge {
+			delete(a.customers, name)
+			continue
+		}
+		changed := c.total != c.seen || c.askedAt.After(c.reportAt)
+		if !c.urgent && (!changed || now.Before(a.dueAt(now, c))) {
+			continue
+		}
+		c.reportAt, c.urgent = now, false
+		r.Counts[name] = usage.Count{Total: c.total, Recent: int64(c.passed.Sum(now, usage.Intervals)), Near: a.near(now, c)}
+	}
+	return r
+}
+
+// near reports whether a customer's bucket is low.
+func (a *Allot) near(now time.Time, c *customer) bool {
+	if c.viewedAt.IsZero() || now.Sub(c.askedAt) > quickAge {
+		return false
+	}
+	level := a.levelAt(c) + c.rate*now.Sub(c.viewedAt).Seconds() - float64(c.total-c.seen)
+	return level < nearLevel*(c.burst+extraBurst)
+}
+
+// dueAt returns when the next report of a customer is due.
+func (a *Allot) dueAt(now time.Time, c *customer) time.Time {
+	switch {
+	case c.urgent:
+		return c.reportAt
+	case a.near(now, c):
+		return c.reportAt.Add(quickPause)
+	}
+	return c.reportAt.Add(slowPause)
+}
+
+// Pause returns how long until the next report is due. Customers far from their quota wait
+// for one that is due anyway.
+func (a *Allot) Pause(now time.Time) time.Duration {
+	next := a.reportAt.Add(slowPause)
+	for _, c := range a.customers {
+		if !c.urgent && !a.near(now, c) {
+			continue
+		}
+		if due := a.dueAt(now, c); due.Before(next) {
+			next = due
+		}
+	}
+	least := max(urgentPause, time.Duration(a.gates)*urgentPerGate)
+	return max(least-now.Sub(a.reportAt), next.Sub(now))
+}
+
+// Urgent reports whether a report of the customer is due before its usual pause is over.
+func (a *Allot) Urgent(name string) bool {
+	c := a.customers[name]
+	return c != nil && c.urgent
+}
+
+// SetView stores the answer to a report. An answer that a later one has overtaken is ignored.
+func (a *Allot) SetView(now time.Time, r Report, v View) {
+	if r.Number <= a.viewed {
+		return
+	}
+	a.viewed, a.sentAt, a.receivedAt = r.Number, r.SentAt, now
+	a.gates, a.missing = max(1, v.Gates), v.Missing
+	for name, passed := range v.Passed {
+		c := a.customers[name]
+		if c == nil {
+			c = &customer{partAt: now, askedAt: now.Add(-quickAge)}
+			a.customers[name] = c
+		}
+		c.view, c.viewPhase, c.viewedAt, c.levelRate = passed, v.Phase, now, -1
+		if n, reported := r.Counts[name]; reported {
+			c.seen = n.Total
+			c.urgent = c.urgent || a.near(now, c) && !n.Near // the other gates are to know
+		}
+	}
+}
+
+// Status describes what is known of a customer, for logs.
+type Status struct {
+	Level, Share float64
+	Age          time.Duration
+}
+
+// Status returns what is known of a customer.
+func (a *Allot) Status(now time.Time, name string) Status {
+	s := Status{Age: now.Sub(a.sentAt)}
+	if c := a.customers[name]; c != nil {
+		s.Level, s.Share = a.levelAt(c), a.share(now, c)
+	}
+	return s
+}
--- /dev/null
+++ b/gate/allowances.go
@@ -0,0 +1,164 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/coordination/allot"
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+)
+
+// allowances holds what this gate knows of the customers' quotas.
+type allowances struct {
+	// wake is signalled when a report is due before its usual pause is over.
+	wake chan struct{}
+
+	mu    sync.Mutex
+	allot *allot.Allot
+	// lifetime is the start of this process in Unix milliseconds.
+	lifetime int64
+	// failures counts the reports in a row that the vault that was asked did not answer.
+	failures int
+	// ended says that this gate passes no further requests.
+	ended bool
+}
+
+func newAllowances(now time.Time) *allowances {
+	return &allowances{
+		wake: make(chan struct{}, 1), lifetime: now.UnixMilli(),
+		allot: allot.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+}
+
+// signal makes allowancesLoop report as soon as the least pause allows.
+func (a *allowances) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// takeAllowance counts a request against its customer's quota, and refuses it if the quota
+// is spent. begins says that it begins a program. It reports whether the request may go on.
+func (g *Gate) takeAllowance(now time.Time, q *request, begins bool) bool {
+	c := q.customer
+	if c == nil || c.Rate() <= 0 {
+		return true
+	}
+	a := g.allowances
+	a.mu.Lock()
+	verdict := a.allot.Take(now, c.Name(), c.Rate(), c.Burst(), begins)
+	urgent := a.allot.Urgent(c.Name())
+	a.mu.Unlock()
+	if urgent {
+		a.signal()
+	}
+	over, refused := verdict.(allot.Over)
+	g.meters.countAllowance(c.Name(), !refused)
+	if q.counted = !refused; q.counted {
+		return true
+	}
+	q.limitWait = over.RetryAfter
+	g.refuse(q, http.StatusTooManyRequests, "the customer's quota is spent; it has not run")
+	return false
+}
+
+// returnAllowance takes a request back that was sent to no endpoint.
+func (g *Gate) returnAllowance(now time.Time, q *request) {
+	if !q.counted || len(q.tried) > 0 {
+		return
+	}
+	q.counted = false
+	g.allowances.mu.Lock()
+	defer g.allowances.mu.Unlock()
+	g.allowances.allot.Return(now, q.customer.Name())
+}
+
+// allowancesLoop tells the vaults what this gate passes by customer, and learns what all
+// gates pass, while any customer has a quota.
+func (g *Gate) allowancesLoop(ctx context.Context) {
+	a := g.allowances
+	for ctx.Err() == nil {
+		if t := g.table.Load(); t == nil || !t.Keys().HasLimits() {
+			select {
+			case <-a.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		a.mu.Lock()
+		pause := a.allot.Pause(time.Now())
+		a.mu.Unlock()
+		if pause <= 0 {
+			g.exchangeAllowances(ctx, time.Now())
+			continue
+		}
+		select {
+		case <-time.After(pause):
+		case <-a.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// exchangeAllowances sends a report to every vault. The nearest one is asked for what all
+// gates passed, or another one while it does not answer.
+func (g *Gate) exchangeAllowances(ctx context.Context, now time.Time) {
+	a := g.allowances
+	var addrs []string
+	for _, s := range g.vaults.currentRoster().Order(g.site.Centre, "") {
+		if g.vaults.connection(s.Addr).Connected() {
+			addrs = append(addrs, s.Addr)
+		}
+	}
+	a.mu.Lock()
+	r := a.allot.Report(now)
+	asked, ended := a.failures, a.ended
+	a.mu.Unlock()
+	for i, addr := range addrs {
+		l := &vaults.Allowances{Lifetime: a.lifetime, Counts: r.Counts, Ends: ended}
+		if i == asked%len(addrs) {
+			l.WantView, l.WantNear = true, r.WantNear
+		}
+		go g.sendAllowances(ctx, addr, r, l)
+	}
+}
+
+// sendAllowances sends a report to one vault and stores its answer.
+func (g *Gate) sendAllowances(ctx context.Context, addr string, r allot.Report, l *vaults.Allowances) {
+	ctx, cancel := context.WithTimeout(ctx, vaultTimeout)
+	defer cancel()
+	m, err := g.vaults.connection(addr).Call(ctx, &vaults.Load{Node: g.site.Node, Allowances: l, Partial: true})
+	if err != nil {
+		g.log.Debug().Err(err).Str("vault", addr).Msg("reporting use of quotas failed; the next report repeats it")
+	}
+	if !l.WantView {
+		return
+	}
+	a := g.allowances
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply, ok := m.(*vaults.LoadReply)
+	if err != nil || !ok || reply.Allowances == nil {
+		a.failures++
+		return
+	}
+	v := reply.Allowances
+	a.allot.SetView(time.Now(), r, allot.View{Gates: v.Gates, Missing: v.Missing, Phase: v.Phase, Passed: v.Passed})
+	a.signal()
+}
+
+// endAllowances tells the vaults that this gate passes no further requests, so that its
+// share returns to the others at once.
+func (g *Gate) endAllowances(ctx context.Context) {
+	if t := g.table.Load(); t == nil || !t.Keys().HasLimits() {
+		return
+	}
+	g.allowances.mu.Lock()
+	g.allowances.ended = true
+	g.allowances.mu.Unlock()
+	g.exchangeAllowances(ctx, time.Now())
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,6 +95,8 @@
 	stopping atomic.Bool
 	// active counts the requests in progress.
 	active atomic.Int64
+	// allowances holds the customers' quotas.
+	allowances *allowances
 
 	mu sync.Mutex
 	// outliers, stalls and loads hold what this gate's calls have shown of the
@@ -136,6 +138,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.homes = homes.New(int(s.Memory / homeBytes))
+	g.allowances = newAllowances(time.Now())
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
@@ -157,6 +160,7 @@
 	}
 	g.table.Store(t)
 	g.ready.Store(!g.stopping.Load())
+	g.allowances.signal()
 	g.log.Info().Uint64("version", t.Version()).Msg("configuration in force")
 }
 
@@ -204,6 +208,7 @@
 	go g.vaults.connectLoop(background)
 	go g.vaults.loadLoop(background)
 	go g.limitsLoop(background)
+	go g.allowancesLoop(background)
 	go g.suspectsLoop(background)
 	go g.probeLoop(background)
 	go g.relayLoop(background)
@@ -211,6 +216,7 @@
 	relayListener := g.listenRelay()
 	<-ctx.Done()
 	g.stop(callerListener, relayListener)
+	g.endAllowances(background)
 	return balancerServer.Close()
 }
 
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,5 +55,10 @@
 	m.set.GetOrCreateCounter(`cowslipstage_gate_answers_total{reason="` + reason + `"}`).Inc()
 }
 
+// countAllowance counts a request of a customer with a quota.
+func (m *meters) countAllowance(customer string, passed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q,passed="%t"}`, customer, passed)).Inc()
+}
+
 // observeSince adds the time since started to a histogram.
 func (m *meters) observeSince(h *metrics.Histogram, started time.Time) { h.UpdateDuration(started) }
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -87,6 +87,7 @@
 
 // refuseUnplaced refuses a request that no endpoint has run.
 func (g *Gate) refuseUnplaced(q *request) {
+	g.returnAllowance(time.Now(), q)
 	if !g.refuseBlocked(time.Now(), q) {
 		g.refuse(q, http.StatusServiceUnavailable, "no endpoint of "+q.service.Name+" took it; it has not run")
 	}
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -44,6 +44,8 @@
 	route       *table.Route
 	// customer is nil if the configuration has no customers or the route is public.
 	customer *keys.Customer
+	// counted says that the request counts against its customer's quota.
+	counted bool
 	// service is the service that the route chose for this request.
 	service table.Service
 	body    []byte
@@ -109,7 +111,9 @@
 	case table.Stream:
 		g.serveStream(ctx, q)
 	case table.Idempotent, table.Unsafe:
-		g.servePlain(ctx, q)
+		if g.takeAllowance(time.Now(), q, false) { // tools belong to programs in progress
+			g.servePlain(ctx, q)
+		}
 	}
 }
 
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -52,7 +52,15 @@
 // serveStream serves a request that is answered with events.
 func (g *Gate) serveStream(ctx context.Context, q *request) {
 	t := &turn{request: q, promptText: q.body}
+	if t.Previous != "" && !g.takeAllowance(time.Now(), q, false) {
+		return
+	}
 	if (q.route.KeepsTurns || t.hasBudget()) && !g.prepareTurn(ctx, t) {
+		g.returnAllowance(time.Now(), q)
+		return
+	}
+	if t.Previous == "" && !g.takeAllowance(time.Now(), q, !t.underWay) {
+		g.settleTurn(t, nil)
 		return
 	}
 	g.recallHome(time.Now(), t)
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -13,6 +13,7 @@
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/spend"
+	"github.com/cowslipstage/cowslipstage/state/usage"
 )
 
 // Message is implemented by every request and reply of the protocol.
@@ -90,6 +91,8 @@
 	// VerdictsRevision is that of the vault's verdicts that the gate has, 0 for none.
 	Verdicts         *blame.Verdicts `cbor:"13,keyasint,omitempty"`
 	VerdictsRevision uint64          `cbor:"14,keyasint,omitempty"`
+	// Allowances is nil if no customer has a quota.
+	Allowances *Allowances `cbor:"15,keyasint,omitempty"`
 }
 
 // CrashReport says that a request was in progress at an endpoint that ended some time ago.
@@ -131,6 +134,27 @@
 	Heard map[string]Cap `cbor:"3,keyasint,omitempty"`
 }
 
+// Allowances reports what a gate passed by customer, of those that have a quota.
+type Allowances struct {
+	// Lifetime is the start of the gate's process in Unix milliseconds.
+	Lifetime int64                  `cbor:"1,keyasint,omitempty"`
+	Counts   map[string]usage.Count `cbor:"2,keyasint,omitempty"`
+	// WantView requests what all gates passed for these customers, and WantNear for those
+	// near their quota as well.
+	WantView bool `cbor:"3,keyasint,omitempty"`
+	WantNear bool `cbor:"4,keyasint,omitempty"`
+	// Ends says that the gate passes no further requests.
+	Ends bool `cbor:"5,keyasint,omitempty"`
+}
+
+// AllowancesReply answers Allowances, as in allot.View.
+type AllowancesReply struct {
+	Gates   int              `cbor:"1,keyasint,omitempty"`
+	Missing int              `cbor:"2,keyasint,omitempty"`
+	Phase   time.Duration    `cbor:"3,keyasint,omitempty"`
+	Passed  map[string][]int `cbor:"4,keyasint,omitempty"`
+}
+
 // LoadReply answers Load.
 type LoadReply struct {
 	// OtherCalls counts the running calls of all other gates by endpoint.
@@ -149,6 +173,8 @@
 	// Verdicts is nil unless the gate lacks this revision of them and there are any.
 	Verdicts         *blame.Verdicts `cbor:"8,keyasint,omitempty"`
 	VerdictsRevision uint64          `cbor:"9,keyasint,omitempty"`
+	// Allowances answers Load.Allowances if that set WantView.
+	Allowances *AllowancesReply `cbor:"10,keyasint,omitempty"`
 }
 
 // BeginReply answers Begin.
--- a/state/keys/keys.go
+++ b/state/keys/keys.go
@@ -102,3 +102,16 @@
 
 // Size returns how many customers there are.
 func (k *Keys) Size() int { return len(k.names) }
+
+// HasLimits reports whether any customer has a limit. A nil set has none.
+func (k *Keys) HasLimits() bool {
+	if k == nil {
+		return false
+	}
+	for _, c := range k.names {
+		if c.rate > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/state/usage/usage.go
@@ -0,0 +1,205 @@
+// Package usage (state layer) adds up what all gates pass for each customer, in short
+// intervals of the recent past.
+package usage
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Interval is the length of an interval, and Intervals how many are kept: the window
+	// over which quotas are measured (5 s) and what a report may be late.
+	Interval  = 250 * time.Millisecond
+	Intervals = 32
+	// presentAge is how long after its last report a gate counts as present. Gates report
+	// every second at least.
+	presentAge = 2500 * time.Millisecond
+	// missingAge is how long a gate that went silent may still pass requests unheard. The
+	// share that is set aside for it returns after that.
+	missingAge = time.Minute
+	// forgetAge is how long a gate's count of an unused customer is kept. It exceeds the
+	// time over which gates repeat a count.
+	forgetAge = 15 * time.Second
+	// sweepEvery is the pause between two removals of outdated counts.
+	sweepEvery = 5 * time.Second
+)
+
+// Count is what one gate has passed for a customer.
+type Count struct {
+	// Total counts from the gate's start, so that a lost report is made up by the next.
+	// Recent is the part of it that was passed within the kept intervals.
+	Total  int64 `cbor:"1,keyasint,omitempty"`
+	Recent int64 `cbor:"2,keyasint,omitempty"`
+	// Near says that the gate finds the customer near its quota.
+	Near bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Usage holds the counts of all gates. It is not safe for concurrent use.
+type Usage struct {
+	gates     map[string]*gate
+	customers map[string]*customer
+	sweptAt   time.Time
+}
+
+type gate struct {
+	lifetime  int64
+	reportAt  time.Time
+	customers map[string]total
+}
+
+type total struct {
+	count int64
+	at    time.Time
+}
+
+type customer struct {
+	Ring
+	changedAt time.Time
+	nearAt    time.Time
+}
+
+// New returns a Usage without counts.
+func New() *Usage { return &Usage{gates: map[string]*gate{}, customers: map[string]*customer{}} }
+
+// Add stores a gate's report. lifetime tells apart the processes of a gate.
+func (u *Usage) Add(now time.Time, name string, lifetime int64, counts map[string]Count) {
+	g := u.gates[name]
+	if g == nil || g.lifetime != lifetime {
+		g = &gate{lifetime: lifetime, customers: map[string]total{}}
+		u.gates[name] = g
+	}
+	g.reportAt = now
+	for id, n := range counts {
+		added := n.Recent // all that is known of a gate or customer heard of for the first time
+		if last, known := g.customers[id]; known {
+			added = n.Total - last.count
+		}
+		g.customers[id] = total{n.Total, now}
+		c := u.customers[id]
+		if c == nil {
+			c = &customer{}
+			u.customers[id] = c
+		}
+		c.Add(now, int(added))
+		c.changedAt = now
+		if n.Near {
+			c.nearAt = now
+		}
+	}
+	if now.Sub(u.sweptAt) >= sweepEvery {
+		u.sweep(now)
+	}
+}
+
+// Remove forgets a gate that ends. What it passed still counts.
+func (u *Usage) Remove(name string) { delete(u.gates, name) }
+
+func (u *Usage) sweep(now time.Time) {
+	u.sweptAt = now
+	for name, g := range u.gates {
+		if now.Sub(g.reportAt) > missingAge {
+			delete(u.gates, name)
+		}
+		for id, t := range g.customers {
+			if now.Sub(t.at) > forgetAge {
+				delete(g.customers, id)
+			}
+		}
+	}
+	for id, c := range u.customers {
+		if now.Sub(c.changedAt) > forgetAge {
+			delete(u.customers, id)
+		}
+	}
+}
+
+// Gates returns how many gates report, and how many have gone silent and may still pass
+// requests.
+func (u *Usage) Gates(now time.Time) (present, missing int) {
+	for _, g := range u.gates {
+		switch age := now.Sub(g.reportAt); {
+		case age <= presentAge:
+			present++
+		case age <= missingAge:
+			missing++
+		}
+	}
+	return present, missing
+}
+
+// Recent returns what all gates passed for a customer, as Ring.Counts does.
+func (u *Usage) Recent(now time.Time, id string) []int {
+	if c := u.customers[id]; c != nil {
+		return c.Counts(now)
+	}
+	return nil
+}
+
+// Near returns the customers that some gate recently found near their quota.
+func (u *Usage) Near(now time.Time) []string {
+	var all []string
+	for id, c := range u.customers {
+		if now.Sub(c.nearAt) <= presentAge {
+			all = append(all, id)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Ring counts events in intervals of the recent past.
+type Ring struct {
+	counts [Intervals]int
+	// newest is the number of the interval that counts holds at newest % Intervals.
+	newest int64
+}
+
+func number(now time.Time) int64 { return now.UnixNano() / int64(Interval) }
+
+// Phase returns how much of the current interval has passed.
+func Phase(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() % int64(Interval))
+}
+
+func (r *Ring) advance(now time.Time) {
+	n := number(now)
+	if n-r.newest >= Intervals {
+		r.counts = [Intervals]int{}
+		r.newest = n
+	}
+	for r.newest < n {
+		r.newest++
+		r.counts[r.newest%Intervals] = 0
+	}
+}
+
+// Add counts events; a negative number takes some back.
+func (r *Ring) Add(now time.Time, events int) {
+	r.advance(now)
+	at := &r.counts[r.newest%Intervals]
+	*at = max(0, *at+events)
+}
+
+// Counts returns the events by interval, the current one first, without zeros at the end.
+func (r *Ring) Counts(now time.Time) []int {
+	r.advance(now)
+	all := make([]int, Intervals)
+	last := 0
+	for i := range all {
+		if all[i] = r.counts[(r.newest-int64(i)+Intervals)%Intervals]; all[i] > 0 {
+			last = i + 1
+		}
+	}
+	return all[:last]
+}
+
+// Sum returns the events of the last intervals, the current one included.
+func (r *Ring) Sum(now time.Time, intervals int) int {
+	r.advance(now)
+	sum := 0
+	for i := range min(intervals, Intervals) {
+		sum += r.counts[(r.newest-int64(i)+Intervals)%Intervals]
+	}
+	return sum
+}
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -144,8 +144,9 @@
 	limits := v.exchangeLimits(now, l)
 	relays := v.exchangeRelays(now, l)
 	verdicts, revision := v.exchangeVerdicts(now, l)
+	allowances := v.exchangeAllowances(now, l)
 	if l.Partial {
-		return &vaults.LoadReply{Limits: limits, Relays: relays, Verdicts: verdicts, VerdictsRevision: revision}
+		return &vaults.LoadReply{Limits: limits, Relays: relays, Verdicts: verdicts, VerdictsRevision: revision, Allowances: allowances}
 	}
 	v.runningCalls.Update(now, l.Node, l.Calls)
 	v.successes.Update(now, l.Node, l.Succeeded)
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -29,6 +29,7 @@
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/tally"
+	"github.com/cowslipstage/cowslipstage/state/usage"
 	"github.com/cowslipstage/cowslipstage/transport/files"
 	"github.com/cowslipstage/cowslipstage/transport/wallog"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
@@ -131,6 +132,8 @@
 	blame   *blame.Blame
 	// homes holds the endpoints of sessions; it belongs to the control goroutine, too.
 	homes *homes.Homes
+	// usage counts what all gates pass by customer; it belongs to the control goroutine, too.
+	usage *usage.Usage
 	// unsaved holds the verdicts that are to be written to disk.
 	unsaved chan savedVerdicts
 
@@ -165,7 +168,7 @@
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
 		site: s, registry: r, log: log, set: set,
-		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), homes: homes.New(int(s.Memory / homeBytes)), unsaved: make(chan savedVerdicts, 1),
+		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), homes: homes.New(int(s.Memory / homeBytes)), usage: usage.New(), unsaved: make(chan savedVerdicts, 1),
 		roster: &seats.Roster{}, views: map[string]*viewState{},
 	}
 	v.meters = meters{
