--- a/gate/admission.go
+++ b/gate/admission.go
@@ -56,6 +56,7 @@
 				g.endWait(t)
 			}
 			g.settleTurn(t, nil)
+			g.returnAllowance(now, t.request)
 			g.meters.shed.Inc()
 			t.retryAfter = v.RetryAfter
 			g.log.Info().Str("request", t.ID).Str("program", t.Program).Bool("underWay", t.underWay).Dur("age", t.age).Float64("slots", room.Slots).
@@ -73,6 +74,7 @@
 		case <-ctx.Done():
 			g.endWait(t)
 			g.settleTurn(t, nil)
+			g.returnAllowance(time.Now(), t.request)
 			g.leaveUnsent(t)
 			return false
 		}
