--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -62,7 +62,7 @@
 	// begin are refused. With so short a queue no slot stays free while gates' knowledge
 	// of each other is late, and a program that waits as long with every turn is still
 	// within the tightest of the usual targets, 1.2 times its unloaded time.
-	beginQueue = 0.1
+	beginQueue = 0.4
 	// waitShare is the part of a call's target that it may wait at the gate. A caller that
 	// is refused later than that could have come back in time.
 	waitShare = 0.25
