--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -24,31 +24,24 @@
 	// beyond its share, so that demand may move to it. It falls as the bucket empties.
 	soloPart = 0.125
 	// fewRequests is how many requests a gate may pass between two reports however small
-	// its share is, with a probability that falls as the bucket empties. Fractions pass by
-	// chance. Larger customers have a few more, so that all gates together use at most
-	// fewSlack of the guarantee's slack for them.
+	// its share is, with a probability that falls as the bucket empties.
 	fewRequests = 2
-	fewSlack    = 0.5
 	// sureLevel is the part of the bucket from which these requests pass for sure.
 	sureLevel = 0.5
 	// urgentRequests is how many requests at least have passed when a report is urgent.
 	urgentRequests = 2
-	// overshoot and slack are the guarantee's: in any 5 s at most 1 + overshoot times the
-	// limit and slack requests.
+	// overshoot is the guarantee's: by which part all gates together may exceed a limit.
 	overshoot = 0.1
-	slack     = 20
-	window    = 5 * time.Second
 	// nearLevel is the part of the bucket below which a customer is near its quota.
 	nearLevel = 0.6
 	// equalPart is the part of a share that does not follow the gate's recent requests.
 	equalPart = 0.4
 	// shareIntervals is the time over which these are counted (2 s).
 	shareIntervals = 8
-	// freshAge is how long a view counts. After that a gate has its part of the limit
-	// only, and after cutOffAge half of it.
-	freshAge  = time.Second
-	cutOffAge = 4 * time.Second
-	// missingPart is the part of its share that a cut-off gate uses.
+	// freshAge is how long a view counts, from when its report was sent. After that a gate
+	// has its share of the limit only; and if no view has come for that long, it is cut off.
+	freshAge = time.Second
+	// missingPart is the part of an equal share that a cut-off gate uses.
 	missingPart = 0.5
 	// assumedGates is how many gates there are before the first view.
 	assumedGates = 100
@@ -104,7 +97,12 @@
 	// level is the bucket's level as of viewedAt under the limit of levelRate, levelBurst
 	// and levelMissing.
 	level, levelRate, levelBurst float64
-	// part and partAt are the bucket of a gate without fresh views.
+	// share is this gate's part of the room as of the view.
+	share float64
+	// luck is the chance of this view by which fractions of a request pass.
+	luck float64
+	// part is the level of the bucket of a gate without fresh views, as of partAt. It is
+	// zero while views are fresh.
 	part   float64
 	partAt time.Time
 	// askedAt is the last request, reportAt the last report with this customer.
@@ -124,7 +122,7 @@
 func (a *Allot) Take(now time.Time, name string, rate, burst float64, begins bool) Verdict {
 	c := a.customers[name]
 	if c == nil {
-		c = &customer{partAt: now}
+		c = &customer{}
 		a.customers[name] = c
 	}
 	if c.rate != rate || c.burst != burst {
@@ -134,6 +132,7 @@
 	var pass bool
 	var wait time.Duration
 	if now.Sub(a.sentAt) <= freshAge {
+		c.partAt = time.Time{}
 		pass, wait = a.takeShared(now, c, begins)
 	} else {
 		pass, wait = a.takePart(now, c, begins)
@@ -157,41 +156,40 @@
 
 // takeShared decides by the level that all gates see.
 func (a *Allot) takeShared(now time.Time, c *customer, begins bool) (bool, time.Duration) {
-	full := c.burst + extraBurst
-	level := min(full, a.levelAt(c)+c.rate*a.presentPart()*now.Sub(c.viewedAt).Seconds())
-	if c.viewedAt.IsZero() {
-		level = full
+	rate, full := a.limit(c)
+	seen := full // if the view is old, no gate found the customer near its quota since
+	if age := now.Sub(c.viewedAt); age <= freshAge {
+		seen = a.levelAt(c)
 	}
+	level := min(full, seen+rate*now.Sub(c.viewedAt).Seconds())
 	if begins {
 		level -= beginReserve * full
+		seen -= beginReserve * full
 	}
 	unseen := float64(c.total - c.seen)
-	own := a.share(now, c) * level
+	own := a.share(c) * level
 	c.urgent = c.urgent || unseen+1 >= max(own/2, urgentRequests)
 	if level < 1 {
 		return false, seconds((1 - level) / c.rate)
 	}
-	if unseen+1 <= max(own, soloPart*level*level/full) || a.random.Float64() < min(1, c.few(a.gates)-unseen)*level/full/sureLevel {
+	if unseen+1 <= own+c.luck || seen > 0 && unseen+1 <= soloPart*seen*seen/full || unseen < fewRequests && a.random.Float64() < seen/full/sureLevel {
 		return true, 0
 	}
 	return false, usage.Interval
 }
 
-// few returns how many requests a gate may pass between two reports whatever its share.
-func (c *customer) few(gates int) float64 {
-	spare := fewSlack * (overshoot*(c.rate*window.Seconds()+c.burst) + slack - extraBurst)
-	return max(fewRequests, (c.burst+spare)/float64(gates))
-}
-
-// takePart decides without knowing what other gates pass: this gate has an equal part of the
+// takePart decides without knowing what other gates pass now: this gate has a part of the
 // limit. Parts of small customers are less than one request; then chance decides, so that all
 // gates together keep to the limit on average.
 func (a *Allot) takePart(now time.Time, c *customer, begins bool) (bool, time.Duration) {
-	part := 1 / float64(a.gates+a.missing)
-	if now.Sub(a.receivedAt) > cutOffAge {
-		part *= missingPart
+	part := missingPart / float64(a.gates+a.missing)
+	if now.Sub(a.receivedAt) <= freshAge {
+		part = a.share(c)
 	}
 	full := (c.burst + extraBurst) * part
+	if c.partAt.IsZero() {
+		c.part, c.partAt = replay(c.passed.Counts(now), usage.Phase(now), c.rate*part, full), now
+	}
 	c.part = min(full, c.part+c.rate*part*now.Sub(c.partAt).Seconds())
 	c.partAt = now
 	level := c.part
@@ -210,43 +208,60 @@
 	return a.random.Float64() < level, wait
 }
 
-// presentPart is the part of the limit that gates that report may use: others that went
-// silent use theirs unheard.
-func (a *Allot) presentPart() float64 {
-	return 1 - missingPart*float64(a.missing)/float64(max(1, a.gates+a.missing))
+// limit returns the rate and the size of the bucket for all gates that report. Others that
+// went silent use their part unheard. Where they are few, the guarantee's overshoot is
+// enough for them.
+func (a *Allot) limit(c *customer) (rate, full float64) {
+	missing := missingPart * float64(a.missing) / float64(a.gates+a.missing)
+	present := min(1, 1+overshoot/2-missing)
+	return c.rate * present, c.burst*present + extraBurst
+}
+
+// share returns this gate's part of the room. The shares of all gates add up to one.
+func (a *Allot) share(c *customer) float64 {
+	if c.viewedAt.IsZero() {
+		return 1 / float64(a.gates)
+	}
+	return c.share
 }
 
-// share returns this gate's part of the room: partly equal, partly by its part of what
-// passed recently. The shares of all gates add up to one.
-func (a *Allot) share(now time.Time, c *customer) float64 {
-	equal := 1 / float64(max(1, a.gates))
+// shareOf returns a gate's part of the room of a view: partly equal, partly by its part of
+// what passed recently. own is what the view contains of the gate's requests, so that the
+// shares add up to one, however late the view is.
+func (a *Allot) shareOf(own int, view []int) float64 {
+	equal := 1 / float64(a.gates)
 	all := 0
-	for _, n := range c.view[:min(len(c.view), shareIntervals)] {
+	for _, n := range view[:min(len(view), shareIntervals)] {
 		all += n
 	}
 	if all == 0 {
 		return equal
 	}
-	own := min(1, float64(c.passed.Sum(now, shareIntervals))/float64(all))
-	return equalPart*equal + (1-equalPart)*own
+	return equalPart*equal + (1-equalPart)*min(1, float64(own)/float64(all))
 }
 
 // levelAt returns the bucket's level as of the customer's view. Requests before the view's
 // intervals are not known; the bucket was full then.
 func (a *Allot) levelAt(c *customer) float64 {
-	rate, full := c.rate*a.presentPart(), c.burst+extraBurst
+	rate, full := a.limit(c)
 	if c.levelRate == rate && c.levelBurst == full {
 		return c.level
 	}
+	c.level, c.levelRate, c.levelBurst = replay(c.view, c.viewPhase, rate, full), rate, full
+	return c.level
+}
+
+// replay returns the level of a bucket after requests passed, given by interval, the newest
+// first. In each they count as if they passed at its end.
+func replay(passed []int, phase time.Duration, rate, full float64) float64 {
 	level := full
-	for i := len(c.view) - 1; i >= 0; i-- {
+	for i := len(passed) - 1; i >= 0; i-- {
 		length := usage.Interval
 		if i == 0 {
-			length = c.viewPhase
+			length = phase
 		}
-		level = min(full, level+rate*length.Seconds()) - float64(c.view[i]) // as if all passed at the interval's end
+		level = min(full, level+rate*length.Seconds()) - float64(passed[i])
 	}
-	c.level, c.levelRate, c.levelBurst = level, rate, full
 	return level
 }
 
--- a/coordination/allot/report.go
+++ b/coordination/allot/report.go
@@ -31,6 +31,8 @@
 	Counts map[string]usage.Count
 	// WantNear requests a view of all customers near their quota.
 	WantNear bool
+	// recent holds what this gate passed lately, by customer.
+	recent map[string]int
 }
 
 // View is what all gates passed, this one included, as a vault answers a report.
@@ -47,7 +49,7 @@
 func (a *Allot) Report(now time.Time) Report {
 	a.reports++
 	a.reportAt = now
-	r := Report{Number: a.reports, SentAt: now, Counts: map[string]usage.Count{}, WantNear: now.Sub(a.nearAt) >= slowPause}
+	r := Report{Number: a.reports, SentAt: now, Counts: map[string]usage.Count{}, recent: map[string]int{}, WantNear: now.Sub(a.nearAt) >= slowPause}
 	if r.WantNear {
 		a.nearAt = now
 	}
@@ -61,6 +63,7 @@
 			continue
 		}
 		c.reportAt, c.urgent = now, false
+		r.recent[name] = c.passed.Sum(now, shareIntervals)
 		r.Counts[name] = usage.Count{Total: c.total, Recent: int64(c.passed.Sum(now, usage.Intervals)), Near: a.near(now, c)}
 	}
 	return r
@@ -118,10 +121,11 @@
 	for name, passed := range v.Passed {
 		c := a.customers[name]
 		if c == nil {
-			c = &customer{partAt: now, askedAt: now.Add(-quickAge)}
+			c = &customer{askedAt: now.Add(-quickAge)}
 			a.customers[name] = c
 		}
 		c.view, c.viewPhase, c.viewedAt, c.levelRate = passed, v.Phase, now, -1
+		c.share, c.luck = a.shareOf(r.recent[name], passed), a.random.Float64()
 		if n, reported := r.Counts[name]; reported {
 			c.seen = n.Total
 			c.urgent = c.urgent || a.near(now, c) && !n.Near // the other gates are to know
@@ -139,7 +143,7 @@
 func (a *Allot) Status(now time.Time, name string) Status {
 	s := Status{Age: now.Sub(a.sentAt)}
 	if c := a.customers[name]; c != nil {
-		s.Level, s.Share = a.levelAt(c), a.share(now, c)
+		s.Level, s.Share = a.levelAt(c), a.share(c)
 	}
 	return s
 }
--- a/state/usage/usage.go
+++ b/state/usage/usage.go
@@ -13,8 +13,8 @@
 	Interval  = 250 * time.Millisecond
 	Intervals = 32
 	// presentAge is how long after its last report a gate counts as present. Gates report
-	// every second at least.
-	presentAge = 2500 * time.Millisecond
+	// three times a second.
+	presentAge = 1200 * time.Millisecond
 	// missingAge is how long a gate that went silent may still pass requests unheard. The
 	// share that is set aside for it returns after that.
 	missingAge = time.Minute
