--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -43,8 +43,9 @@
 	freshAge = time.Second
 	// missingPart is the part of an equal share that a cut-off gate uses.
 	missingPart = 0.5
-	// assumedGates is how many gates there are before the first view.
-	assumedGates = 100
+	// assumedGates is how many gates there are before the first view. Gates that have never
+	// had one keep to all limits together up to twice as many.
+	assumedGates = 400
 	// maxRetryAfter bounds the time to retry.
 	maxRetryAfter = 5 * time.Second
 )
@@ -99,7 +100,8 @@
 	level, levelRate, levelBurst float64
 	// share is this gate's part of the room as of the view.
 	share float64
-	// luck is the chance of this view by which fractions of a request pass.
+	// luck is the chance of this view by which fractions of a request pass, negative until
+	// it is drawn.
 	luck float64
 	// part is the level of the bucket of a gate without fresh views, as of partAt. It is
 	// zero while views are fresh.
@@ -131,7 +133,7 @@
 	c.askedAt = now
 	var pass bool
 	var wait time.Duration
-	if now.Sub(a.sentAt) <= freshAge {
+	if a.Fresh(now) {
 		c.partAt = time.Time{}
 		pass, wait = a.takeShared(now, c, begins)
 	} else {
@@ -166,6 +168,9 @@
 		level -= beginReserve * full
 		seen -= beginReserve * full
 	}
+	if c.luck < 0 {
+		c.luck = a.random.Float64()
+	}
 	unseen := float64(c.total - c.seen)
 	own := a.share(c) * level
 	c.urgent = c.urgent || unseen+1 >= max(own/2, urgentRequests)
--- a/coordination/allot/report.go
+++ b/coordination/allot/report.go
@@ -125,7 +125,7 @@
 			a.customers[name] = c
 		}
 		c.view, c.viewPhase, c.viewedAt, c.levelRate = passed, v.Phase, now, -1
-		c.share, c.luck = a.shareOf(r.recent[name], passed), a.random.Float64()
+		c.share, c.luck = a.shareOf(r.recent[name], passed), -1
 		if n, reported := r.Counts[name]; reported {
 			c.seen = n.Total
 			c.urgent = c.urgent || a.near(now, c) && !n.Near // the other gates are to know
@@ -133,15 +133,21 @@
 	}
 }
 
-// Status describes what is known of a customer, for logs.
+// Status describes what is known of a customer, for logs and metrics.
 type Status struct {
+	// Level is how many requests the quota had room for as of the view, and Share the part
+	// of the room that this gate takes.
 	Level, Share float64
-	Age          time.Duration
+	// Age is the age of the view.
+	Age time.Duration
 }
 
+// Fresh reports whether this gate knows what all gates passed until just now.
+func (a *Allot) Fresh(now time.Time) bool { return now.Sub(a.sentAt) <= freshAge }
+
 // Status returns what is known of a customer.
 func (a *Allot) Status(now time.Time, name string) Status {
-	s := Status{Age: now.Sub(a.sentAt)}
+	s := Status{Age: min(now.Sub(a.sentAt), time.Hour), Share: 1 / float64(a.gates)}
 	if c := a.customers[name]; c != nil {
 		s.Level, s.Share = a.levelAt(c), a.share(c)
 	}
--- a/gate/allowances.go
+++ b/gate/allowances.go
@@ -24,11 +24,22 @@
 	failures int
 	// ended says that this gate passes no further requests.
 	ended bool
+	// fresh says whether this gate last knew what the others pass.
+	fresh bool
+	// metered holds the customers that have metrics of their own.
+	metered map[string]bool
 }
 
+const (
+	// maxMetered is how many customers have metrics of their own. otherCustomers is the
+	// label of all others together.
+	maxMetered     = 200
+	otherCustomers = "(other)"
+)
+
 func newAllowances(now time.Time) *allowances {
 	return &allowances{
-		wake: make(chan struct{}, 1), lifetime: now.UnixMilli(),
+		wake: make(chan struct{}, 1), lifetime: now.UnixMilli(), metered: map[string]bool{},
 		allot: allot.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
@@ -51,21 +62,71 @@
 	a := g.allowances
 	a.mu.Lock()
 	verdict := a.allot.Take(now, c.Name(), c.Rate(), c.Burst(), begins)
-	urgent := a.allot.Urgent(c.Name())
+	urgent, status := a.allot.Urgent(c.Name()), a.allot.Status(now, c.Name())
+	label := a.meter(g, c.Name())
 	a.mu.Unlock()
 	if urgent {
 		a.signal()
 	}
 	over, refused := verdict.(allot.Over)
-	g.meters.countAllowance(c.Name(), !refused)
+	g.meters.countAllowance(label, !refused)
 	if q.counted = !refused; q.counted {
 		return true
 	}
+	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("customer", c.Name()).Float64("rate", c.Rate()).Float64("burst", c.Burst()).
+		Bool("begins", begins).Float64("level", status.Level).Float64("share", status.Share).Dur("viewAge", status.Age).
+		Dur("retryAfter", over.RetryAfter).Msg("over the customer's quota")
 	q.limitWait = over.RetryAfter
 	g.refuse(q, http.StatusTooManyRequests, "the customer's quota is spent; it has not run")
 	return false
 }
 
+// meter returns the label of a customer's metrics, and creates those that are read when they
+// are served. The caller holds the mutex.
+func (a *allowances) meter(g *Gate, customer string) string {
+	if a.metered[customer] {
+		return customer
+	}
+	if len(a.metered) >= maxMetered {
+		return otherCustomers
+	}
+	a.metered[customer] = true
+	g.meters.gaugeShare(customer, func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.allot.Status(time.Now(), customer).Share
+	})
+	return customer
+}
+
+// viewAge returns the age in seconds of what this gate knows of the others, 0 if no customer
+// has a quota.
+func (g *Gate) viewAge() float64 {
+	if t := g.table.Load(); t == nil || !t.Keys().HasLimits() {
+		return 0
+	}
+	g.allowances.mu.Lock()
+	defer g.allowances.mu.Unlock()
+	return g.allowances.allot.Status(time.Now(), "").Age.Seconds()
+}
+
+// noteFresh logs when this gate begins or ceases to know what the others pass.
+func (g *Gate) noteFresh(now time.Time) {
+	a := g.allowances
+	a.mu.Lock()
+	fresh := a.allot.Fresh(now)
+	changed := fresh != a.fresh
+	a.fresh = fresh
+	age := a.allot.Status(now, "").Age
+	a.mu.Unlock()
+	switch {
+	case changed && fresh:
+		g.log.Info().Msg("use of quotas is known; customers have their whole quotas")
+	case changed:
+		g.log.Warn().Dur("viewAge", age).Msg("use of quotas at other gates is not known; customers have this gate's part of their quotas")
+	}
+}
+
 // returnAllowance takes a request back that was sent to no endpoint.
 func (g *Gate) returnAllowance(now time.Time, q *request) {
 	if !q.counted || len(q.tried) > 0 {
@@ -89,6 +150,7 @@
 			}
 			continue
 		}
+		g.noteFresh(time.Now())
 		a.mu.Lock()
 		pause := a.allot.Pause(time.Now())
 		a.mu.Unlock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -139,6 +139,7 @@
 	}
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.allowances = newAllowances(time.Now())
+	set.NewGauge("cowslipstage_gate_quota_view_age_seconds", g.viewAge)
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -60,5 +60,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q,passed="%t"}`, customer, passed)).Inc()
 }
 
+// gaugeShare serves a customer's share of the room under its quota.
+func (m *meters) gaugeShare(customer string, share func() float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`cowslipstage_gate_customer_share{customer=%q}`, customer), share)
+}
+
 // observeSince adds the time since started to a histogram.
 func (m *meters) observeSince(h *metrics.Histogram, started time.Time) { h.UpdateDuration(started) }
--- a/state/usage/usage.go
+++ b/state/usage/usage.go
@@ -20,7 +20,7 @@
 	missingAge = time.Minute
 	// forgetAge is how long a gate's count of an unused customer is kept. It exceeds the
 	// time over which gates repeat a count.
-	forgetAge = 15 * time.Second
+	forgetAge = 10 * time.Second
 	// sweepEvery is the pause between two removals of outdated counts.
 	sweepEvery = 5 * time.Second
 )
@@ -71,17 +71,17 @@
 	}
 	g.reportAt = now
 	for id, n := range counts {
-		added := n.Recent // all that is known of a gate or customer heard of for the first time
-		if last, known := g.customers[id]; known {
-			added = n.Total - last.count
-		}
-		g.customers[id] = total{n.Total, now}
 		c := u.customers[id]
 		if c == nil {
 			c = &customer{}
 			u.customers[id] = c
 		}
-		c.Add(now, int(added))
+		if last, known := g.customers[id]; known {
+			c.Add(now, int(n.Total-last.count))
+		} else {
+			c.Spread(now, int(n.Recent)) // when they passed is not known, as after a restart of the vault
+		}
+		g.customers[id] = total{n.Total, now}
 		c.changedAt = now
 		if n.Near {
 			c.nearAt = now
@@ -181,6 +181,18 @@
 	*at = max(0, *at+events)
 }
 
+// Spread adds events evenly to all intervals.
+func (r *Ring) Spread(now time.Time, events int) {
+	r.advance(now)
+	each, rest := events/Intervals, events%Intervals
+	for i := range r.counts {
+		r.counts[i] += each
+	}
+	for i := range rest {
+		r.counts[(r.newest-int64(i)+Intervals)%Intervals]++
+	}
+}
+
 // Counts returns the events by interval, the current one first, without zeros at the end.
 func (r *Ring) Counts(now time.Time) []int {
 	r.advance(now)
