--- a/coordination/allot/report.go
+++ b/coordination/allot/report.go
@@ -31,6 +31,8 @@
 	Counts map[string]usage.Count
 	// WantNear requests a view of all customers near their quota.
 	WantNear bool
+	// recent holds what this gate passed lately, by customer.
+	recent map[string]int
 }
 
 // View is what all gates passed, this one included, as a vault answers a report.
@@ -47,7 +49,7 @@
 func (a *Allot) Report(now time.Time) Report {
 	a.reports++
 	a.reportAt = now
-	r := Report{Number: a.reports, SentAt: now, Counts: map[string]usage.Count{}, WantNear: now.Sub(a.nearAt) >= slowPause}
+	r := Report{Number: a.reports, SentAt: now, Counts: map[string]usage.Count{}, recent: map[string]int{}, WantNear: now.Sub(a.nearAt) >= slowPause}
 	if r.WantNear {
 		a.nearAt = now
 	}
@@ -61,6 +63,7 @@
 			continue
 		}
 		c.reportAt, c.urgent = now, false
+		r.recent[name] = c.passed.Sum(now, shareIntervals)
 		r.Counts[name] = usage.Count{Total: c.total, Recent: int64(c.passed.Sum(now, usage.Intervals)), Near: a.near(now, c)}
 	}
 	return r
@@ -72,7 +75,7 @@
 		return false
 	}
 	level := a.levelAt(c) + c.rate*now.Sub(c.viewedAt).Seconds() - float64(c.total-c.seen)
-	return level < nearLevel*(c.burst+extraBurst)
+	return level < nearLevel*(c.burst+c.tolerated())
 }
 
 // dueAt returns when the next report of a customer is due.
@@ -118,10 +121,11 @@
 	for name, passed := range v.Passed {
 		c := a.customers[name]
 		if c == nil {
-			c = &customer{partAt: now, askedAt: now.Add(-quickAge)}
+			c = &customer{askedAt: now.Add(-quickAge)}
 			a.customers[name] = c
 		}
 		c.view, c.viewPhase, c.viewedAt, c.levelRate = passed, v.Phase, now, -1
+		c.share, c.luck = a.shareOf(r.recent[name], passed), -1
 		if n, reported := r.Counts[name]; reported {
 			c.seen = n.Total
 			c.urgent = c.urgent || a.near(now, c) && !n.Near // the other gates are to know
@@ -129,17 +133,23 @@
 	}
 }
 
-// Status describes what is known of a customer, for logs.
+// Status describes what is known of a customer, for logs and metrics.
 type Status struct {
+	// Level is how many requests the quota had room for as of the view, and Share the part
+	// of the room that this gate takes.
 	Level, Share float64
-	Age          time.Duration
+	// Age is the age of the view.
+	Age time.Duration
 }
 
+// Fresh reports whether this gate knows what all gates passed until just now.
+func (a *Allot) Fresh(now time.Time) bool { return now.Sub(a.sentAt) <= freshAge }
+
 // Status returns what is known of a customer.
 func (a *Allot) Status(now time.Time, name string) Status {
-	s := Status{Age: now.Sub(a.sentAt)}
+	s := Status{Age: min(now.Sub(a.sentAt), time.Hour), Share: 1 / float64(a.gates)}
 	if c := a.customers[name]; c != nil {
-		s.Level, s.Share = a.levelAt(c), a.share(now, c)
+		s.Level, s.Share = a.levelAt(c), a.share(c)
 	}
 	return s
 }
