All problems of a configuration's customers are reported together

Cause: only the first problem was in the error's text, the others were attached as secondary errors, which the log does not print. An empty key was accepted, so that every request without a key would have been a customer's.

Change: the problems are joined; an empty key and a name with a control character are problems, too. The error names customers, never keys.

--- a/state/keys/keys.go
+++ b/state/keys/keys.go
@@ -4,6 +4,8 @@
 
 import (
 	"crypto/sha256"
+	"strings"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 )
@@ -51,6 +53,9 @@
 // Burst returns how many requests the customer may send at once in addition.
 func (c *Customer) Burst() float64 { return c.burst }
 
+// noKey is the digest of the empty key.
+var noKey = sha256.Sum256(nil)
+
 // Keys is an immutable set of customers.
 type Keys struct {
 	// byDigest holds each customer by the digests of its keys, so that the time of a
@@ -62,10 +67,8 @@
 // New returns a set of customers. The error, marked ErrCustomers, names every problem.
 func New(customers []Customer) (*Keys, error) {
 	k := &Keys{byDigest: map[[sha256.Size]byte]*Customer{}, names: map[string]*Customer{}}
-	var problems error
-	report := func(format string, args ...any) {
-		problems = errors.CombineErrors(problems, errors.Newf(format, args...))
-	}
+	var problems []error
+	report := func(format string, args ...any) { problems = append(problems, errors.Newf(format, args...)) }
 	for i := range customers {
 		c := &customers[i]
 		switch {
@@ -73,6 +76,8 @@
 			report("customer %d has no name", i+1)
 		case k.names[c.name] != nil:
 			report("two customers have the name %q", c.name)
+		case strings.ContainsFunc(c.name, unicode.IsControl):
+			report("the name %q has a control character, which no header can carry", c.name)
 		}
 		if c.rate < 0 || c.burst < 0 {
 			report("customer %q has a negative rate or burst", c.name)
@@ -82,14 +87,17 @@
 		}
 		k.names[c.name] = c
 		for _, d := range c.digests {
+			if d == noKey {
+				report("customer %q has an empty key, which every request without a key would match", c.name)
+			}
 			if other := k.byDigest[d]; other != nil {
 				report("a key of customer %q is also one of %q", c.name, other.name)
 			}
 			k.byDigest[d] = c
 		}
 	}
-	if problems != nil {
-		return nil, errors.Mark(problems, ErrCustomers)
+	if len(problems) > 0 {
+		return nil, errors.Mark(errors.Join(problems...), ErrCustomers)
 	}
 	return k, nil
 }
