Vaults keep the owner of each turn and answer others as if it were not stored

Cause: a turn could be continued by any customer that named it, and two customers that chose the same ID got one turn, and for programs one account.

Change: chains.Turn.Owner (10), vaults.Begin.Owner (6, now read) and Fetch.Owner (2). A vault holds one turn of each owner under an ID and walks chains by owner; a turn without an owner belongs to whoever names it. The owner is read back at the start of a vault, and is part of a listing (ListReply.Owners, 9), so that turns with the same ID are copied by owner. The key of an account includes the owner where there is one; what was spent without one counts for each owner that names the program.

--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -45,7 +45,8 @@
 	// Chain is the turn whose chain is requested, "" if none is.
 	Chain string `cbor:"4,keyasint,omitempty"`
 	Load  *Load  `cbor:"5,keyasint,omitempty"`
-	// Owner is the customer that may continue the chain, "" if there are no customers.
+	// Owner is the customer that continues the chain, "" if the request has none. Turns of
+	// other customers are answered like turns that are not stored.
 	Owner string `cbor:"6,keyasint,omitempty"`
 	// Session requests the home of a session of the hold's program, "" if none is wanted.
 	Session string `cbor:"7,keyasint,omitempty"`
@@ -187,6 +188,8 @@
 // Fetch requests a chain. It may go to a vault that no longer has a seat.
 type Fetch struct {
 	Chain string `cbor:"1,keyasint"`
+	// Owner is the customer that may continue the chain, as in Begin.
+	Owner string `cbor:"2,keyasint,omitempty"`
 }
 
 // FetchReply answers Fetch. Authoritative reports whether the vault counts as a
@@ -217,6 +220,8 @@
 	// it took a free seat and has never counted in it.
 	CaughtUp bool `cbor:"7,keyasint,omitempty"`
 	Fresh    bool `cbor:"8,keyasint,omitempty"`
+	// Owners holds the owner of each of Turns, up to the last that has one.
+	Owners []string `cbor:"9,keyasint,omitempty"`
 }
 
 // Get requests turns with their texts.
--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -1,6 +1,8 @@
 package chains
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,7 +68,9 @@
 
 // Chains holds the turns and accounts of one replica. It is not safe for concurrent use.
 type Chains struct {
-	turns    map[string]*Kept
+	// turns holds the turns by ID, one of each owner: callers choose the IDs, so customers
+	// can choose the same one.
+	turns    map[string][]*Kept
 	accounts map[string]*account
 	// received holds the records in order of arrival, for replicas that catch up. base is
 	// the cursor of the first one.
@@ -76,7 +80,7 @@
 
 // New returns a Chains without records.
 func New() *Chains {
-	return &Chains{turns: map[string]*Kept{}, accounts: map[string]*account{}}
+	return &Chains{turns: map[string][]*Kept{}, accounts: map[string]*account{}}
 }
 
 // Add stores a record and reports whether it changed anything.
@@ -103,10 +107,10 @@
 	return added
 }
 
-// SetSource notes where the record of a turn is stored, and drops its texts from
+// SetSource notes where the record of an owner's turn is stored, and drops its texts from
 // memory. Memory would bound the turns that a host can hold far sooner than its disk.
-func (c *Chains) SetSource(id string, s Source) {
-	k := c.turns[id]
+func (c *Chains) SetSource(id, owner string, s Source) {
+	k := c.ownedBy(id, owner)
 	if k == nil || k.source != nil {
 		return
 	}
@@ -119,19 +123,38 @@
 }
 
 func (c *Chains) addTurn(t *Turn) bool {
-	if c.turns[t.ID] != nil {
+	if c.ownedBy(t.ID, t.Owner) != nil {
 		return false
 	}
 	until := t.writtenAt().Add(t.Retention)
-	c.turns[t.ID] = &Kept{Turn: t, expiresAt: until, cursor: c.base + uint64(len(c.received))}
-	c.extendRetention(t.Previous, until)
+	c.turns[t.ID] = append(c.turns[t.ID], &Kept{Turn: t, expiresAt: until, cursor: c.base + uint64(len(c.received))})
+	c.extendRetention(t.Previous, t.Owner, until)
 	return true
 }
 
-// extendRetention keeps a turn and its predecessors until the given time.
-func (c *Chains) extendRetention(id string, until time.Time) {
+// ownedBy returns the turn that an owner has recorded under an id, or nil.
+func (c *Chains) ownedBy(id, owner string) *Kept {
+	for _, k := range c.turns[id] {
+		if k.Owner == owner {
+			return k
+		}
+	}
+	return nil
+}
+
+// visible returns the turn that an owner gets for an id, or nil: its own, else one without
+// an owner.
+func (c *Chains) visible(id, owner string) *Kept {
+	if k := c.ownedBy(id, owner); k != nil {
+		return k
+	}
+	return c.ownedBy(id, "")
+}
+
+// extendRetention keeps an owner's turn and its predecessors until the given time.
+func (c *Chains) extendRetention(id, owner string, until time.Time) {
 	for range maxChainLength {
-		k := c.turns[id]
+		k := c.visible(id, owner)
 		if k == nil || !k.expiresAt.Before(until) {
 			return
 		}
@@ -155,27 +178,62 @@
 	return a.Merge(turn, e)
 }
 
-// Account returns a program's account, or nil if there is none.
-func (c *Chains) Account(program string) *spend.Account {
-	if a := c.accounts[program]; a != nil {
+// accountSeparator separates the owner from the program in the key of an account. Neither
+// can contain it.
+const accountSeparator = "\x00"
+
+// AccountKey returns the key under which the spending of an owner's program is recorded,
+// the program itself if it has no owner.
+func AccountKey(owner, program string) string {
+	if owner == "" || program == "" {
+		return program
+	}
+	return owner + accountSeparator + program
+}
+
+// Account returns the account with a key, or nil if there is none. What was recorded for
+// the same program without an owner counts for every owner that names the program.
+func (c *Chains) Account(key string) *spend.Account {
+	_, program, owned := strings.Cut(key, accountSeparator)
+	a, shared := c.accounts[key], c.accounts[program]
+	switch {
+	case a == nil && (!owned || shared == nil):
+		return nil
+	case a == nil:
+		return shared.Account
+	case !owned || shared == nil:
 		return a.Account
 	}
-	return nil
+	merged := spend.New()
+	for _, one := range []*account{a, shared} {
+		for turn, e := range one.Entries() {
+			merged.Merge(turn, e)
+		}
+	}
+	return merged
 }
 
-// Turn returns the turn with an id and whether it is held.
-func (c *Chains) Turn(id string) (Kept, bool) {
-	if k := c.turns[id]; k != nil {
-		return *k, true
+// Turn returns the turns with an id, one of each owner.
+func (c *Chains) Turn(id string) []Kept {
+	kept := make([]Kept, 0, len(c.turns[id]))
+	for _, k := range c.turns[id] {
+		kept = append(kept, *k)
 	}
-	return Kept{}, false
+	return kept
+}
+
+// Holds reports whether a turn need not be copied from another replica. One without an
+// owner, where the same is held of an owner, has lost its owner in an earlier build.
+func (c *Chains) Holds(id, owner string) bool {
+	return c.ownedBy(id, owner) != nil || owner == "" && len(c.turns[id]) > 0
 }
 
-// Chain returns the stored turns up to id, newest first. complete reports whether the
-// first turn of the chain is among them.
-func (c *Chains) Chain(id string) (turns []Kept, complete bool) {
+// Chain returns the stored turns up to id that an owner may continue, newest first.
+// complete reports whether the first turn of the chain is among them. Turns of other
+// owners count as turns that are not stored.
+func (c *Chains) Chain(id, owner string) (turns []Kept, complete bool) {
 	for range maxChainLength {
-		k := c.turns[id]
+		k := c.visible(id, owner)
 		if k == nil {
 			return turns, false
 		}
@@ -204,8 +262,9 @@
 // Expire drops expired turns and accounts, and the oldest records up to the first one that
 // a turn or an account still needs.
 func (c *Chains) Expire(now time.Time) {
-	for id, k := range c.turns {
-		if now.After(k.expiresAt) {
+	for id, kept := range c.turns {
+		kept = slices.DeleteFunc(kept, func(k *Kept) bool { return now.After(k.expiresAt) })
+		if c.turns[id] = kept; len(kept) == 0 {
 			delete(c.turns, id)
 		}
 	}
@@ -225,7 +284,7 @@
 func (c *Chains) needed(r Record) bool {
 	switch r := r.(type) {
 	case *Turn:
-		return c.turns[r.ID] != nil || c.accounts[r.Program] != nil
+		return c.ownedBy(r.ID, r.Owner) != nil || c.accounts[r.Program] != nil
 	case *Hold:
 		return c.accounts[r.Program] != nil
 	case *Spent:
--- a/state/chains/record.go
+++ b/state/chains/record.go
@@ -33,6 +33,9 @@
 	// Retention is how long the turn is kept after Written, a time in Unix milliseconds.
 	Retention time.Duration `cbor:"8,keyasint"`
 	Written   int64         `cbor:"9,keyasint"`
+	// Owner is the customer whose requests may continue the turn. A turn without an owner
+	// belongs to whoever names it.
+	Owner string `cbor:"10,keyasint,omitempty"`
 }
 
 // Hold is the most that a turn may spend. It is stored before the turn runs.
@@ -97,6 +100,7 @@
 	Used      int           `cbor:"7,keyasint"`
 	Retention time.Duration `cbor:"8,keyasint"`
 	Written   int64         `cbor:"9,keyasint"`
+	Owner     string        `cbor:"10,keyasint"`
 }
 
 // DecodeFacts returns the record encoded in data, a turn without its texts.
@@ -110,6 +114,7 @@
 	}
 	return &Turn{
 		ID: f.ID, Previous: f.Previous, Program: f.Program, Endpoint: f.Endpoint, Used: f.Used, Retention: f.Retention, Written: f.Written,
+		Owner: f.Owner,
 	}, nil
 }
 
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -29,7 +29,7 @@
 	case *vaults.Fetch:
 		v.meters.fetches.Inc()
 		roster, caughtUp := v.seatState()
-		kept, complete := v.chains.Chain(m.Chain)
+		kept, complete := v.chains.Chain(m.Chain, m.Owner)
 		go func() {
 			turns, err := v.loadTurns(kept)
 			r.answer(&vaults.FetchReply{Turns: turns, ChainComplete: complete && err == nil, Authoritative: caughtUp && err == nil, Version: roster.Version})
@@ -76,7 +76,7 @@
 	b.LoadReply = v.exchangeLoad(now, m.Load)
 	var kept []chains.Kept
 	if m.Chain != "" {
-		kept, b.ChainComplete = v.chains.Chain(m.Chain)
+		kept, b.ChainComplete = v.chains.Chain(m.Chain, m.Owner)
 	}
 	if m.Hold == nil {
 		go func() { answer(v.withTurns(b, kept)) }()
@@ -218,9 +218,13 @@
 	}
 	records, next := v.chains.After(m.Cursor, pageRecords)
 	l.Next, l.More = next, len(records) == pageRecords
+	var owners []string
 	for _, r := range records {
 		if t, ok := r.(*chains.Turn); ok {
-			l.Turns = append(l.Turns, t.ID)
+			l.Turns, owners = append(l.Turns, t.ID), append(owners, t.Owner)
+			if t.Owner != "" {
+				l.Owners = owners
+			}
 			if t.Program == "" {
 				continue
 			}
@@ -243,9 +247,7 @@
 func (v *Vault) answerGet(m *vaults.Get, answer func(vaults.Message)) {
 	var kept []chains.Kept
 	for _, id := range m.Turns {
-		if k, ok := v.chains.Turn(id); ok {
-			kept = append(kept, k)
-		}
+		kept = append(kept, v.chains.Turn(id)...)
 	}
 	go func() {
 		reply := &vaults.GetReply{}
@@ -256,7 +258,10 @@
 				v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; the request for it fails")
 				return
 			}
-			if size += len(t.Input) + len(t.Output); size > chainBytes {
+			// The turns with one ID are sent together, because the receiver goes on with
+			// the next ID.
+			n := len(reply.Turns)
+			if size += len(t.Input) + len(t.Output); size > chainBytes && (n == 0 || reply.Turns[n-1].ID != t.ID) {
 				break
 			}
 			reply.Turns = append(reply.Turns, t)
@@ -265,13 +270,15 @@
 	}()
 }
 
-// missingTurns returns those of the turns that are not here. It runs on the
+// missingTurns returns the IDs of those of the turns that are not here. It runs on the
 // control goroutine.
-func (v *Vault) missingTurns(turns []string) []string {
+func (v *Vault) missingTurns(turns []turnName) []string {
 	var missing []string
-	for _, id := range turns {
-		if _, held := v.chains.Turn(id); !held {
-			missing = append(missing, id)
+	added := map[string]bool{}
+	for _, t := range turns {
+		if !added[t.id] && !v.chains.Holds(t.id, t.owner) {
+			added[t.id] = true
+			missing = append(missing, t.id)
 		}
 	}
 	return missing
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -316,11 +316,14 @@
 	isCopy   bool
 	// fresh is set if the vault has never counted in its seat.
 	fresh bool
-	// records are the entries of accounts, turns the IDs of turns.
+	// records are the entries of accounts.
 	records []chains.Record
-	turns   []string
+	turns   []turnName
 }
 
+// turnName identifies a turn. Callers choose the IDs, so customers can choose the same one.
+type turnName struct{ id, owner string }
+
 // listRecords asks one vault for all that it holds, without the texts of turns.
 func (v *Vault) listRecords(ctx context.Context, addr string, roster *seats.Roster) listing {
 	l := listing{addr: addr}
@@ -346,7 +349,13 @@
 			}
 			l.records = append(l.records, r)
 		}
-		l.turns = append(l.turns, page.Turns...)
+		for i, id := range page.Turns {
+			name := turnName{id: id}
+			if i < len(page.Owners) {
+				name.owner = page.Owners[i]
+			}
+			l.turns = append(l.turns, name)
+		}
 		l.caughtUp, l.fresh, cursor, more = page.CaughtUp, page.Fresh, page.Next, page.More
 	}
 	return l
@@ -362,22 +371,22 @@
 // copyMissing stores the listed accounts and fetches the turns that have fewer
 // copies than wanted.
 func (v *Vault) copyMissing(ctx context.Context, listings []listing, wanted int) error {
-	copies := map[string]int{}
+	copies := map[turnName]int{}
 	for _, l := range listings {
 		if err := v.persistRecords(ctx, l.records); err != nil {
 			return err
 		}
-		for _, id := range l.turns {
+		for _, t := range l.turns {
 			if l.isCopy {
-				copies[id]++
+				copies[t]++
 			}
 		}
 	}
 	for _, l := range listings {
-		var missing []string
-		for _, id := range l.turns {
-			if copies[id] < wanted {
-				missing = append(missing, id)
+		var missing []turnName
+		for _, t := range l.turns {
+			if copies[t] < wanted {
+				missing = append(missing, t)
 			}
 		}
 		if err := v.fetchTurns(ctx, l.addr, missing); err != nil {
@@ -388,7 +397,7 @@
 }
 
 // fetchTurns fetches from a vault those of the turns that are not here.
-func (v *Vault) fetchTurns(ctx context.Context, addr string, turns []string) error {
+func (v *Vault) fetchTurns(ctx context.Context, addr string, turns []turnName) error {
 	var wanted []string
 	if err := v.runOnControl(ctx, func() { wanted = v.missingTurns(turns) }); err != nil {
 		return err
@@ -404,15 +413,17 @@
 			return errors.Wrap(errCatchUp, "unexpected answer to a request for turns")
 		}
 		records := make([]chains.Record, 0, len(got.Turns))
+		received := map[string]bool{}
 		for _, t := range got.Turns {
 			records = append(records, t)
+			received[t.ID] = true
 		}
 		if err := v.persistRecords(ctx, records); err != nil {
 			return err
 		}
 		// An answer is bounded and may hold only the first of them, so the rest
 		// is requested again. An empty answer means that they have expired there.
-		if n := len(got.Turns); n > 0 && n < len(batch) {
+		if n := len(received); n > 0 && n < len(batch) {
 			batch = batch[:n]
 		}
 		wanted = wanted[len(batch):]
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -193,7 +193,7 @@
 		}
 		v.chains.Add(r)
 		if t, ok := r.(*chains.Turn); ok {
-			v.chains.SetSource(t.ID, at)
+			v.chains.SetSource(t.ID, t.Owner, at)
 		}
 		return chains.ExpiresAt(r)
 	})
@@ -322,7 +322,7 @@
 		}
 	case stored:
 		for _, t := range e.turns {
-			v.chains.SetSource(t.id, t.at)
+			v.chains.SetSource(t.id, t.owner, t.at)
 		}
 	case task:
 		e.run()
--- a/vault/write.go
+++ b/vault/write.go
@@ -20,16 +20,16 @@
 
 // storedTurn is a turn and where its record is on disk.
 type storedTurn struct {
-	id string
-	at *wallog.Location
+	id, owner string
+	at        *wallog.Location
 }
 
 // entry is a record to be written to disk.
 type entry struct {
 	data    []byte
 	expires time.Time
-	// turn is the ID of the turn that the record holds, or "".
-	turn string
+	// turn and owner identify the turn that the record holds; turn is "" if it holds none.
+	turn, owner string
 	// done is called once the record is on disk or could not be written.
 	done func(error)
 }
@@ -73,7 +73,7 @@
 		}
 		e := entry{data: data, expires: chains.ExpiresAt(r)}
 		if t, ok := r.(*chains.Turn); ok {
-			e.turn = t.ID
+			e.turn, e.owner = t.ID, t.Owner
 		}
 		entries = append(entries, e)
 	}
@@ -132,7 +132,7 @@
 	var turns []storedTurn
 	for _, e := range batch {
 		if at := w.wal.Add(e.data, e.expires); e.turn != "" {
-			turns = append(turns, storedTurn{e.turn, at})
+			turns = append(turns, storedTurn{e.turn, e.owner, at})
 		}
 	}
 	err := w.wal.Sync()
