Gates serve each customer only its own chains, and count requests by customer

Cause: a gate's cache and its messages named turns and programs alone, so a customer could continue another's chain, and spend its budget, by naming it. A request that waited kept a key that was revoked meanwhile, and the digest that identifies crashing requests did not tell customers apart.

Change: gates send the customer's name as the owner with Begin and Fetch and keep their cache by owner; accounts and homes of programs are kept by customer. A foreign turn takes the path of an unknown one: the vaults are asked, all lack it, 404. The key is looked up again before each endpoint gets the request if the configuration has changed; if it is gone and nothing has run, 401. The digest of a request's target includes the customer's name, where there is one. Log lines name the customer; the metrics count requests of the 16 largest customers by name, of the rest as others, and refusals by reason.

--- a/gate/chain.go
+++ b/gate/chain.go
@@ -10,22 +10,36 @@
 	"github.com/cowslipstage/cowslipstage/state/chains"
 )
 
-// fetchChain fetches a chain from the vaults. The turns of one chain may lie on
+// cacheKey identifies a cached turn. Callers choose the IDs, so customers can choose the
+// same one.
+type cacheKey struct{ id, owner string }
+
+// cachedTurn returns the cached turn that an owner gets for an ID: its own, else one
+// without an owner. Turns of other owners count as turns that are not cached. The caller
+// holds the mutex.
+func (c *vaultClient) cachedTurn(id, owner string) (*chains.Turn, bool) {
+	if t, ok := c.cache.Get(cacheKey{id, owner}); ok || owner == "" {
+		return t, ok
+	}
+	return c.cache.Get(cacheKey{id, ""})
+}
+
+// fetchChain fetches an owner's chain from the vaults. The turns of one chain may lie on
 // different vaults, so it continues with the turns before the ones received.
 // The newest turn is known not to exist only if every seat counts as a copy and
 // lacks it.
-func (c *vaultClient) fetchChain(ctx context.Context, previous string) ([]*chains.Turn, error) {
+func (c *vaultClient) fetchChain(ctx context.Context, previous, owner string) ([]*chains.Turn, error) {
 	var chain []*chains.Turn
 	err := c.withRoster(ctx, func(roster *seats.Roster) error {
 		for {
-			missing := c.missingTurn(previous)
+			missing := c.missingTurn(previous, owner)
 			if missing == "" {
-				chain, _ = c.cachedChain(previous)
+				chain, _ = c.cachedChain(previous, owner)
 				return nil
 			}
-			lacking := c.fetchTurns(ctx, roster, missing)
+			lacking := c.fetchTurns(ctx, roster, missing, owner)
 			switch {
-			case c.missingTurn(previous) != missing:
+			case c.missingTurn(previous, owner) != missing:
 			case missing == previous && lacking == len(roster.Seats) && lacking >= seats.TargetCount(c.site.MaxLostHosts):
 				return errors.Wrapf(errUnknown, "%s at %s", previous, roster)
 			default:
@@ -40,10 +54,10 @@
 // a turn until one returns turns. Asking one at a time lets the text cross
 // between data centres only once. It returns 0 if turns arrived, else how many
 // vaults that count as copies lack the turn.
-func (c *vaultClient) fetchTurns(ctx context.Context, roster *seats.Roster, id string) int {
+func (c *vaultClient) fetchTurns(ctx context.Context, roster *seats.Roster, id, owner string) int {
 	lacking := 0
 	err := c.gather(ctx, c.orderSeats(roster, id), 1, func(int, seats.Seat) vaults.Message {
-		return &vaults.Fetch{Chain: id}
+		return &vaults.Fetch{Chain: id, Owner: owner}
 	}, func(_ seats.Seat, m vaults.Message) bool {
 		f, ok := m.(*vaults.FetchReply)
 		if !ok {
@@ -64,12 +78,12 @@
 	return lacking
 }
 
-// missingTurn returns the newest turn of a chain that is not cached, or "".
-func (c *vaultClient) missingTurn(id string) string {
+// missingTurn returns the newest turn of an owner's chain that is not cached, or "".
+func (c *vaultClient) missingTurn(id, owner string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id != "" {
-		t, ok := c.cache.Get(id)
+		t, ok := c.cachedTurn(id, owner)
 		if !ok {
 			return id
 		}
@@ -78,9 +92,9 @@
 	return ""
 }
 
-// cachedChain returns the chain up to a turn, oldest first, and whether all of
+// cachedChain returns an owner's chain up to a turn, oldest first, and whether all of
 // it is cached.
-func (c *vaultClient) cachedChain(id string) ([]*chains.Turn, bool) {
+func (c *vaultClient) cachedChain(id, owner string) ([]*chains.Turn, bool) {
 	if id == "" {
 		return nil, true
 	}
@@ -88,7 +102,7 @@
 	defer c.mu.Unlock()
 	var chain []*chains.Turn
 	for id != "" {
-		t, ok := c.cache.Get(id)
+		t, ok := c.cachedTurn(id, owner)
 		if !ok {
 			return nil, false
 		}
@@ -107,10 +121,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range turns {
-		if c.cache.Contains(t.ID) {
+		key := cacheKey{t.ID, t.Owner}
+		if c.cache.Contains(key) {
 			continue
 		}
-		c.cache.Add(t.ID, t)
+		c.cache.Add(key, t)
 		c.cachedBytes += turnBytes(t)
 	}
 	for c.cachedBytes > int64(cacheShare*float64(c.site.Memory)) {
--- a/gate/customer.go
+++ b/gate/customer.go
@@ -1,11 +1,26 @@
 package gate
 
 import (
+	"fmt"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/table"
 )
 
+// labelledCustomers is how many customers a gate's metrics name at a time. With hundreds of
+// gates, each label is as many series.
+const labelledCustomers = 16
+
+// Reasons for which a request that needs a key is refused, as the metrics name them.
+const (
+	refusedMissing = "missing"
+	refusedUnknown = "unknown"
+	refusedRevoked = "revoked"
+)
+
 // authenticate finds the customer of a request, where the configuration has customers. It
 // reports whether the request may go on; if not, the caller has been refused.
 func (g *Gate) authenticate(q *request, t *table.Table) bool {
@@ -14,11 +29,54 @@
 		return true
 	}
 	c, ok := customers.Find(q.Key)
-	if !ok && !q.route.Public {
+	switch {
+	case !ok && q.route.Public:
+		return true
+	case !ok && q.Key == "":
+		g.meters.countKeyRefusal(refusedMissing)
+		g.refuse(q, http.StatusUnauthorized, "no key")
+		return false
+	case !ok:
+		g.meters.countKeyRefusal(refusedUnknown)
 		g.refuse(q, http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	q.customer = c
+	g.countCustomer(c.Name())
+	return true
+}
+
+// countCustomer counts a request with a known key. The largest customers are counted by
+// name. The series of one that is no longer among them ends.
+func (g *Gate) countCustomer(name string) {
+	g.mu.Lock()
+	label, replaced := g.customers.Add(name)
+	g.mu.Unlock()
+	g.meters.countCustomer(label)
+	if replaced != "" {
+		g.meters.removeCustomer(replaced)
+	}
+}
+
+// revoked reports whether a newer configuration than the one that the request was accepted
+// under denies its key. The request may have waited since.
+func (g *Gate) revoked(q *request) bool {
+	t := g.table.Load()
+	if q.customer == nil || q.route.Public || t == nil || t.Version() == q.version || t.Keys() == nil {
+		return false
+	}
+	c, ok := t.Keys().Find(q.Key)
+	return !ok || c.Name() != q.customer.Name()
+}
+
+// refuseRevoked refuses a request that has not run and whose key has been revoked
+// meanwhile. It reports whether that is so.
+func (g *Gate) refuseRevoked(q *request) bool {
+	if !g.revoked(q) {
+		return false
+	}
+	g.meters.countKeyRefusal(refusedRevoked)
+	g.refuse(q, http.StatusUnauthorized, "unknown key")
 	return true
 }
 
@@ -30,6 +88,18 @@
 	return q.customer.Name()
 }
 
+// account returns the key of the account and the homes of the request's program at the
+// vaults. Customers choose the IDs of their programs, so two can choose the same one.
+func (q *request) account() string { return chains.AccountKey(q.customerName(), q.Program) }
+
+// addCustomer adds the request's customer to a log line, if it has one.
+func (q *request) addCustomer(e *zerolog.Event) *zerolog.Event {
+	if q.customer == nil {
+		return e
+	}
+	return e.Str("customer", q.customer.Name())
+}
+
 // priority returns the request's rank, 0 first.
 func (q *request) priority() int {
 	if q.customer != nil {
@@ -39,3 +109,17 @@
 	}
 	return q.route.Priority
 }
+
+// customerSeries returns the name of the series that counts a customer's requests.
+func customerSeries(label string) string {
+	return fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q}`, label)
+}
+
+func (m *meters) countCustomer(label string) { m.set.GetOrCreateCounter(customerSeries(label)).Inc() }
+
+func (m *meters) removeCustomer(label string) { m.set.UnregisterMetric(customerSeries(label)) }
+
+// countKeyRefusal counts a request that was refused because of its key.
+func (m *meters) countKeyRefusal(reason string) {
+	m.set.GetOrCreateCounter(`cowslipstage_gate_key_refusals_total{reason="` + reason + `"}`).Inc()
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -27,6 +27,7 @@
 	"github.com/cowslipstage/cowslipstage/state/blame"
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/heavy"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -116,6 +117,8 @@
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
 	crashProbes map[blame.Crash]*crashProbe
+	// customers picks the customers that the metrics name.
+	customers *heavy.Heavy
 	// suspects holds the requests that crash endpoints, or may do so. suspectsChanged is
 	// signalled when the vaults are to be told.
 	suspects        suspects
@@ -135,6 +138,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.customers = heavy.New(labelledCustomers)
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -31,6 +31,8 @@
 	headerDeclined = "Declined"
 	headerLeaving  = "Leaving"
 	headerLimit    = "Limit"
+	headerKey      = "Key"
+	headerCustomer = "Customer"
 	// headerUnexpected makes ParseAnswer panic.
 	headerUnexpected = "Unexpected"
 )
@@ -39,10 +41,16 @@
 type dialect struct{}
 
 func (dialect) ParseRequest(h http.Header) (meta.Request, error) {
-	return meta.Request{ID: h.Get(headerID), Budget: -1}, nil
+	return meta.Request{ID: h.Get(headerID), Key: h.Get(headerKey), Budget: -1}, nil
 }
 
-func (dialect) Forward(http.Header, meta.Forwarded) {}
+func (dialect) Forward(h http.Header, f meta.Forwarded) {
+	h.Del(headerKey)
+	h.Del(headerCustomer)
+	if f.Customer != "" {
+		h.Set(headerCustomer, f.Customer)
+	}
+}
 
 func (dialect) ParseAnswer(_ int, h http.Header) meta.Answer {
 	if h.Get(headerUnexpected) != "" {
--- a/gate/identity.go
+++ b/gate/identity.go
@@ -10,11 +10,18 @@
 // digestBytes is the length of a digest before it is encoded.
 const digestBytes = 12
 
-// target identifies what a request is sent to and with whose credentials: a digest of its
-// method, host, path and query, and credentials.
+// target identifies what a request is sent to and on whose behalf: a digest of its method,
+// host, path and query, credentials, and the customer's name if it has one. Without a customer
+// the digest is that of earlier builds, which gates and vaults of both exchange.
 func (q *request) target() string {
 	r := q.httpRequest
-	return digest([]byte(r.Method), []byte(strings.ToLower(r.Host)), []byte(r.URL.RequestURI()), []byte(r.Header.Get("Authorization")))
+	parts := [][]byte{
+		[]byte(r.Method), []byte(strings.ToLower(r.Host)), []byte(r.URL.RequestURI()), []byte(r.Header.Get("Authorization")),
+	}
+	if q.customer != nil {
+		parts = append(parts, []byte(q.customerName()))
+	}
+	return digest(parts...)
 }
 
 // content identifies what a request asks for, which all attempts of its caller have in
--- a/gate/load.go
+++ b/gate/load.go
@@ -57,6 +57,9 @@
 // chain's previous turn, or "". mayWait says whether the request may wait for an
 // endpoint that is limited.
 func (g *Gate) choose(now time.Time, q *request, previous string, mayWait bool) (placement, bool) {
+	if g.revoked(q) {
+		return placement{}, false
+	}
 	usable := g.fleet.Usable(now, q.service.Name)
 	var others map[string]int
 	var age time.Duration
@@ -103,7 +106,7 @@
 	}
 	g.vaults.exchange.markChanged()
 	g.stalls.CallSent(now.Add(c.LimitWait), c.ID)
-	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
+	q.addCustomer(g.routine.Info()).Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Uint64("version", q.version).
 		Str("service", q.service.Name).Str("endpoint", c.ID).Int("of", len(choices)).Int("mine", c.OwnCalls).Int("others", c.OtherCalls).
 		Dur("othersAge", age).Float64("slow", c.Slowdown).Float64("share", c.Share).Bool("near", c.SameCentre).Int("held", c.CachedTokens).
 		Float64("limit", limit).Dur("wait", c.LimitWait).Int("attempt", len(q.tried)).Msg("placed")
--- a/gate/open.go
+++ b/gate/open.go
@@ -20,6 +20,8 @@
 	budget int
 	// previous is the turn whose chain is wanted, "" if there is none.
 	previous string
+	// owner is the customer that the turn belongs to, "" if it has none.
+	owner string
 	// session is the session whose home is wanted, "" if none is.
 	session string
 }
@@ -49,7 +51,7 @@
 	defer c.beginSeconds.UpdateDuration(started)
 	result := &opened{underWay: wanted.previous != ""}
 	var cached bool
-	if result.chain, cached = c.cachedChain(wanted.previous); wanted.budget < 0 && cached {
+	if result.chain, cached = c.cachedChain(wanted.previous, wanted.owner); wanted.budget < 0 && cached {
 		return result, nil
 	}
 	previous := wanted.previous
@@ -69,10 +71,10 @@
 	if err != nil || cached {
 		return result, err
 	}
-	if result.chain, cached = c.cachedChain(previous); cached {
+	if result.chain, cached = c.cachedChain(previous, wanted.owner); cached {
 		return result, nil
 	}
-	result.chain, err = c.fetchChain(ctx, previous)
+	result.chain, err = c.fetchChain(ctx, previous, wanted.owner)
 	return result, err
 }
 
@@ -109,7 +111,7 @@
 			m.Hold, m.Session = &copied, wanted.session
 		}
 		if i == 0 {
-			m.Chain = wanted.previous
+			m.Chain, m.Owner = wanted.previous, wanted.owner
 		}
 		m.Load = c.exchange.loadFor(time.Now(), roster, s)
 		return m
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -87,7 +87,7 @@
 
 // refuseUnplaced refuses a request that no endpoint has run.
 func (g *Gate) refuseUnplaced(q *request) {
-	if !g.refuseBlocked(time.Now(), q) {
+	if !g.refuseRevoked(q) && !g.refuseBlocked(time.Now(), q) {
 		g.refuse(q, http.StatusServiceUnavailable, "no endpoint of "+q.service.Name+" took it; it has not run")
 	}
 }
@@ -246,7 +246,7 @@
 // writeAnswer sends a whole answer to the caller.
 func (g *Gate) writeAnswer(q *request, e fleet.Entry, a *fullAnswer) {
 	g.meters.countAnswer("done")
-	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("endpoint", e.ID).Int("status", a.status).
+	q.addCustomer(g.routine.Info()).Str("request", q.ID).Str("program", q.Program).Str("endpoint", e.ID).Int("status", a.status).
 		Dur("after", time.Since(q.started)).Msg("answered")
 	h := q.writer.Header()
 	copyHeader(h, a.header)
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -42,7 +42,8 @@
 	httpRequest *http.Request
 	writer      http.ResponseWriter
 	route       *table.Route
-	// customer is nil if the configuration has no customers or the route is public.
+	// customer is nil if the configuration has no customers, or if the route is public and
+	// the request has no known key.
 	customer *keys.Customer
 	// service is the service that the route chose for this request.
 	service table.Service
@@ -163,7 +164,7 @@
 // refuse answers a request with a status of this gate's own.
 func (g *Gate) refuse(q *request, status int, reason string) {
 	g.meters.countAnswer(strconv.Itoa(status))
-	e := g.log.Warn().Str("request", q.ID).Str("program", q.Program).Int("status", status).Str("reason", reason).
+	e := q.addCustomer(g.log.Warn()).Str("request", q.ID).Str("program", q.Program).Int("status", status).Str("reason", reason).
 		Uint64("version", q.version).Dur("after", time.Since(q.started))
 	if q.route != nil {
 		e = e.Str("route", q.route.Name)
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -93,8 +93,8 @@
 // refused.
 func (g *Gate) prepareTurn(ctx context.Context, t *turn) bool {
 	wanted := opening{
-		hold:   &chains.Hold{Program: t.Program, Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
-		budget: -1,
+		hold:   &chains.Hold{Program: t.account(), Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
+		budget: -1, owner: t.customerName(),
 	}
 	if t.hasHold = t.hasBudget(); t.hasHold {
 		wanted.budget = t.Budget
@@ -138,7 +138,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.home, _ = g.homes.Get(now, t.Program, t.Session)
+	t.home, _ = g.homes.Get(now, t.account(), t.Session)
 }
 
 // rememberHome notes that an endpoint has run the turn to its end and returns what the
@@ -150,8 +150,8 @@
 	tokens := t.PromptTokens + t.usedTokens()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.homes.Put(now, t.Program, t.Session, homes.Home{Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens})
-	return &vaults.Home{Program: t.Program, Session: t.Session, Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens}
+	g.homes.Put(now, t.account(), t.Session, homes.Home{Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens})
+	return &vaults.Home{Program: t.account(), Session: t.Session, Endpoint: e.ID, StartedAt: e.StartedAt, Tokens: tokens}
 }
 
 // usedTokens returns the tokens that the caller got.
@@ -266,8 +266,9 @@
 	}
 	if t.route.KeepsTurns {
 		record := &chains.Turn{
-			ID: t.ID, Previous: t.Previous, Program: t.Program, Endpoint: e.ID, Input: t.body, Output: t.output,
+			ID: t.ID, Previous: t.Previous, Program: t.account(), Endpoint: e.ID, Input: t.body, Output: t.output,
 			Used: t.usedTokens(), Retention: t.route.Retention,
+			Owner: t.customerName(),
 		}
 		if err := g.vaults.recordTurn(ctx, record); err != nil {
 			g.settleTurn(t, nil)
@@ -278,7 +279,7 @@
 	}
 	g.meters.countAnswer("done")
 	g.meters.observeSince(g.meters.stream, t.started)
-	g.routine.Info().Str("request", t.ID).Str("program", t.Program).Str("previous", t.Previous).Str("endpoint", e.ID).
+	t.addCustomer(g.routine.Info()).Str("request", t.ID).Str("program", t.Program).Str("previous", t.Previous).Str("endpoint", e.ID).
 		Int("events", t.eventsSent).Dur("after", time.Since(t.started)).Msg("streamed")
 }
 
@@ -311,12 +312,12 @@
 	if !t.hasHold {
 		return
 	}
-	s := &chains.Spent{Program: t.Program, Turn: t.ID, Used: t.usedTokens(), Retention: t.accountRetention()}
+	s := &chains.Spent{Program: t.account(), Turn: t.ID, Used: t.usedTokens(), Retention: t.accountRetention()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
 		if err := g.vaults.settle(ctx, s, home); err != nil {
-			g.log.Warn().Err(err).Str("request", s.Turn).Str("program", s.Program).Int("used", s.Used).
+			g.log.Warn().Err(err).Str("request", s.Turn).Str("program", t.Program).Int("used", s.Used).
 				Msg("turn not settled; its maximum counts as spent")
 		}
 	}()
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -88,8 +88,8 @@
 	// measuredAt. A failed vault gets a large one.
 	latencies  map[string]time.Duration
 	measuredAt map[string]time.Time
-	// cache holds turns by ID. Their size is cachedBytes.
-	cache       *simplelru.LRU[string, *chains.Turn]
+	// cache holds turns by ID and owner. Their size is cachedBytes.
+	cache       *simplelru.LRU[cacheKey, *chains.Turn]
 	cachedBytes int64
 	// hedges bounds how often a further vault is asked because others are slow.
 	hedges *retry.Budget
@@ -112,7 +112,7 @@
 		chainAnswers: set.NewCounter("cowslipstage_gate_chain_answers_total"),
 	}
 	// cacheTurns bounds the cache by bytes, not by entries.
-	c.cache, _ = simplelru.NewLRU(1<<20, func(_ string, t *chains.Turn) { c.cachedBytes -= turnBytes(t) })
+	c.cache, _ = simplelru.NewLRU(1<<20, func(_ cacheKey, t *chains.Turn) { c.cachedBytes -= turnBytes(t) })
 	return c
 }
 
--- a/gate/vaultclient_test.go
+++ b/gate/vaultclient_test.go
@@ -203,8 +203,9 @@
 
 // viewRecorder is a ViewConsumer that stores the newest view.
 type viewRecorder struct {
-	mu   sync.Mutex
-	view *vaults.View
+	mu        sync.Mutex
+	view      *vaults.View
+	confirmed time.Time
 }
 
 func (k *viewRecorder) Prefixes() []string { return []string{"routes"} }
@@ -224,6 +225,20 @@
 	k.view = v
 }
 
+func (k *viewRecorder) Confirm(_ string, asOf time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if asOf.After(k.confirmed) {
+		k.confirmed = asOf
+	}
+}
+
+func (k *viewRecorder) confirmedAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmed
+}
+
 // startListener starts a listener to the vaults and returns it with its
 // consumer.
 func (r *vaultCluster) startListener(c *vaultClient) (*ViewListener, *viewRecorder) {
@@ -420,7 +435,7 @@
 func TestAChainIsFetchedOnce(t *testing.T) {
 	r := newVaultCluster(t, 1)
 	r.recordAt(newTurn("a", ""), 0, 1, 2)
-	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "a")).To(gomega.Equal(0))
+	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "a", "")).To(gomega.Equal(0))
 	r.g.Expect(r.client.chainAnswers.Get()).To(gomega.Equal(uint64(1)))
-	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "none")).To(gomega.Equal(3))
+	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "none", "")).To(gomega.Equal(3))
 }
