--- a/gate/customer.go
+++ b/gate/customer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -16,9 +17,10 @@
 
 // Reasons for which a request that needs a key is refused, as the metrics name them.
 const (
-	refusedMissing = "missing"
-	refusedUnknown = "unknown"
-	refusedRevoked = "revoked"
+	refusedMissing     = "missing"
+	refusedUnknown     = "unknown"
+	refusedRevoked     = "revoked"
+	refusedUnconfirmed = "unconfirmed"
 )
 
 // authenticate finds the customer of a request, where the configuration has customers. It
@@ -28,6 +30,11 @@
 	if customers == nil {
 		return true
 	}
+	if !q.route.Public && g.configurationExpired(q.started) {
+		g.meters.countKeyRefusal(refusedUnconfirmed)
+		g.refuse(q, http.StatusServiceUnavailable, "the configuration is not confirmed, so keys cannot be checked; it has not run")
+		return false
+	}
 	c, ok := customers.Find(q.Key)
 	switch {
 	case !ok && q.route.Public:
@@ -46,6 +53,20 @@
 	return true
 }
 
+// ConfirmRoutes notes that the routes in force were the operators' newest at asOf.
+func (g *Gate) ConfirmRoutes(asOf time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.confirmed.Confirm(asOf)
+}
+
+// configurationExpired reports whether the configuration is too old to check keys by.
+func (g *Gate) configurationExpired(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.confirmed.Expired(now)
+}
+
 // countCustomer counts a request with a known key. The largest customers are counted by
 // name. The series of one that is no longer among them ends.
 func (g *Gate) countCustomer(name string) {
@@ -110,14 +131,15 @@
 	return q.route.Priority
 }
 
-// customerSeries returns the name of the series that counts a customer's requests.
-func customerSeries(label string) string {
-	return fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q}`, label)
+// countCustomer counts a request under a customer's label.
+func (m *meters) countCustomer(label string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q}`, label)).Inc()
 }
 
-func (m *meters) countCustomer(label string) { m.set.GetOrCreateCounter(customerSeries(label)).Inc() }
-
-func (m *meters) removeCustomer(label string) { m.set.UnregisterMetric(customerSeries(label)) }
+// removeCustomer ends the series that countCustomer has begun for a label.
+func (m *meters) removeCustomer(label string) {
+	m.set.UnregisterMetric(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q}`, label))
+}
 
 // countKeyRefusal counts a request that was refused because of its key.
 func (m *meters) countKeyRefusal(reason string) {
--- a/gate/customer_test.go
+++ b/gate/customer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
@@ -135,15 +136,31 @@
 	f.g.Expect(f.log.String()).To(gomega.ContainSubstring(`"customer":"acme"`))
 	f.g.Expect(f.log.String()).NotTo(gomega.ContainSubstring("key-of"))
 	f.g.Expect(f.log.String()).NotTo(gomega.ContainSubstring("wrong-key"))
-	var metrics bytes.Buffer
-	f.gate.meters.set.WritePrometheus(&metrics)
-	f.g.Expect(metrics.String()).To(gomega.And(
+	var series bytes.Buffer
+	f.gate.meters.set.WritePrometheus(&series)
+	f.g.Expect(series.String()).To(gomega.And(
 		gomega.ContainSubstring(`cowslipstage_gate_customer_requests_total{customer="acme"} 2`),
 		gomega.ContainSubstring(`cowslipstage_gate_key_refusals_total{reason="missing"} 1`),
 		gomega.ContainSubstring(`cowslipstage_gate_key_refusals_total{reason="unknown"} 1`),
 	))
 }
 
+// The series of customers that are no longer among the largest must end, or a gate would
+// have one of each customer in time.
+func TestTheSeriesOfACustomerEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMeters(metrics.NewSet())
+	series := func() string {
+		var b bytes.Buffer
+		m.set.WritePrometheus(&b)
+		return b.String()
+	}
+	m.countCustomer(`quo"te\`)
+	g.Expect(series()).To(gomega.ContainSubstring(`{customer="quo\"te\\"} 1`))
+	m.removeCustomer(`quo"te\`)
+	g.Expect(series()).NotTo(gomega.ContainSubstring("quo"))
+}
+
 // A caller that keeps its connection open must not keep a revoked key, and an older version
 // that arrives late must not bring it back.
 func TestARevokedKeyIsRefusedOnAnOpenConnection(t *testing.T) {
@@ -176,6 +193,22 @@
 	f.g.Expect(asked).To(gomega.Equal(1))
 }
 
+// With a limit on unconfirmed configurations, a gate that is cut off may not go on
+// accepting keys that were revoked meanwhile. Public routes are served all the same.
+func TestKeysAreNotCheckedByAnUnconfirmedConfiguration(t *testing.T) {
+	f := newKeyedFixture(t, &site.Site{Revocation: time.Hour}, map[string]string{"k": "acme"}, echoCustomer)
+	for _, c := range []struct {
+		confirmed time.Duration
+		status    int
+	}{{2 * time.Hour, http.StatusServiceUnavailable}, {time.Hour, http.StatusServiceUnavailable}, {time.Minute, http.StatusOK}} {
+		f.gate.ConfirmRoutes(time.Now().Add(-c.confirmed))
+		status, _ := f.send("/a", "k")
+		f.g.Expect(status).To(gomega.Equal(c.status), "confirmed %s ago", c.confirmed)
+		status, _ = f.send("/public", "")
+		f.g.Expect(status).To(gomega.Equal(http.StatusOK))
+	}
+}
+
 // The requests of two customers must not share a verdict, those of one customer with two
 // keys must, and without a customer the digest is that of the build in production.
 func TestTheTargetNamesTheCustomerNotItsKey(t *testing.T) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -19,6 +19,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/cutoff"
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
+	"github.com/cowslipstage/cowslipstage/coordination/fresh"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
@@ -117,7 +118,9 @@
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
 	crashProbes map[blame.Crash]*crashProbe
-	// customers picks the customers that the metrics name.
+	// confirmed decides whether the configuration is recent enough to check keys by, and
+	// customers which of them the metrics name.
+	confirmed *fresh.Fresh
 	customers *heavy.Heavy
 	// suspects holds the requests that crash endpoints, or may do so. suspectsChanged is
 	// signalled when the vaults are to be told.
@@ -138,7 +141,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	g.customers = heavy.New(labelledCustomers)
+	g.confirmed, g.customers = fresh.New(s.Revocation), heavy.New(labelledCustomers)
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
--- a/gate/owner_test.go
+++ b/gate/owner_test.go
@@ -105,3 +105,24 @@
 	r.g.Expect(spend("y", "last", 10)).To(gomega.Succeed())
 	r.g.Expect(errors.Is(spend("y", "over", 1), errSpent)).To(gomega.BeTrue())
 }
+
+// A vault that has lost the key-value service, or that passes on what it heard before, must
+// not make a gate's configuration look newer than the service's last word.
+func TestVaultsConfirmAViewOnlyWhileTheyReachTheService(t *testing.T) {
+	r := newVaultCluster(t, 1)
+	r.registry.SetView(routesView(7))
+	for _, h := range r.hosts {
+		h.stop()
+		r.start(h)
+	}
+	r.client.site.Revocation = 5 * time.Second
+	started := time.Now()
+	_, k := r.startListener(r.client)
+	r.g.Eventually(k.confirmedAt).WithTimeout(5 * time.Second).Should(gomega.BeTemporally(">=", started))
+	r.g.Expect(k.AppliedRevision("")).To(gomega.Equal(int64(7)))
+	r.registry.SetDown(true)
+	down := time.Now()
+	r.g.Consistently(k.confirmedAt).WithTimeout(2 * time.Second).Should(gomega.BeTemporally("<=", down))
+	r.registry.SetDown(false)
+	r.g.Eventually(k.confirmedAt).WithTimeout(5 * time.Second).Should(gomega.BeTemporally(">=", down))
+}
--- a/gate/views.go
+++ b/gate/views.go
@@ -21,6 +21,10 @@
 	// viewSlack is how much longer than viewWait the gate waits for an answer
 	// before it asks another vault.
 	viewSlack = 300 * time.Millisecond
+	// revocationShare bounds a vault's wait to a share of the time for which the
+	// configuration counts without a confirmation. Together with the vault's own watch,
+	// which takes half of the usual limit, a confirmation arrives before the last expires.
+	revocationShare = 0.2
 	// viewRetryPause is the pause before another vault is asked.
 	viewRetryPause = 100 * time.Millisecond
 	// viewStartTime is how long a gate waits for vaults before it asks the
@@ -37,6 +41,8 @@
 	Prefixes() []string
 	AppliedRevision(prefix string) int64
 	ApplyView(v *vaults.View)
+	// Confirm receives that the views applied below a prefix were current at asOf.
+	Confirm(prefix string, asOf time.Time)
 }
 
 // ViewListener follows the content of the key-value service. It asks vaults that
@@ -95,8 +101,13 @@
 func (v *ViewListener) ask(ctx context.Context, addr, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, viewWait+viewSlack)
 	defer cancel()
+	asked := time.Now()
+	wait := viewWait
+	if limit := v.vaults.site.Revocation; limit > 0 {
+		wait = min(wait, time.Duration(revocationShare*float64(limit)))
+	}
 	m, err := v.vaults.connection(addr).Call(ctx, &vaults.AwaitView{
-		Prefix: prefix, After: v.consumer.AppliedRevision(prefix), Wait: viewWait, Roster: v.vaults.currentRoster().Version,
+		Prefix: prefix, After: v.consumer.AppliedRevision(prefix), Wait: wait, Roster: v.vaults.currentRoster().Version,
 	})
 	if err != nil {
 		return err
@@ -114,12 +125,33 @@
 	if !b.StoreReachable {
 		return errStoreUnreachable
 	}
+	if v.vaults.site.Revocation > 0 && b.View == nil && b.Age <= 0 {
+		return nil // the vault cannot confirm the configuration, so the service is asked
+	}
+	now := time.Now()
+	v.confirm(now, prefix, asked.Add(wait), b)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.reachableAt[prefix] = time.Now()
+	v.reachableAt[prefix] = now
 	return nil
 }
 
+// confirm tells the consumer as of when a vault confirms what is applied. The vault says how
+// old its own confirmation is only once the wait has ended without a newer view; vaults of
+// earlier builds never say it.
+func (v *ViewListener) confirm(now time.Time, prefix string, waitEnd time.Time, b *vaults.AwaitViewReply) {
+	if b.Age <= 0 {
+		return
+	}
+	if waitEnd.After(now) {
+		waitEnd = now
+	}
+	v.consumer.Confirm(prefix, waitEnd.Add(-b.Age))
+}
+
+// Confirm passes on that the key-value service confirms what is applied.
+func (v *ViewListener) Confirm(prefix string, asOf time.Time) { v.consumer.Confirm(prefix, asOf) }
+
 // AppliedRevision returns the revision that is known.
 func (v *ViewListener) AppliedRevision(prefix string) int64 {
 	return v.consumer.AppliedRevision(prefix)
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -281,6 +281,9 @@
 	// SkipPoll reports whether the service need not be polled now.
 	SkipPoll(prefix string) bool
 	ApplyView(v *View)
+	// Confirm reports that the views applied so far are all that the service held below
+	// the prefix at asOf.
+	Confirm(prefix string, asOf time.Time)
 	// StoreLost reports that the service became unreachable, StoreRegained that it
 	// is reachable again after the given time.
 	StoreLost(prefix string, err error)
@@ -303,6 +306,9 @@
 	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
 	// StoreReachable reports whether the vault itself reaches the service.
 	StoreReachable bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long before this answer the service confirmed the vault's view. It is set
+	// only when the wait has ended without a view; 0 says nothing.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 func (*Begin) kind() uint8          { return 1 }
--- a/standin/coord/coord.go
+++ b/standin/coord/coord.go
@@ -162,7 +162,9 @@
 
 // Follow passes each newer view of a prefix to receiver until ctx ends.
 func (r *Registry) Follow(ctx context.Context, prefix string, receiver vaults.ViewReceiver) {
+	var lostAt time.Time
 	for ctx.Err() == nil {
+		now := time.Now()
 		r.mu.Lock()
 		view, down := r.views[prefix], r.down
 		r.mu.Unlock()
@@ -170,8 +172,18 @@
 		case receiver.SkipPoll(prefix):
 		case down:
 			receiver.StoreLost(prefix, ErrDown)
-		case view != nil && view.Revision > receiver.AppliedRevision(prefix):
-			receiver.ApplyView(view)
+			if lostAt.IsZero() {
+				lostAt = now
+			}
+		case view != nil:
+			if view.Revision > receiver.AppliedRevision(prefix) {
+				receiver.ApplyView(view)
+			}
+			receiver.Confirm(prefix, now)
+			if !lostAt.IsZero() {
+				receiver.StoreRegained(prefix, now.Sub(lostAt))
+				lostAt = time.Time{}
+			}
 		}
 		select {
 		case <-time.After(pollInterval):
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -39,6 +39,9 @@
 	Store string
 	// Grace is the time between the stop request and the forced kill.
 	Grace time.Duration
+	// Revocation is how long a gate checks keys by a configuration that nobody confirms;
+	// 0 for any time.
+	Revocation time.Duration
 	// Off holds the mechanisms that are switched off.
 	Off toggle.Set
 }
--- a/vault/view.go
+++ b/vault/view.go
@@ -32,6 +32,9 @@
 	changesAfter int64
 	// storeReachable is set while the service answers.
 	storeReachable bool
+	// confirmedAt is the last time as of which the service confirmed the view; zero if it
+	// has not since this process started.
+	confirmedAt time.Time
 	// changed is closed and replaced when the view or storeReachable changes.
 	changed chan struct{}
 }
@@ -87,6 +90,13 @@
 	s.notify()
 }
 
+// Confirm notes as of when the service confirmed the view.
+func (v viewReceiver) Confirm(prefix string, asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.views[prefix].confirmedAt = asOf
+}
+
 // ApplyView applies a view, wakes the gates that wait for it, and writes it to disk.
 func (v viewReceiver) ApplyView(view *vaults.View) {
 	v.mu.Lock()
@@ -221,11 +231,24 @@
 		select {
 		case <-changed:
 		case <-end:
+			answer.Age = v.viewAge(time.Now(), m.Prefix)
 			return answer
 		}
 	}
 }
 
+// viewAge returns how long ago the service confirmed the view of a prefix, 0 if it has not
+// since this process started.
+func (v *Vault) viewAge(now time.Time, prefix string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	confirmedAt := v.views[prefix].confirmedAt
+	if confirmedAt.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(confirmedAt))
+}
+
 // followViews follows the key-value service for every prefix.
 func (v *Vault) followViews(ctx context.Context) {
 	for _, prefix := range v.registry.Prefixes() {
