--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -21,7 +21,7 @@
 	toleratedOvershoot = 0.2
 	// beginReserve is the part of the bucket that requests that begin a program leave to
 	// those in progress. A program needs some ten further requests once it has begun.
-	beginReserve = 0.4
+	beginReserve = 0.15
 	// soloPart is the part of a full bucket that one gate may take between two reports
 	// beyond its share, so that demand may move to it. It falls as the bucket empties.
 	soloPart = 0.125
--- a/gate/allowances.go
+++ b/gate/allowances.go
@@ -62,7 +62,7 @@
 	a := g.allowances
 	a.mu.Lock()
 	verdict := a.allot.Take(now, c.Name(), c.Rate(), c.Burst(), begins)
-	urgent, status := a.allot.Urgent(c.Name()), a.allot.Status(now, c.Name())
+	urgent, fresh, status := a.allot.Urgent(c.Name()), a.allot.Fresh(now), a.allot.Status(now, c.Name())
 	label := a.meter(g, c.Name())
 	a.mu.Unlock()
 	if urgent {
@@ -76,6 +76,12 @@
 	g.routine.Info().Str("request", q.ID).Str("program", q.Program).Str("customer", c.Name()).Float64("rate", c.Rate()).Float64("burst", c.Burst()).
 		Bool("begins", begins).Float64("level", status.Level).Float64("share", status.Share).Dur("viewAge", status.Age).
 		Dur("retryAfter", over.RetryAfter).Msg("over the customer's quota")
+	if !fresh {
+		// Another gate may know that there is room.
+		q.retryAfter = retryElsewhereMin + time.Duration(g.randomFloat()*float64(retryElsewhereSpread))
+		g.refuse(q, http.StatusServiceUnavailable, "this gate does not know how much of the customer's quota is left; it has not run")
+		return false
+	}
 	q.limitWait = over.RetryAfter
 	g.refuse(q, http.StatusTooManyRequests, "the customer's quota is spent; it has not run")
 	return false
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -19,6 +19,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/cutoff"
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
+	"github.com/cowslipstage/cowslipstage/coordination/fresh"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/coordination/retry"
@@ -28,6 +29,7 @@
 	"github.com/cowslipstage/cowslipstage/state/blame"
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/heavy"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -124,6 +126,10 @@
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
 	crashProbes map[blame.Crash]*crashProbe
+	// confirmed decides whether the configuration is recent enough to check keys by, and
+	// customers which of them the metrics name.
+	confirmed *fresh.Fresh
+	customers *heavy.Heavy
 	// suspects holds the requests that crash endpoints, or may do so. suspectsChanged is
 	// signalled when the vaults are to be told.
 	suspects        suspects
@@ -144,6 +150,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.waiting.calls, g.resends = map[string]int{}, map[string]*retry.Budget{}
+	g.confirmed, g.customers = fresh.New(s.Revocation), heavy.New(labelledCustomers)
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.allowances = newAllowances(time.Now())
 	set.NewGauge("cowslipstage_gate_quota_view_age_seconds", g.viewAge)
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -46,7 +46,8 @@
 	// Chain is the turn whose chain is requested, "" if none is.
 	Chain string `cbor:"4,keyasint,omitempty"`
 	Load  *Load  `cbor:"5,keyasint,omitempty"`
-	// Owner is the customer that may continue the chain, "" if there are no customers.
+	// Owner is the customer that continues the chain, "" if the request has none. Turns of
+	// other customers are answered like turns that are not stored.
 	Owner string `cbor:"6,keyasint,omitempty"`
 	// Session requests the home of a session of the hold's program, "" if none is wanted.
 	Session string `cbor:"7,keyasint,omitempty"`
@@ -215,6 +216,8 @@
 // Fetch requests a chain. It may go to a vault that no longer has a seat.
 type Fetch struct {
 	Chain string `cbor:"1,keyasint"`
+	// Owner is the customer that may continue the chain, as in Begin.
+	Owner string `cbor:"2,keyasint,omitempty"`
 }
 
 // FetchReply answers Fetch. Authoritative reports whether the vault counts as a
@@ -245,6 +248,8 @@
 	// it took a free seat and has never counted in it.
 	CaughtUp bool `cbor:"7,keyasint,omitempty"`
 	Fresh    bool `cbor:"8,keyasint,omitempty"`
+	// Owners holds the owner of each of Turns, up to the last that has one.
+	Owners []string `cbor:"9,keyasint,omitempty"`
 }
 
 // Get requests turns with their texts.
@@ -304,6 +309,9 @@
 	// SkipPoll reports whether the service need not be polled now.
 	SkipPoll(prefix string) bool
 	ApplyView(v *View)
+	// Confirm reports that the views applied so far are all that the service held below
+	// the prefix at asOf.
+	Confirm(prefix string, asOf time.Time)
 	// StoreLost reports that the service became unreachable, StoreRegained that it
 	// is reachable again after the given time.
 	StoreLost(prefix string, err error)
@@ -326,6 +334,9 @@
 	Roster *seats.Roster `cbor:"2,keyasint,omitempty"`
 	// StoreReachable reports whether the vault itself reaches the service.
 	StoreReachable bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long before this answer the service confirmed the vault's view. It is set
+	// only when the wait has ended without a view; 0 says nothing.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 func (*Begin) kind() uint8          { return 1 }
