A retired host reports that it is empty once the seats it leaves all count

Cause: a host that gave up its seat did not look at the roster again before its report. Records were safe on the other seats, but the next loss was survived by one host less than the operators had been told.

Change: after the hand-over the host reads the roster again (seats.Handover). The offer is repeated at each attempt; spares that cannot be listed or are slow may claim, too.

--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -51,6 +51,9 @@
 // and enough that any two quorums share a seat.
 func (r *Roster) Quorum() int { return max(r.MaxLosses+1, len(r.Seats)/2+1) }
 
+// Free returns how many seats nobody holds.
+func (r *Roster) Free() int { return max(0, TargetCount(r.MaxLosses)-len(r.Seats)) }
+
 // Find returns the seat of a node, or nil.
 func (r *Roster) Find(node string) *Seat {
 	for i := range r.Seats {
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -153,3 +154,25 @@
 	}
 	g.Expect((&seats.Roster{}).ShouldYield("any", 2, 0)).To(gomega.BeFalse(), "no data centres are known")
 }
+
+// A host was reported as empty under a roster that a spare's claim replaced in the same
+// moment, so that the newest roster had a seat that did not count.
+func TestAHandoverWaitsForASpareThatClaims(t *testing.T) {
+	without, _ := full(1).Remove("n0")
+	claimed, _ := without.Claim(seats.Seat{Node: "spare"}, 1, noneLost)
+	for _, c := range []struct {
+		name     string
+		handover seats.Handover
+		want     bool
+	}{
+		{"the spare claimed meanwhile", seats.Handover{Version: without.Version, Newest: claimed}, false},
+		{"the spare caught up", seats.Handover{Version: claimed.Version, Newest: claimed, SpareMayClaim: true}, true},
+		{"the spare has not claimed", seats.Handover{Version: without.Version, Newest: without, SpareMayClaim: true}, false},
+		{"no spare answers", seats.Handover{Version: without.Version, Newest: without}, true},
+		{"the spare never claims", seats.Handover{Version: without.Version, Newest: without, SpareMayClaim: true, Waited: time.Minute}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			gomega.NewWithT(t).Expect(c.handover.Done()).To(gomega.Equal(c.want))
+		})
+	}
+}
--- a/gate/vaultclient_test.go
+++ b/gate/vaultclient_test.go
@@ -36,9 +36,11 @@
 
 // vaultHost is one vault that can be stopped and started again.
 type vaultHost struct {
-	site   site.Site
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	site site.Site
+	// registry is what the vault sees of the cluster's registry.
+	registry vault.Registry
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // portCount counts the ports handed out. They come from below the range from
@@ -94,7 +96,7 @@
 	h := &vaultHost{site: site.Site{
 		Node: name, Centre: "centre-" + strconv.Itoa(len(r.hosts)%3), IP: "127.0.0.1", FirstPort: port,
 		Data: r.t.TempDir(), Disk: 64 << 20, FirstStart: fresh, MaxLostHosts: losses,
-	}}
+	}, registry: r.registry}
 	r.hosts = append(r.hosts, h)
 	r.start(h)
 	r.t.Cleanup(func() { h.stop() })
@@ -103,7 +105,7 @@
 
 func (r *vaultCluster) start(h *vaultHost) {
 	s := h.site
-	v, err := vault.New(&s, r.registry, metrics.NewSet(), zerolog.Nop())
+	v, err := vault.New(&s, h.registry, metrics.NewSet(), zerolog.Nop())
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/gate/vaults_test.go
+++ b/gate/vaults_test.go
@@ -6,13 +6,16 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 
+	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/standin/coord"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 )
 
@@ -154,7 +157,7 @@
 	r := newVaultCluster(t, 1)
 	r.addVault("spare", 1, false)
 	r.recordAt(newTurn("a", ""), 0, 1)
-	seats := r.client.currentRoster().String()
+	before := r.client.currentRoster().String()
 	for _, h := range r.hosts[:3] {
 		h.stop()
 		h.site.FirstStart = false
@@ -167,7 +170,7 @@
 	chain, err := r.openTurn("a")
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.g.Expect(ids(chain)).To(gomega.Equal([]string{"a"}))
-	r.g.Expect(r.client.currentRoster().String()).To(gomega.Equal(seats))
+	r.g.Expect(r.client.currentRoster().String()).To(gomega.Equal(before))
 }
 
 // The operators retire a host. Its records must survive without it, with a
@@ -198,6 +201,69 @@
 	}
 }
 
+// lateSpares is the registry of a host that retires. Its first listing of the spares fails.
+// failed is closed then, and reported gets the number of seats that count when the host
+// reports that it is empty.
+type lateSpares struct {
+	*coord.Registry
+	fail     sync.Once
+	failed   chan struct{}
+	counting func() int
+	reported chan int
+}
+
+func (l *lateSpares) Spares(ctx context.Context) (known []seats.Seat, err error) {
+	l.fail.Do(func() { err = coord.ErrDown; close(l.failed) })
+	if err != nil {
+		return nil, err
+	}
+	return l.Registry.Spares(ctx)
+}
+
+func (l *lateSpares) PutRetired(ctx context.Context, node string, done bool) error {
+	if done {
+		l.reported <- l.counting()
+	}
+	return l.Registry.PutRetired(ctx, node, done)
+}
+
+// lateClaim is the registry of a spare that claims no seat before the host that retires
+// has failed to list the spares.
+type lateClaim struct {
+	*coord.Registry
+	failed chan struct{}
+}
+
+func (l *lateClaim) PutRoster(ctx context.Context, roster *seats.Roster, revision int64) error {
+	<-l.failed
+	return l.Registry.PutRoster(ctx, roster, revision)
+}
+
+// A host reported that it was empty while a spare, which it had not reached, claimed its
+// seat. At the report all seats must count.
+func TestARetiredHostWaitsForASpareThatItDidNotReach(t *testing.T) {
+	r := newVaultCluster(t, 1)
+	retiring := &lateSpares{Registry: r.registry, failed: make(chan struct{}), counting: r.caughtUpSeats, reported: make(chan int, 1)}
+	r.hosts[0].stop()
+	r.hosts[0].registry, r.hosts[0].site.FirstStart = retiring, false
+	r.start(r.hosts[0])
+	r.waitCaughtUp()
+	spare := r.addVault("spare", 1, false)
+	spare.stop()
+	spare.registry = &lateClaim{r.registry, retiring.failed}
+	r.start(spare)
+	r.g.Eventually(func() int { return len(spares(r)) }).WithTimeout(5 * time.Second).Should(gomega.Equal(1))
+	r.registry.Retire("vault-0")
+	r.g.Eventually(retiring.reported).WithTimeout(10 * time.Second).Should(gomega.Receive(gomega.Equal(3)))
+}
+
+// spares returns the registered spares.
+func spares(r *vaultCluster) []seats.Seat {
+	known, err := r.registry.Spares(context.Background())
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return known
+}
+
 // Sub-agents open turns at the same time through several gates. The granted
 // holds together must stay within the budget.
 func TestConcurrentTurnsNeverHoldMoreThanTheBudget(t *testing.T) {
--- a/vault/retire.go
+++ b/vault/retire.go
@@ -12,8 +12,8 @@
 	// retireEvery is the pause between two checks whether the operators want this
 	// host emptied. They allow some seconds for that.
 	retireEvery = time.Second
-	// successorTime is how long a host that gave up its seat waits for the spare that
-	// was offered it to count as a copy. Until then one loss less is survived.
+	// successorTime is how long one attempt to empty this host waits for the spare that
+	// was offered the seat to claim it.
 	successorTime  = 3 * time.Second
 	successorEvery = 300 * time.Millisecond
 )
@@ -21,6 +21,7 @@
 // retireLoop empties this host when the operators ask for it.
 func (v *Vault) retireLoop(ctx context.Context) {
 	reported := false
+	var seatless time.Time
 	for ctx.Err() == nil {
 		wanted, err := v.registry.Retiring(ctx, v.site.Node)
 		switch {
@@ -33,7 +34,7 @@
 			if !reported {
 				reported = v.reportRetiring(ctx, false)
 			}
-			if v.retire(ctx) && v.reportRetiring(ctx, true) {
+			if v.retire(ctx, &seatless) && v.reportRetiring(ctx, true) {
 				v.log.Info().Msg("emptied; this host may be removed")
 				return
 			}
@@ -56,37 +57,66 @@
 }
 
 // retire gives up the seat and has the other seats copy all records that are
-// here. It reports whether they have. The seat is given up only while all other
-// seats count as copies and hold what this one does, because records may then
-// have a copy less.
-func (v *Vault) retire(ctx context.Context) bool {
+// here. It reports whether this host may be removed with its disk. The seat is given up
+// only while all other seats count as copies and hold what this one does, because records
+// may then have a copy less. seatless is set to when this host was first without a seat.
+func (v *Vault) retire(ctx context.Context, seatless *time.Time) bool {
+	roster, ok := v.giveUpSeat(ctx)
+	if !ok {
+		return false
+	}
+	if seatless.IsZero() {
+		*seatless = time.Now()
+	}
+	handover := seats.Handover{}
+	if roster.Free() > 0 {
+		if handover.SpareMayClaim = v.offerSeat(ctx, roster); handover.SpareMayClaim {
+			roster = v.awaitSuccessor(ctx, roster)
+		}
+	}
+	if !v.handOver(ctx, roster) {
+		return false
+	}
+	newest, _, err := v.registry.Roster(ctx)
+	if err != nil {
+		v.log.Warn().Err(err).Msg("not emptied: reading the roster again failed")
+		return false
+	}
+	handover.Version, handover.Newest, handover.Waited = roster.Version, v.adopt(newest), time.Since(*seatless)
+	if !handover.Done() {
+		v.log.Info().Stringer("old", roster).Stringer("new", newest).Msg("not emptied yet: a spare claims the free seat")
+		return false
+	}
+	return true
+}
+
+// giveUpSeat removes this host from the roster if it has a seat. It returns the newest
+// roster and reports whether this host is not in it.
+func (v *Vault) giveUpSeat(ctx context.Context) (*seats.Roster, bool) {
 	roster, revision, err := v.registry.Roster(ctx)
 	if err != nil {
 		v.log.Warn().Err(err).Msg("not emptied: reading the roster failed")
-		return false
+		return nil, false
 	}
 	v.adopt(roster)
-	if roster.Find(v.site.Node) != nil {
-		next, ok := roster.Remove(v.site.Node)
-		if !ok {
-			v.log.Warn().Stringer("roster", roster).Msg("not emptied: too few seats would remain; waiting for another host")
-			return false
-		}
-		if !v.handOver(ctx, roster) {
-			return false
-		}
-		if err := v.registry.PutRoster(ctx, next, revision); err != nil {
-			v.log.Info().Err(err).Msg("giving up the seat failed; retrying")
-			return false
-		}
-		v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat given up")
-		roster = next
-		v.adopt(roster)
-		if v.offerSeat(ctx, roster) {
-			roster = v.awaitSuccessor(ctx, roster)
-		}
+	if roster.Find(v.site.Node) == nil {
+		return roster, true
+	}
+	next, ok := roster.Remove(v.site.Node)
+	if !ok {
+		v.log.Warn().Stringer("roster", roster).Msg("not emptied: too few seats would remain; waiting for another host")
+		return nil, false
 	}
-	return v.handOver(ctx, roster)
+	if !v.handOver(ctx, roster) {
+		return nil, false
+	}
+	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
+		v.log.Info().Err(err).Msg("giving up the seat failed; retrying")
+		return nil, false
+	}
+	v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat given up")
+	v.adopt(next)
+	return next, true
 }
 
 // awaitSuccessor waits until another host has the free seat, and returns the newest
@@ -110,25 +140,29 @@
 }
 
 // offerSeat tells one spare that answers of the roster, so that it claims the free
-// seat at once. It reports whether there is such a spare.
+// seat at once. It reports whether a spare may claim it: one answered, was too slow, or
+// the spares are not known.
 func (v *Vault) offerSeat(ctx context.Context, roster *seats.Roster) bool {
 	spares, err := v.registry.Spares(ctx)
 	if err != nil {
 		v.log.Warn().Err(err).Msg("reading the spares failed; one will find the free seat later")
-		return false
+		return true
 	}
+	slow := false
 	for _, s := range spares {
 		if s.Node == v.site.Node || roster.Find(s.Node) != nil {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		_, err := v.peer(s.Addr).Call(ctx, &vaults.Adopt{Roster: roster})
+		timedOut := ctx.Err() != nil
 		cancel()
 		if err == nil {
 			return true
 		}
+		slow = slow || timedOut
 	}
-	return false
+	return slow
 }
 
 // handOver has every other seat catch up from this host. It reports whether all
