The fault soak plays customers, programs without end and bursts of callers

Cause: nothing played keys, revocations and budgets of turns that the system does not keep beside faults.

Change: callers belong to four customers and send keys, some of which are replaced during the run, and now and then revoked or unknown ones on their kept connections. At the end all vaults are killed together before chains go on, and stopped programs must be stopped again.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -22,6 +22,8 @@
 	// budgetTurns is the number of turns that a program's budget covers. It is below
 	// maxTurns, so that some programs run out of budget.
 	budgetTurns = 6
+	// maxTurnTokens is the most that one turn delivers.
+	maxTurnTokens = eventCount * fake.TokensPerEvent
 	// maxAnswerBytes bounds the part of an answer that is read.
 	maxAnswerBytes = 1 << 20
 )
@@ -34,6 +36,18 @@
 	gates  []string
 	client *http.Client
 	random *rand.Rand
+	// keys is nil if requests need no key. The caller belongs to customer.
+	keys     *keyring
+	customer *customer
+	// extra draws everything but turns, so that these stay those of the seed.
+	extra *rand.Rand
+	// refusedKey is set after an answer of 401, so that the next request takes the key
+	// that is never revoked.
+	refusedKey bool
+	// agent runs turns of the caller's programs at the same time; nil at agents.
+	agent *caller
+	// stopped lists the programs that never end and that their budget stopped.
+	stopped []string
 	// attempts numbers the requests sent. A retry gets a number of its own.
 	attempts int
 }
@@ -49,6 +63,10 @@
 func (c *caller) run(ctx context.Context) []*chain {
 	var chains []*chain
 	for n := 0; ctx.Err() == nil; n++ {
+		if c.keys != nil && n%unkeptEvery == unkeptEvery-1 {
+			c.runUnkept(ctx, fmt.Sprintf("%s-u%d", c.name, n))
+			continue
+		}
 		ch := &chain{program: fmt.Sprintf("%s-p%d", c.name, n)}
 		for range 1 + c.random.IntN(maxTurns) {
 			if ctx.Err() != nil || !c.runTurn(ctx, ch) {
@@ -60,6 +78,7 @@
 			if c.random.IntN(4) == 0 {
 				c.callService(ctx, ch.program, fake.OrderPath, order)
 			}
+			c.probe(ctx)
 		}
 		if ch.lastTurn != "" {
 			chains = append(chains, ch)
@@ -77,7 +96,6 @@
 // runTurn adds a turn to a chain, with retries through random gates, and reports
 // whether the chain can be continued.
 func (c *caller) runTurn(ctx context.Context, ch *chain) bool {
-	const maxTurnTokens = eventCount * fake.TokensPerEvent
 	for tries := 0; ctx.Err() == nil; tries++ {
 		id := c.nextID()
 		input := fmt.Sprintf("%s asks %d\n", id, c.random.IntN(1000))
@@ -95,7 +113,10 @@
 			return true
 		case err == nil && status == http.StatusPaymentRequired:
 			c.ledger.recordNotRun(id, status)
+			c.ledger.checkSpent(id, ch.program, budgetTurns*maxTurnTokens, maxTurnTokens)
 			return false
+		case err == nil && status == http.StatusUnauthorized:
+			c.recordUnauthorized(id)
 		case err == nil && (status == http.StatusNotFound || status == http.StatusGone):
 			c.ledger.recordLostTurn(id, ch.lastTurn, status)
 			return false
@@ -122,6 +143,8 @@
 			return
 		case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 			c.ledger.recordNotRun(id, status)
+		case err == nil && status == http.StatusUnauthorized:
+			c.recordUnauthorized(id)
 		default:
 			c.ledger.countFailure()
 			if k == order {
@@ -143,6 +166,12 @@
 	}
 	r.Host = fake.RouteHost
 	r.GetBody = nil // keeps the HTTP client from sending the request again by itself
+	if c.keys != nil {
+		c.setKey(path, gate, &t)
+	}
+	if t.MaxTokens > 0 {
+		c.ledger.recordHold(t.Program)
+	}
 	t.SetHeaders(r.Header)
 	a, err := c.client.Do(r)
 	if err != nil {
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -71,8 +71,9 @@
 			return
 		}
 		e.ledger.recordRun(requestID, string(body))
+		e.ledger.recordReceived(time.Now(), requestID, fake.ReceivedCustomer(r.Header), findKeys(r))
 		fake.SetAnswerHeaders(w.Header(), requestID, id)
-		if !strings.HasPrefix(r.URL.Path, fake.ConversationPath) {
+		if !strings.HasPrefix(r.URL.Path, fake.ConversationPath) && !strings.HasPrefix(r.URL.Path, fake.UnkeptPath) {
 			pause(r, serviceTime)
 			_, _ = io.WriteString(w, expectedAnswer(lookup, requestID)) // the caller may have disconnected
 			return
@@ -88,6 +89,22 @@
 	}
 }
 
+// findKeys returns what of a request's address and headers contains a key.
+func findKeys(r *http.Request) []string {
+	var found []string
+	if strings.Contains(r.RequestURI, keyPrefix) {
+		found = append(found, r.RequestURI)
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			if strings.Contains(v, keyPrefix) {
+				found = append(found, name+": "+v)
+			}
+		}
+	}
+	return found
+}
+
 func pause(r *http.Request, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -21,13 +21,13 @@
 // faults lists all faults. They are drawn with equal probability and may overlap.
 var faults = []fault{
 	{"gate killed", func(dp *deployment, r *rand.Rand, d time.Duration) error {
-		return dp.withHost(r, dp.gates, func(h *host) error { h.kill(); time.Sleep(d); return h.start() })
+		return dp.withGate(r, func(h *host) error { h.kill(); time.Sleep(d); return h.start() })
 	}},
 	{"gate stopped", func(dp *deployment, r *rand.Rand, _ time.Duration) error {
-		return dp.withHost(r, dp.gates, func(h *host) error { return dp.restartHost(h) })
+		return dp.withGate(r, func(h *host) error { return dp.restartHost(h) })
 	}},
 	{"gate paused", func(dp *deployment, r *rand.Rand, d time.Duration) error {
-		return dp.withHost(r, dp.gates, func(h *host) error { return pauseHost(h, d) })
+		return dp.withGate(r, func(h *host) error { return pauseHost(h, d) })
 	}},
 	{"gate told to reload", func(dp *deployment, r *rand.Rand, _ time.Duration) error {
 		return dp.withHost(r, dp.gates, func(h *host) error { h.signal(syscall.SIGHUP); return nil })
@@ -79,20 +79,10 @@
 			return nil
 		}
 		defer dp.vaultLoss.Unlock()
-		for _, h := range dp.vaults {
-			h.faultLock.Lock()
-			defer h.faultLock.Unlock()
-			h.kill()
-		}
-		time.Sleep(d)
-		for _, h := range dp.vaults {
-			if err := h.start(); err != nil {
-				return err
-			}
-		}
-		return nil
+		return dp.killAllVaults(d)
 	}},
 	{"service down", func(dp *deployment, _ *rand.Rand, d time.Duration) error {
+		defer dp.outages.begin(theService)()
 		dp.store.SetDown(true)
 		time.Sleep(d)
 		dp.store.SetDown(false)
@@ -151,6 +141,30 @@
 	return do(h)
 }
 
+// withGate applies a fault to a random gate that is away during it.
+func (dp *deployment) withGate(r *rand.Rand, do func(*host) error) error {
+	return dp.withHost(r, dp.gates, func(h *host) error {
+		defer dp.outages.begin(h.Frontend)()
+		return do(h)
+	})
+}
+
+// killAllVaults kills all vaults together and starts them again after d.
+func (dp *deployment) killAllVaults(d time.Duration) error {
+	for _, h := range dp.vaults {
+		h.faultLock.Lock()
+		defer h.faultLock.Unlock()
+		h.kill()
+	}
+	time.Sleep(d)
+	for _, h := range dp.vaults {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // applyToxic adds a toxic to a proxy and removes it after d.
 func applyToxic(p *toxiproxy.Proxy, kind, stream, attributes string, d time.Duration) error {
 	name := fmt.Sprintf("%s-%d", kind, time.Now().UnixNano())
--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
@@ -29,9 +31,16 @@
 	notRun map[string]int
 	// tokens is the number of tokens that each program's caller received.
 	tokens map[string]int
+	// holds counts the turns of each program that were sent, and so may count against its
+	// budget with their maximum.
+	holds map[string]int
+	// quotas is nil if no quota is checked.
+	quotas *quotas
 
 	served, refused, failed int
-	violations              []string
+	// unauthorized counts answers of 401, stopped the programs that their budget ended.
+	unauthorized, stopped int
+	violations            []string
 }
 
 // request is a request that a caller sent.
@@ -39,10 +48,12 @@
 	kind requestKind
 	// text is the body that the endpoint must receive.
 	text string
+	// pass is what must hold by the request's key.
+	pass pass
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]request{}, runs: map[string]int{}, notRun: map[string]int{}, tokens: map[string]int{}}
+	return &ledger{requests: map[string]request{}, runs: map[string]int{}, notRun: map[string]int{}, tokens: map[string]int{}, holds: map[string]int{}}
 }
 
 // addViolation records a broken promise. The caller holds the mutex.
@@ -54,7 +65,7 @@
 func (l *ledger) recordRequest(id string, k requestKind, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.requests[id] = request{k, text}
+	l.requests[id] = request{kind: k, text: text}
 }
 
 // recordRun records that an endpoint runs a request with the received text.
@@ -78,6 +89,78 @@
 	}
 }
 
+// recordPass records what must hold for a request by its key, before it is sent.
+func (l *ledger) recordPass(id string, p pass) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	r.pass = p
+	l.requests[id] = r
+}
+
+// recordReceived records what an endpoint received with a request it runs: the customer's
+// name, and any values that contain a key.
+func (l *ledger) recordReceived(now time.Time, id, customer string, leaks []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.requests[id].pass
+	if p.forbidden != "" {
+		l.addViolation("KEY: %s runs with %s", id, p.forbidden)
+	}
+	if customer != p.customer {
+		l.addViolation("CUSTOMER: %s of %q reaches its endpoint as one of %q", id, p.customer, customer)
+	}
+	for _, v := range leaks {
+		l.addViolation("KEY: %s reaches its endpoint with the key in %q", id, v)
+	}
+	if l.quotas != nil && l.runs[id] == 1 {
+		l.quotas.recordArrival(now, customer)
+	}
+}
+
+// recordUnauthorized records an answer of 401. A key that was valid at all gates when the
+// request was sent, and still is, must be accepted.
+func (l *ledger) recordUnauthorized(id string, k *keyring) {
+	l.recordNotRun(id, http.StatusUnauthorized)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unauthorized++
+	if p := l.requests[id].pass; k == nil || p.known && k.accepted(p.key) {
+		l.addViolation("KEY: %s with a valid key is answered 401", id)
+	}
+}
+
+// recordLeak records that a process logged a key.
+func (l *ledger) recordLeak(host string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation("KEY: %s logged a key", host)
+}
+
+// recordHold records that a turn of a program is sent.
+func (l *ledger) recordHold(program string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holds[program]++
+}
+
+// checkSpent checks an answer of 402: together with the turns sent before, each at its
+// maximum, the turn must not fit its program's budget.
+func (l *ledger) checkSpent(id, program string, budget, maxTurnTokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holds[program]*maxTurnTokens <= budget {
+		l.addViolation("BUDGET: %s is answered 402 after %d turns of %s", id, l.holds[program], program)
+	}
+}
+
+// countStopped counts a program that never ends and that its budget stopped.
+func (l *ledger) countStopped() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped++
+}
+
 // recordNotRun records an answer that promises that a request has not run.
 func (l *ledger) recordNotRun(id string, status int) {
 	l.mu.Lock()
--- a/bench/soak/signals_test.go
+++ b/bench/soak/signals_test.go
@@ -31,7 +31,7 @@
 	o.Binary = filepath.Join(o.Folder, "cowslipstage")
 	out, err := exec.Command("go", "build", "-o", o.Binary, "../../cmd/cowslipstage").CombinedOutput()
 	g.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
-	dp := &deployment{options: o, ledger: newLedger(), store: fake.NewKeyval()}
+	dp := newDeployment(o)
 	defer dp.stop()
 	g.Expect(dp.start()).To(gomega.Succeed())
 
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range 8 {
-		c := dp.newCaller(fmt.Sprintf("s240-c%d", i), uint64(i))
+		c := dp.newCaller(fmt.Sprintf("s240-c%d", i), uint64(i), i)
 		c.gates = []string{stopping.Frontend}
 		go func() {
 			for ctx.Err() == nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -65,6 +66,8 @@
 	// are upgraded one after the other; "" for a run with one build.
 	Before  string
 	Callers int
+	// Quotas has the hot customer's quota set and checked.
+	Quotas bool
 }
 
 // Report is the result of a run.
@@ -72,6 +75,9 @@
 	Seed                    uint64
 	Took                    time.Duration
 	Served, Refused, Failed int
+	// Unauthorized counts answers of 401, Stopped the programs without end that their
+	// budget stopped.
+	Unauthorized, Stopped int
 	// Faults counts the injected faults by name.
 	Faults map[string]int
 	// Violations describes the broken promises. A correct system has none.
@@ -84,15 +90,19 @@
 	for _, n := range r.Faults {
 		total += n
 	}
-	return fmt.Sprintf("seed %d: %.0f s, %d served, %d refused, %d failed, %d faults of %d kinds, %d promises broken",
-		r.Seed, r.Took.Seconds(), r.Served, r.Refused, r.Failed, total, len(r.Faults), len(r.Violations))
+	return fmt.Sprintf("seed %d: %.0f s, %d served, %d refused, %d of them 401, %d programs stopped by 402, %d failed, %d faults and events of %d kinds, %d promises broken",
+		r.Seed, r.Took.Seconds(), r.Served, r.Refused, r.Unauthorized, r.Stopped, r.Failed, total, len(r.Faults), len(r.Violations))
 }
 
 // deployment is the system under test with its stand-ins.
 type deployment struct {
-	options   Options
-	ledger    *ledger
-	store     *fake.Keyval
+	options Options
+	ledger  *ledger
+	store   *fake.Keyval
+	outages *outages
+	// keys is nil if requests need no key, as while hosts run the build before, which
+	// knows no customers.
+	keys      *keyring
 	gates     []*host
 	vaults    []*host
 	endpoints []*managedEndpoint
@@ -122,7 +132,7 @@
 // Run starts a deployment and callers, injects faults for the given time, checks
 // recovery, and stops everything that it has started.
 func Run(o Options) (*Report, error) {
-	dp := &deployment{options: o, ledger: newLedger(), store: fake.NewKeyval()}
+	dp := newDeployment(o)
 	begun := time.Now()
 	defer dp.stop()
 	if err := dp.start(); err != nil {
@@ -131,28 +141,79 @@
 	report := &Report{Seed: o.Seed, Faults: map[string]int{}}
 	callersCtx, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
-	chains := make(chan []*chain, o.Callers)
+	results := make([]ended, o.Callers)
+	var callers, customers sync.WaitGroup
 	for i := range o.Callers {
-		c := dp.newCaller(fmt.Sprintf("s%d-c%d", o.Seed, i), uint64(i))
-		go func() { chains <- c.run(callersCtx) }()
+		c := dp.newCaller(fmt.Sprintf("s%d-c%d", o.Seed, i), uint64(i), i)
+		callers.Go(func() { results[i] = ended{c.run(callersCtx), c.stopped} })
+	}
+	eventsCtx, stopEvents := context.WithCancel(callersCtx)
+	defer stopEvents()
+	var eventCounts map[string]int
+	if dp.keys != nil {
+		customers.Go(func() { eventCounts = dp.playEvents(eventsCtx) })
 	}
 	if err := dp.injectFaults(report.Faults); err != nil {
 		return nil, err
 	}
+	stopEvents()
 	time.Sleep(calmDuration)
 	stopCallers()
-	var all [][]*chain
-	for range o.Callers {
-		all = append(all, <-chains)
+	callers.Wait()
+	customers.Wait()
+	maps.Copy(report.Faults, eventCounts)
+	if err := dp.checkEnd(results); err != nil {
+		return nil, err
 	}
-	dp.continueChains(all)
 	dp.ledger.mu.Lock()
 	defer dp.ledger.mu.Unlock()
 	report.Took = time.Since(begun)
 	report.Served, report.Refused, report.Failed, report.Violations = dp.ledger.served, dp.ledger.refused, dp.ledger.failed, dp.ledger.violations
+	report.Unauthorized, report.Stopped = dp.ledger.unauthorized, dp.ledger.stopped
 	return report, nil
 }
 
+// newDeployment returns a deployment that has not been started.
+func newDeployment(o Options) *deployment {
+	dp := &deployment{options: o, ledger: newLedger(), store: fake.NewKeyval(), outages: newOutages()}
+	if o.Before == "" {
+		dp.keys = newKeyring(dp.outages)
+	}
+	if o.Quotas {
+		dp.keys.setQuota(hotRate, hotBurst)
+		dp.ledger.quotas = &quotas{customer: dp.keys.customers[0].name, changes: []limitChange{{time.Now(), hotRate, hotBurst}}}
+	}
+	return dp
+}
+
+// ended is what a caller leaves: its chains, and its programs that their budget stopped.
+type ended struct {
+	chains  []*chain
+	stopped []string
+}
+
+// checkEnd checks, after all faults have ended, that chains can be continued and budgets
+// are remembered, also once all vaults lost power together.
+func (dp *deployment) checkEnd(results []ended) error {
+	if dp.options.Quotas {
+		dp.setQuota(0, 0) // callers of a customer over its quota could not go on in time
+	}
+	if err := dp.killAllVaults(0); err != nil {
+		return err
+	}
+	dp.continueChains(results)
+	hosts := slices.Concat(dp.gates, dp.vaults)
+	if err := dp.checkLogs(hosts); err != nil {
+		return errors.Wrap(err, "soak: logs")
+	}
+	dp.ledger.mu.Lock()
+	defer dp.ledger.mu.Unlock()
+	if q := dp.ledger.quotas; q != nil {
+		dp.ledger.violations = append(dp.ledger.violations, q.check(dp.appliedAt)...)
+	}
+	return nil
+}
+
 // injectFaults starts faults until the time is over and waits until all have ended.
 func (dp *deployment) injectFaults(counts map[string]int) error {
 	random := rand.New(rand.NewPCG(dp.options.Seed, 1))
@@ -184,15 +245,18 @@
 }
 
 // continueChains continues the last chains of each caller after all faults have ended
-// and records those whose last turn cannot be continued.
-func (dp *deployment) continueChains(all [][]*chain) {
+// and records those whose last turn cannot be continued. Programs that their budget
+// stopped must be stopped again.
+func (dp *deployment) continueChains(results []ended) {
 	ctx, cancel := context.WithTimeout(context.Background(), recoveryTimeout)
 	defer cancel()
 	var running sync.WaitGroup
-	for i, chains := range all {
-		c := dp.newCaller(fmt.Sprintf("s%d-f%d", dp.options.Seed, i), uint64(1000+i))
+	for i, r := range results {
+		c := dp.newCaller(fmt.Sprintf("s%d-f%d", dp.options.Seed, i), uint64(1000+i), i)
+		other := dp.newCaller(fmt.Sprintf("s%d-g%d", dp.options.Seed, i), uint64(2000+i), i)
+		running.Go(func() { other.checkStopped(ctx, r.stopped) })
 		running.Go(func() {
-			for n, ch := range chains[max(0, len(chains)-maxContinuedChains):] {
+			for n, ch := range r.chains[max(0, len(r.chains)-maxContinuedChains):] {
 				ch.program = fmt.Sprintf("%s-%d", c.name, n) // a new program has a fresh budget
 				if last := ch.lastTurn; !c.runTurn(ctx, ch) {
 					dp.ledger.recordNotRecovered("nothing goes on from " + last)
@@ -203,15 +267,29 @@
 	running.Wait()
 }
 
-// newCaller returns a caller with a random stream of its own, selected by n.
-func (dp *deployment) newCaller(name string, n uint64) *caller {
+// newCaller returns a caller with a random stream of its own, selected by n, and an agent
+// for it. Both belong to the i-th customer.
+func (dp *deployment) newCaller(name string, n uint64, i int) *caller {
+	c := dp.newAgent(name, n, i)
+	c.agent = dp.newAgent(name+"a", n+agentStream, i)
+	return c
+}
+
+// agentStream is the distance between the random streams of a caller and of its agent.
+const agentStream = 1 << 24
+
+func (dp *deployment) newAgent(name string, n uint64, i int) *caller {
 	c := &caller{
 		name: name, ledger: dp.ledger, random: rand.New(rand.NewPCG(dp.options.Seed, n<<32)),
+		extra: rand.New(rand.NewPCG(dp.options.Seed, n<<32|1)), keys: dp.keys,
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
 	}
 	for _, g := range dp.gates {
 		c.gates = append(c.gates, g.Frontend)
 	}
+	if dp.keys != nil {
+		c.customer = dp.keys.customers[i%customerCount]
+	}
 	return c
 }
 
@@ -354,7 +432,11 @@
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	dp.version++
-	dp.store.Set(fake.ConfigKey, fake.Configuration(dp.version, routeTimeout, dp.options.For+time.Minute))
+	config := fake.Config{Version: dp.version, Timeout: routeTimeout, Retention: dp.options.For + time.Minute}
+	if dp.keys != nil {
+		config.Customers = dp.keys.config()
+	}
+	dp.store.Set(fake.ConfigKey, config.Encode())
 }
 
 // nextName returns the name of the next incarnation of the i-th endpoint.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -38,6 +38,8 @@
 			t.Log(r)
 			g.Expect(r.Violations).To(gomega.BeEmpty())
 			g.Expect(r.Served).To(gomega.BeNumerically(">", 100), "callers are served meanwhile")
+			g.Expect(r.Unauthorized).To(gomega.BeNumerically(">", 0), "keys are refused")
+			g.Expect(r.Stopped).To(gomega.BeNumerically(">", 0), "budgets stop programs")
 		})
 	}
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -73,6 +73,7 @@
 	c.Flags().Uint64Var(&seeds, "seeds", 1, "how many seeds, one after the other")
 	c.Flags().DurationVar(&o.For, "for", 20*time.Second, "how long things go wrong, for each seed")
 	c.Flags().IntVar(&o.Callers, "callers", 8, "callers at once")
+	c.Flags().BoolVar(&o.Quotas, "quotas", false, "set and check the quota of one customer; not with --before")
 	c.Flags().StringVar(&o.Binary, "binary", "target/cowslipstage", "the program under test")
 	c.Flags().StringVar(&o.Before, "before", "", "the build before; hosts are upgraded from it one after the other, back, and forward again")
 	c.Flags().StringVar(&o.Folder, "folder", filepath.Join(os.TempDir(), "soak"), "where data and logs go; kept where a promise was broken")
