A draining gate follows configurations until it has stopped

Cause: a gate stopped following the key-value service and the vaults at the signal to stop, although it serves kept connections for 2.5 s more.

Change: the views are followed until the gate has stopped.

--- a/bench/soak/event.go
+++ b/bench/soak/event.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,9 +31,9 @@
 	run  func(ctx context.Context, dp *deployment, r *rand.Rand, n int)
 }
 
-// events lists all events. They are drawn with equal probability.
+// events lists the events of every run. All of a run's events are drawn with equal
+// probability.
 var events = []event{
-	{"key revoked", func(_ context.Context, dp *deployment, r *rand.Rand, _ int) { dp.keys.replace(r, dp.configure) }},
 	{"burst of callers", func(ctx context.Context, dp *deployment, r *rand.Rand, n int) {
 		dp.burst(ctx, fmt.Sprint("b", n), time.Duration(r.Int64N(int64(maxBurst))), func(i int) int { return i })
 	}},
@@ -41,6 +42,15 @@
 	}},
 }
 
+// keyEvents are the events of a run with keys.
+var keyEvents = []event{
+	{"key revoked", func(_ context.Context, dp *deployment, r *rand.Rand, _ int) {
+		dp.customersLock.Lock()
+		defer dp.customersLock.Unlock()
+		dp.keys.replace(r, dp.configure)
+	}},
+}
+
 // quotaEvents are the events of a run with quotas.
 var quotaEvents = []event{
 	{"quota lowered", func(_ context.Context, dp *deployment, _ *rand.Rand, _ int) { dp.setQuota(loweredRate, loweredBurst) }},
@@ -50,9 +60,12 @@
 // playEvents plays events until ctx ends, and returns how often each was once all are over.
 func (dp *deployment) playEvents(ctx context.Context) map[string]int {
 	counts := map[string]int{}
-	all := events
+	all := slices.Clone(events)
+	if dp.keys != nil {
+		all = append(all, keyEvents...)
+	}
 	if dp.options.Quotas {
-		all = append(all[:len(all):len(all)], quotaEvents...)
+		all = append(all, quotaEvents...)
 	}
 	random := rand.New(rand.NewPCG(dp.options.Seed, eventStream))
 	var running sync.WaitGroup
@@ -81,6 +94,8 @@
 
 // setQuota changes the quota of the hot customer, the first one.
 func (dp *deployment) setQuota(rate, burst float64) {
+	dp.customersLock.Lock()
+	defer dp.customersLock.Unlock()
 	dp.keys.setQuota(rate, burst)
 	dp.configure()
 	dp.ledger.mu.Lock()
--- a/bench/soak/keyring.go
+++ b/bench/soak/keyring.go
@@ -145,7 +145,7 @@
 	switch {
 	case !s.revokedAt.IsZero():
 		if k.outages.connected(gate, s.revokedAt, now) > applyTime {
-			p.forbidden = "a key that was revoked " + now.Sub(s.revokedAt).String() + " before"
+			p.forbidden = fmt.Sprintf("a key that was revoked %s before it was sent to %s", now.Sub(s.revokedAt), gate)
 		}
 	case !s.revoking:
 		p.known = s.added.IsZero() || k.outages.connected(gate, s.added, now) > applyTime
--- a/bench/soak/signals_test.go
+++ b/bench/soak/signals_test.go
@@ -72,6 +72,39 @@
 	g.Expect(vault.cmd.ProcessState.String()).To(gomega.Equal("exit status 0"))
 }
 
+// A gate that drained did not learn of new configurations, so that a key revoked shortly
+// before or during the drain worked until its end.
+func TestAKeyIsRevokedAtADrainingGate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := Options{Seed: 241, For: time.Minute, Folder: t.TempDir()}
+	o.Binary = filepath.Join(o.Folder, "cowslipstage")
+	out, err := exec.Command("go", "build", "-o", o.Binary, "../../cmd/cowslipstage").CombinedOutput()
+	g.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
+	dp := newDeployment(o)
+	defer dp.stop()
+	g.Expect(dp.start()).To(gomega.Succeed())
+
+	draining := dp.gates[0]
+	c := dp.newCaller("s241-c", 0, 0)
+	c.gates = []string{draining.Frontend}
+	key := c.customer.extra
+	send := func() int {
+		id := c.nextID()
+		c.ledger.recordRequest(id, lookup, id)
+		status, _, _, err := c.send(context.Background(), fake.LookupPath, id, fake.Request{ID: id, Program: "p", Key: key, Timeout: requestTimeout})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return status
+	}
+	g.Expect(send()).To(gomega.Equal(200))
+	draining.signal(syscall.SIGTERM)
+	g.Expect(dp.waitLogged(draining, "draining requests", "does not drain")).To(gomega.Succeed())
+	for c.customer.extra == key {
+		dp.keys.replace(c.random, dp.configure)
+	}
+	// The drain closes the listener after 2.5 s.
+	g.Eventually(send).WithTimeout(2 * time.Second).Should(gomega.Equal(401))
+}
+
 // A signal may arrive before a program has read its settings.
 func TestSignalsDuringStartAreCaught(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -113,6 +113,9 @@
 	// that no more vaults are lost at once than the deployment tolerates.
 	vaultLoss sync.Mutex
 
+	// customersLock is held while the customers in the configuration change.
+	customersLock sync.Mutex
+
 	mu      sync.Mutex
 	version int
 }
@@ -132,6 +135,9 @@
 // Run starts a deployment and callers, injects faults for the given time, checks
 // recovery, and stops everything that it has started.
 func Run(o Options) (*Report, error) {
+	if o.Quotas && o.Before != "" {
+		return nil, errors.New("soak: the build before knows no quotas")
+	}
 	dp := newDeployment(o)
 	begun := time.Now()
 	defer dp.stop()
@@ -150,9 +156,7 @@
 	eventsCtx, stopEvents := context.WithCancel(callersCtx)
 	defer stopEvents()
 	var eventCounts map[string]int
-	if dp.keys != nil {
-		customers.Go(func() { eventCounts = dp.playEvents(eventsCtx) })
-	}
+	customers.Go(func() { eventCounts = dp.playEvents(eventsCtx) })
 	if err := dp.injectFaults(report.Faults); err != nil {
 		return nil, err
 	}
--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -52,9 +52,13 @@
 				}
 				g := gate.New(r.site, platform.Dialect{}, platform.NewRegistry(r.store), r.set, r.log)
 				views := g.NewViewListener(platform.NewViewDecoder(g, r.log))
-				views.Listen(r.context)
+				// A gate that drains still serves requests, so that keys revoked meanwhile
+				// must stop working there.
+				untilStopped, cancel := context.WithCancel(context.WithoutCancel(r.context))
+				defer cancel()
+				views.Listen(untilStopped)
 				for _, prefix := range platform.Prefixes() {
-					go platform.Follow(r.context, r.store, prefix, views)
+					go platform.Follow(untilStopped, r.store, prefix, views)
 				}
 				return g.Run(r.context)
 			})
