One hedger for serve and gates, with an exact share and suspension

Cause: the hedger knew only model calls of serve; it counted credit in floating point, and sent copies while a whole service was slow.

Change: coordination/hedge takes a policy and the present time, learns each service's recent answers in windows, keeps its credit in millionths of a hedge, and denies hedges beyond the share, beyond 0.8 of the service's slots, and while half of the newest answers take twice the usual time. serve keeps its share, its quantile and its delay.

--- a/coordination/core/attempt.go
+++ b/coordination/core/attempt.go
@@ -245,7 +245,7 @@
 	took := now.Sub(a.sentAt)
 	p := c.firstTokenTime(a.request.service.Pool)
 	if expected := p.Estimate(a.cost); expected > 0 {
-		c.hedger.Observe(took, expected)
+		c.hedger.Observe(now, modelCalls, took, expected)
 	}
 	p.Observe(a.cost, took)
 }
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -130,7 +130,7 @@
 		loads:            load.New(),
 		cacheIndex:       cache.New(),
 		outliers:         eject.New(),
-		hedger:           hedge.New(o.Hedge),
+		hedger:           hedge.New(hedge.ModelCalls(o.Hedge)),
 		retries:          retry.New(time.Time{}),
 		firstTokenTimes:  map[string]*pace.Estimator{},
 		callTimes:        map[string]*pace.Estimator{},
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cowslipstage/cowslipstage/coordination/hedge"
 	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/prog"
 	"github.com/cowslipstage/cowslipstage/state/record"
@@ -71,6 +72,10 @@
 	c.settle(now, r, a)
 }
 
+// modelCalls is the hedger's name for all model calls. Their expected times make those of
+// different pools comparable.
+const modelCalls = "model"
+
 // hedge sends a model call whose first token is late to a second endpoint.
 func (c *Core) hedge(now time.Time, r *request) {
 	if !c.lateToStart(now, r) {
@@ -78,7 +83,7 @@
 	}
 	at, ok := c.place(now, r, r.attempts[0].endpoint)
 	n := r.maxCost()
-	if !ok || !r.program.Budget().Fits(n.tokens, n.money) || !c.hedger.Take() {
+	if !ok || !r.program.Budget().Fits(n.tokens, n.money) || c.hedger.Take(now, modelCalls, hedge.Capacity{}) != hedge.Allowed {
 		return
 	}
 	r.hedged = true
@@ -96,7 +101,7 @@
 		return false
 	}
 	a := r.attempts[0]
-	after, ok := c.hedger.Delay(c.firstTokenTime(r.service.Pool).Estimate(a.cost))
+	after, ok := c.hedger.Delay(now, modelCalls, c.firstTokenTime(r.service.Pool).Estimate(a.cost))
 	return ok && !a.sentAt.IsZero() && now.Sub(a.sentAt) >= after
 }
 
--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -3,78 +3,174 @@
 package hedge
 
 import (
+	"math"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 )
 
-// Hedger learns how long endpoints take to begin an answer, and allows a
-// bounded share of calls to be sent twice.
-type Hedger struct {
-	// current holds ratios of observed to expected times, in thousandths.
-	current *hdrhistogram.Histogram
-	// threshold is the ratio, from the last full window, that a call must exceed.
-	// It is 0 until the first window is full.
-	threshold float64
-	// tokens is the number of hedges allowed now, between 0 and maxTokens.
-	tokens float64
-	on     bool
-}
+// Reason says why a hedge is denied; Allowed if it is not.
+type Reason string
 
+// The reasons.
 const (
-	// tokensPerCall is how many hedges one call allows.
-	tokensPerCall = 0.03
-	// maxTokens bounds the hedges that accumulate.
-	maxTokens = 10.0
-	// quantile is the percentile of observed ratios that the threshold is based
-	// on.
-	quantile = 95.0
-	// thresholdFactor multiplies the quantile.
-	thresholdFactor = 1.5
-	// window is the number of observations in a window. No hedge is allowed
-	// before the first window is full.
-	window = 200
-	// minDelay is the shortest delay before a hedge.
-	minDelay = 150 * time.Millisecond
-	// maxRatio bounds the recorded ratios, in thousandths.
-	maxRatio = 1_000_000
+	Allowed Reason = ""
+	// Limit means that the share of extra calls is used up.
+	Limit Reason = "limit"
+	// Overload means that the service has too few free slots.
+	Overload Reason = "overload"
+	// Slowdown means that the answers of the whole service have become slower.
+	Slowdown Reason = "slowdown"
 )
 
-// New returns a hedger. If on is false it never hedges.
-func New(on bool) *Hedger {
-	return &Hedger{current: histogram(), on: on}
+// Policy sets when calls are hedged, and how often.
+type Policy struct {
+	// Share is the most hedges per call, from 0 to 1; 0 allows none.
+	Share float64
+	// MaxCredits bounds the hedges that accumulate while none are needed.
+	MaxCredits int
+	// A call is late once it takes longer than the Quantile (a percentage) of the
+	// recent answers, multiplied by Factor, and longer than MinDelay.
+	Quantile float64
+	Factor   float64
+	MinDelay time.Duration
+	// MinAnswers is how many recent answers must be known before a call is late.
+	MinAnswers int
+	// MaxAge bounds the age of recent answers; 0 bounds only their number.
+	MaxAge time.Duration
+}
+
+// ModelCalls returns the policy for the first tokens of model calls. Their expected
+// times are known, so that a high quantile of the ratio tells late calls from long ones.
+func ModelCalls(on bool) Policy {
+	p := Policy{MaxCredits: 10, Quantile: 95, Factor: 1.5, MinDelay: 150 * time.Millisecond, MinAnswers: 200}
+	if on {
+		p.Share = DefaultShare
+	}
+	return p
+}
+
+// PlainCalls returns the policy for calls of plain services at a gate.
+//
+// The quantile lies below the slow tail even if a quarter of the endpoints is slow.
+// The 95th percentile would be one of the slow answers as soon as one endpoint of
+// twenty is slow. MaxCredits is small since many gates may spend theirs at the same time.
+func PlainCalls(share float64) Policy {
+	return Policy{
+		Share: share, MaxCredits: 2, Quantile: 75, Factor: 2, MinDelay: 20 * time.Millisecond, MinAnswers: 20,
+		MaxAge: 30 * time.Second,
+	}
+}
+
+// DefaultShare is the share of extra calls unless the operators set another. The
+// replays in this package's tests gain most of what hedging can give at this share.
+const DefaultShare = 0.03
+
+// ErrShare means that a share of extra calls is not allowed.
+var ErrShare = errors.New("hedge: the share of extra calls must be from 0 to 1")
+
+// CheckShare returns ErrShare for a share that is not allowed.
+func CheckShare(share float64) error {
+	if math.IsNaN(share) || share < 0 || share > 1 {
+		return errors.Wrapf(ErrShare, "%v", share)
+	}
+	return nil
 }
 
-func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRatio, 2) }
+// creditUnit is the credit that a hedge takes. Integers keep the share exact however
+// many calls there are.
+const creditUnit = 1_000_000
+
+// capacityShare is the part of a service's slots from which no hedge is sent. Counts
+// of other gates' calls are some hundred milliseconds old, and a copy needs a slot too.
+const capacityShare = 0.8
+
+// slowdownFactor is how much slower than usual half of the newest answers must be for
+// the whole service to count as slow.
+const slowdownFactor = 2
+
+// Hedger learns how long the answers of each service take, and allows a bounded share
+// of calls to be sent twice. It is not safe for concurrent use.
+type Hedger struct {
+	policy Policy
+	// perCall is the credit of one call, in millionths.
+	perCall int64
+	// credit is between -limit and limit. Any number of calls n allows at most
+	// n*perCall/creditUnit hedges in total.
+	credit, limit int64
+	services      map[string]*times
+}
+
+// New returns a hedger without credit that knows no answers.
+func New(p Policy) *Hedger {
+	return &Hedger{
+		policy: p, perCall: int64(p.Share * creditUnit), limit: int64(p.MaxCredits) * creditUnit, services: map[string]*times{},
+	}
+}
 
 // AddCall counts a new call that may be hedged.
-func (h *Hedger) AddCall() { h.tokens = min(maxTokens, h.tokens+tokensPerCall) }
+func (h *Hedger) AddCall() { h.credit = min(h.limit, h.credit+h.perCall) }
 
 // Observe records how long a call took to begin its answer, and how long was
-// expected.
-func (h *Hedger) Observe(took, expected time.Duration) {
-	ratio := int64(float64(took) / float64(max(expected, time.Millisecond)) * 1000)
-	_ = h.current.RecordValue(min(max(ratio, 1), maxRatio))
-	if h.current.TotalCount() >= window {
-		h.threshold = float64(h.current.ValueAtPercentile(quantile)) / 1000 * thresholdFactor
-		h.current = histogram()
+// expected. Callers that expect nothing pass the same time for every call.
+func (h *Hedger) Observe(now time.Time, service string, took, expected time.Duration) {
+	h.timesOf(service).add(now, ratio(took, expected), &h.policy)
+}
+
+// ObserveCancelled records that a call was cancelled after some time without an
+// answer. It counts only if it was late, since shorter times say nothing.
+func (h *Hedger) ObserveCancelled(now time.Time, service string, after, expected time.Duration) {
+	t := h.timesOf(service)
+	if r := ratio(after, expected); t.late > 0 && r >= t.late {
+		t.add(now, r, &h.policy)
 	}
 }
 
 // Delay returns how long a call with the expected time may take before it is
-// hedged, or false while hedging is off or the first window is not full.
-func (h *Hedger) Delay(expected time.Duration) (time.Duration, bool) {
-	if !h.on || h.threshold == 0 {
+// hedged, or false while hedging is off or too few answers are known.
+func (h *Hedger) Delay(now time.Time, service string, expected time.Duration) (time.Duration, bool) {
+	t := h.services[service]
+	if h.perCall == 0 || t == nil || !t.known(now, &h.policy) {
 		return 0, false
 	}
-	return max(minDelay, time.Duration(float64(expected)*h.threshold)), true
+	return max(h.policy.MinDelay, time.Duration(t.late*float64(expected))), true
 }
 
-// Take reports whether a hedge is allowed, and counts it.
-func (h *Hedger) Take() bool {
-	if h.tokens < 1 {
-		return false
+// Capacity is the load of a service: running calls and slots at all its endpoints that may
+// get work. Slots is 0 if the caller itself places calls only at free slots.
+type Capacity struct{ Running, Slots int }
+
+// Take reports whether a hedge is allowed now, and counts it if so.
+func (h *Hedger) Take(now time.Time, service string, c Capacity) Reason {
+	t := h.services[service]
+	switch {
+	case c.Slots > 0 && float64(c.Running) >= capacityShare*float64(c.Slots):
+		return Overload
+	case t != nil && t.slowedDown(now):
+		return Slowdown
+	case h.credit < creditUnit:
+		return Limit
 	}
-	h.tokens--
-	return true
+	h.credit -= creditUnit
+	return Allowed
+}
+
+// Return gives back the credit of a hedge that was not sent.
+func (h *Hedger) Return() { h.credit = min(h.limit, h.credit+creditUnit) }
+
+// Spend counts an extra call that is sent for another reason. Hedges wait until later
+// calls have made up for it.
+func (h *Hedger) Spend() { h.credit = max(-h.limit, h.credit-creditUnit) }
+
+func (h *Hedger) timesOf(service string) *times {
+	t := h.services[service]
+	if t == nil {
+		t = newTimes()
+		h.services[service] = t
+	}
+	return t
+}
+
+func ratio(took, expected time.Duration) float64 {
+	return float64(took) / float64(max(expected, time.Millisecond))
 }
