Gates hedge late requests within the operators' share

Cause: a gate sent a repeatable request to a second endpoint after six mean call times or the route's target, whichever was later, without a limit on the extra requests. A slow endpoint's callers waited that long.

The loser is cancelled before the answer is written; an error or a 5xx waits for the other attempt; a declined copy is not sent again. What was the old rule stays as the retry of a presumed lost answer, now bounded by a retry budget, and uses up credit for hedges. SIGHUP compares the settings with those that were loaded, not with those that the flags changed.

--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
+	"github.com/cowslipstage/cowslipstage/coordination/hedge"
 	"github.com/cowslipstage/cowslipstage/gate"
 	"github.com/cowslipstage/cowslipstage/platform"
 	"github.com/cowslipstage/cowslipstage/state/site"
@@ -36,6 +37,7 @@
 func gateCommand() *cobra.Command {
 	o := &roleOptions{}
 	var without string
+	var hedgeShare float64
 	c := &cobra.Command{
 		Use:   "gate",
 		Short: "Serve callers on the users' platform",
@@ -45,8 +47,11 @@
 			if err != nil {
 				return err
 			}
+			if err := hedge.CheckShare(hedgeShare); err != nil {
+				return err
+			}
 			return o.run(c.Context(), "gate", func(r *role) error {
-				r.site.Off = off
+				r.site.Off, r.site.HedgeShare = off, hedgeShare
 				if without != "" {
 					r.log.Warn().Str("without", without).Msg("mechanisms are switched off")
 				}
@@ -62,6 +67,7 @@
 	}
 	o.register(c)
 	c.Flags().StringVar(&without, "without", "", fmt.Sprintf("mechanisms to switch off, separated by commas: %v", toggle.All()))
+	c.Flags().Float64Var(&hedgeShare, "hedges", hedge.DefaultShare, "most copies of slow requests per request; 0 sends none")
 	return c
 }
 
@@ -127,7 +133,8 @@
 	}
 	ctx, cancel := signals.stopContext(ctx)
 	defer cancel()
-	go o.reloadLoop(signals.reload, s, log)
+	loaded := *s // without what the role's own flags set
+	go o.reloadLoop(signals.reload, &loaded, log)
 	if o.metrics != "" {
 		go serveMetrics(s.IP+":"+o.metrics, set, log)
 	}
--- a/coordination/hedge/hedge_test.go
+++ b/coordination/hedge/hedge_test.go
@@ -54,7 +54,7 @@
 			if random.IntN(10) == 0 && h.Take(start, "s", hedge.Capacity{}) == hedge.Allowed {
 				hedges++
 			}
-			g.Expect(hedges*1000).To(BeNumerically("<=", calls*share))
+			g.Expect(hedges * 1000).To(BeNumerically("<=", calls*share))
 		}
 		for _, h := range gates {
 			for h.Take(start, "s", hedge.Capacity{}) == hedge.Allowed {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -20,7 +20,9 @@
 	"github.com/cowslipstage/cowslipstage/coordination/cutoff"
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
+	"github.com/cowslipstage/cowslipstage/coordination/hedge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
+	"github.com/cowslipstage/cowslipstage/coordination/retry"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/coordination/stall"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
@@ -112,6 +114,10 @@
 	relays relays
 	// homes holds the endpoints of the sessions whose last turn ran through this gate.
 	homes *homes.Homes
+	// hedger decides when slow calls of plain services are also sent elsewhere.
+	hedger *hedge.Hedger
+	// lostRetries bounds the retries of calls whose answers are presumed lost.
+	lostRetries *retry.Budget
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
@@ -135,6 +141,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
--- /dev/null
+++ b/gate/hedge_test.go
@@ -0,0 +1,129 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/state/table"
+)
+
+// newHedgingFixture starts a gate with endpoints that share a handler. The handler is told
+// which call of the handler it is, from 1. The gate expects answers within milliseconds and
+// presumes none lost before its timeout.
+func newHedgingFixture(t *testing.T, kind table.Kind, attempts int, share float64, handler func(n int64, w http.ResponseWriter, r *http.Request)) (*gateFixture, *atomic.Int64) {
+	var reached atomic.Int64
+	counted := func(w http.ResponseWriter, r *http.Request) { handler(reached.Add(1), w, r) }
+	route := plainRoute(kind, attempts)
+	route.FirstByteTarget = route.Timeout
+	h := newGateFixture(t, time.Second, route, counted, counted, counted)
+	h.gate.mu.Lock()
+	defer h.gate.mu.Unlock()
+	*h.gate.hedger = *newHedger(share)
+	for range 30 {
+		h.gate.hedger.Observe(time.Now(), "s", time.Millisecond, plainExpected)
+	}
+	return h, &reached
+}
+
+// A slow endpoint's caller waited for it until the answer was presumed lost. The copy must
+// answer, and the slow endpoint must see that nobody waits for it.
+func TestALateRequestIsHedgedAndTheLoserIsCancelled(t *testing.T) {
+	cancelled := make(chan struct{})
+	h, reached := newHedgingFixture(t, table.Idempotent, 2, 1, func(n int64, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			<-r.Context().Done()
+			close(cancelled)
+			return
+		}
+		_, _ = io.WriteString(w, "fine")
+	})
+	status, body, err := h.get("x")
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	h.g.Expect(status).To(gomega.Equal(http.StatusOK))
+	h.g.Expect(body).To(gomega.Equal("fine"))
+	h.g.Eventually(cancelled).WithTimeout(2 * time.Second).Should(gomega.BeClosed())
+	h.g.Expect(reached.Load()).To(gomega.Equal(int64(2)))
+	h.g.Expect(h.gate.meters.hedges.Get()).To(gomega.Equal(uint64(1)))
+	h.g.Expect(h.gate.meters.hedgesWon.Get()).To(gomega.Equal(uint64(1)))
+	h.g.Expect(h.gate.meters.lostRetries.Get()).To(gomega.BeZero())
+}
+
+// Guards against copies of requests that must not run twice, of routes with one attempt,
+// and of gates whose operators allow none.
+func TestOnlyRepeatableRequestsAreHedged(t *testing.T) {
+	for _, c := range []struct {
+		kind     table.Kind
+		attempts int
+		share    float64
+	}{{table.Unsafe, 3, 1}, {table.Stream, 3, 1}, {table.Idempotent, 1, 1}, {table.Idempotent, 3, 0}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			h, reached := newHedgingFixture(t, c.kind, c.attempts, c.share, func(_ int64, _ http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+			})
+			route := h.gate.table.Load().Find("h", "/a")
+			route.Timeout, route.FirstByteTarget = 300*time.Millisecond, time.Second
+			status, _, err := h.get("x")
+			if err == nil {
+				h.g.Expect(status).To(gomega.Equal(http.StatusGatewayTimeout))
+			}
+			h.g.Expect(reached.Load()).To(gomega.Equal(int64(1)))
+			h.g.Expect(h.gate.meters.hedges.Get()).To(gomega.BeZero())
+		})
+	}
+}
+
+// The slow endpoint fails after the copy was sent. Its failure must wait for the copy's
+// answer, whether it is a status or a broken connection, and no third call is made.
+func TestAFailureWaitsForTheOtherAttempt(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		copied, failed := make(chan struct{}), make(chan struct{})
+		h, reached := newHedgingFixture(t, table.Idempotent, 3, 1, func(n int64, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				<-copied
+				defer close(failed)
+				if broken {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			close(copied)
+			<-failed
+			// The gate reads the failure first in nearly all runs; the assertions hold
+			// in either order.
+			_, _ = io.WriteString(w, "fine")
+		})
+		status, body, err := h.get("x")
+		h.g.Expect(err).NotTo(gomega.HaveOccurred())
+		h.g.Expect(status).To(gomega.Equal(http.StatusOK))
+		h.g.Expect(body).To(gomega.Equal("fine"))
+		h.g.Expect(reached.Load()).To(gomega.Equal(int64(2)))
+	}
+}
+
+// Every request is late. No more copies than the share may be sent, to the request, and
+// requests without a copy must still be answered.
+func TestTheShareOfCopiesHolds(t *testing.T) {
+	const requests = 20
+	h, reached := newHedgingFixture(t, table.Idempotent, 2, 0.2, func(n int64, w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(60 * time.Millisecond): // three times the delay
+		}
+		_, _ = io.WriteString(w, "fine")
+	})
+	for i := range requests {
+		status, _, err := h.get(fmt.Sprint(i))
+		h.g.Expect(err).NotTo(gomega.HaveOccurred())
+		h.g.Expect(status).To(gomega.Equal(http.StatusOK))
+		h.g.Expect(reached.Load()).To(gomega.BeNumerically("<=", int64(float64(i+1)*1.2)))
+	}
+	h.g.Expect(h.gate.meters.hedges.Get()).To(gomega.BeNumerically("<=", requests/5))
+	h.g.Expect(h.gate.meters.hedges.Get()).To(gomega.BeNumerically(">=", 1))
+}
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -30,6 +30,9 @@
 	blocked *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
+	// hedges counts the copies of late requests, hedgesWon those that were answered
+	// first, lostRetries the retries of requests whose answers are presumed lost.
+	hedges, hedgesWon, lostRetries *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -45,6 +48,9 @@
 		crashes:      set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
 		blocked:      set.NewCounter("cowslipstage_gate_requests_blocked_total"),
 		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
+		hedges:       set.NewCounter("cowslipstage_gate_hedges_total"),
+		hedgesWon:    set.NewCounter("cowslipstage_gate_hedges_won_total"),
+		lostRetries:  set.NewCounter("cowslipstage_gate_lost_retries_total"),
 		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
 	}
 }
@@ -54,5 +60,10 @@
 	m.set.GetOrCreateCounter(`cowslipstage_gate_answers_total{reason="` + reason + `"}`).Inc()
 }
 
+// countDenied counts a hedge or a retry that was not sent, by its reason.
+func (m *meters) countDenied(reason string) {
+	m.set.GetOrCreateCounter(`cowslipstage_gate_hedges_denied_total{reason="` + reason + `"}`).Inc()
+}
+
 // observeSince adds the time since started to a histogram.
 func (m *meters) observeSince(h *metrics.Histogram, started time.Time) { h.UpdateDuration(started) }
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -35,6 +35,8 @@
 	endpoint fleet.Entry
 	answer   *fullAnswer
 	err      error
+	// copied says that the call was a hedge.
+	copied bool
 }
 
 // attempts are the calls of endpoints for one request of a plain service.
@@ -46,6 +48,13 @@
 	// failed after the endpoint may have run the request.
 	pending    int
 	mayHaveRun int
+	// copies counts the hedges; denied says that one was denied.
+	copies int
+	denied bool
+	// failure is an endpoint's answer that reports a failure, kept while another call of
+	// a hedged request is pending.
+	failure *result
+	lastErr error
 }
 
 // servePlain serves a request of a plain service.
@@ -53,36 +62,70 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := &attempts{gate: g, request: q, results: make(chan result, maxDeclines+q.route.Attempts)}
-	a.startAttempt(ctx, true)
-	hedge := time.NewTicker(g.hedgeDelay(time.Now(), q))
-	defer hedge.Stop()
-	var lastErr error
+	now := time.Now()
+	late, lostDelay := g.newHedgeTimer(now, q), g.lostDelay(now, q)
+	defer late.stop()
+	lost := time.NewTicker(lostDelay)
+	defer lost.Stop()
+	a.startAttempt(ctx, true, false)
 	for a.pending > 0 {
 		select {
 		case r := <-a.results:
 			a.pending--
-			switch {
-			case r.err == nil:
+			if a.receive(ctx, r, late) {
+				cancel() // the other endpoint can stop
 				g.writeAnswer(q, r.endpoint, r.answer)
 				return
-			case ctx.Err() == nil && (errors.Is(r.err, pool.ErrNotSent) || errors.Is(r.err, errDeclined)):
-				a.startAttempt(ctx, true)
-			default:
-				lastErr = r.err
-				a.mayHaveRun++
-				a.startAnother(ctx, true)
 			}
-		case <-hedge.C:
-			if g.site.Off.On(toggle.Hedges) {
-				a.startAnother(ctx, false)
+		case <-late.C:
+			if a.hedge(ctx, time.Now(), late) {
+				lost.Reset(lostDelay)
+			}
+		case <-lost.C:
+			if a.failure != nil {
+				a.pending = 0 // the other call takes too long
+			} else if g.site.Off.On(toggle.Hedges) {
+				a.retryLost(ctx, time.Now())
 			}
 		}
 	}
-	if lastErr != nil {
-		g.failMayHaveRun(ctx, q, lastErr)
-		return
+	cancel()
+	switch {
+	case a.failure != nil:
+		g.writeAnswer(q, a.failure.endpoint, a.failure.answer)
+	case a.lastErr != nil:
+		g.failMayHaveRun(ctx, q, a.lastErr)
+	default:
+		g.refuseUnplaced(q)
 	}
-	g.refuseUnplaced(q)
+}
+
+// receive handles the end of a call, and reports whether its answer is the one for the
+// caller. A failure waits for the other call of a hedged request.
+func (a *attempts) receive(ctx context.Context, r result, late *hedgeTimer) bool {
+	notRun := errors.Is(r.err, pool.ErrNotSent) || errors.Is(r.err, errDeclined)
+	waits := a.copies > 0 && a.pending > 0
+	switch {
+	case r.err == nil && waits && r.answer.status >= http.StatusInternalServerError:
+		a.failure = &r
+	case r.err == nil:
+		if r.copied {
+			a.gate.meters.hedgesWon.Inc()
+		}
+		return true
+	case ctx.Err() == nil && notRun:
+		if !r.copied || !waits {
+			late.restart(time.Now())
+			a.startAttempt(ctx, true, false)
+		}
+	default:
+		a.lastErr = r.err
+		a.mayHaveRun++
+		if !waits && a.failure == nil && a.mayRunAgain(ctx) {
+			a.startAttempt(ctx, true, false)
+		}
+	}
+	return false
 }
 
 // refuseUnplaced refuses a request that no endpoint has run.
@@ -92,28 +135,26 @@
 	}
 }
 
-// startAnother starts one more call if the request may run once more.
-func (a *attempts) startAnother(ctx context.Context, mayWait bool) {
-	if a.request.route.Kind == table.Idempotent && a.mayHaveRun+a.pending < a.request.route.Attempts && ctx.Err() == nil {
-		a.startAttempt(ctx, mayWait)
-	}
+// mayRunAgain reports whether one more endpoint may run the request.
+func (a *attempts) mayRunAgain(ctx context.Context) bool {
+	return a.request.route.Kind == table.Idempotent && a.mayHaveRun+a.pending < a.request.route.Attempts && ctx.Err() == nil
 }
 
-// startAttempt calls an endpoint that has not been tried yet, if there is one. mayWait
-// says whether it may wait for a limited one.
-func (a *attempts) startAttempt(ctx context.Context, mayWait bool) {
+// startAttempt calls an endpoint that has not been tried yet, and reports whether there is
+// one. mayWait says whether it may wait for a limited one, copied that the call is a hedge.
+func (a *attempts) startAttempt(ctx context.Context, mayWait, copied bool) bool {
 	q := a.request
 	if len(q.tried) >= maxDeclines+q.route.Attempts || a.gate.blockLeft(time.Now(), q) > 0 {
-		return
+		return false
 	}
 	p, ok := a.gate.choose(time.Now(), q, "", mayWait)
 	if !ok {
-		return
+		return false
 	}
 	q.tried[p.ID] = true
 	a.pending++
 	go func() {
-		r := result{endpoint: p.Entry, err: errPanicked}
+		r := result{endpoint: p.Entry, err: errPanicked, copied: copied}
 		defer func() {
 			if v := recover(); v != nil {
 				a.gate.meters.panics.Inc()
@@ -124,6 +165,7 @@
 		}()
 		r.answer, r.err = a.gate.callEndpoint(ctx, q, p)
 	}()
+	return true
 }
 
 // errPanicked means that a call of an endpoint ended unexpectedly. The endpoint may
@@ -131,23 +173,25 @@
 var errPanicked = errors.New("gate: unexpected error while an endpoint was called")
 
 const (
-	// hedgeDelaySteps is how many mean call times pass before a second endpoint
-	// is sent the same idempotent request.
-	hedgeDelaySteps = 6
-	// minHedgeDelay bounds that delay from below, also if no call time is
-	// known.
-	minHedgeDelay = 50 * time.Millisecond
+	// lostDelaySteps is how many mean call times pass before the answer to an idempotent
+	// request is presumed lost.
+	lostDelaySteps = 6
+	// minLostDelay bounds that delay from below, also if no call time is known.
+	minLostDelay = 50 * time.Millisecond
 )
 
-// hedgeDelay returns how long an idempotent request waits for one endpoint
-// before another one is called as well. It is longer than the route's aim and
-// than calls usually take now, so that load alone does not cause more load.
-func (g *Gate) hedgeDelay(now time.Time, q *request) time.Duration {
+// lostDelay returns how long an idempotent request waits for one endpoint before its answer
+// is presumed lost. It is longer than the route's aim and than calls usually take now, so
+// that load alone does not cause more load.
+func (g *Gate) lostDelay(now time.Time, q *request) time.Duration {
 	usable := g.fleet.Usable(now, q.service.Name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	meanTimes := time.Duration(hedgeDelaySteps * g.meanStepSeconds(now, usable) * float64(time.Second))
-	return max(meanTimes, q.route.FirstByteTarget, minHedgeDelay)
+	if q.route.Kind == table.Idempotent {
+		g.lostRetries.AddCall()
+	}
+	meanTimes := time.Duration(lostDelaySteps * g.meanStepSeconds(now, usable) * float64(time.Second))
+	return max(meanTimes, q.route.FirstByteTarget, minLostDelay)
 }
 
 // fullAnswer is an answer that has been read to its end.
@@ -165,6 +209,12 @@
 		return nil, err
 	}
 	started := time.Now()
+	answered := false
+	defer func() {
+		if !answered && ctx.Err() != nil {
+			g.observeCancelled(time.Now(), q, time.Since(started))
+		}
+	}()
 	a, err := g.pool.Send(ctx, g.endpointRequest(q, e.Addr, e.ID, q.body))
 	if err != nil {
 		g.recordFailure(ctx, q, e, err)
@@ -181,7 +231,9 @@
 		g.recordFailure(ctx, q, e, err)
 		return nil, err
 	}
+	answered = true
 	now := time.Now()
+	g.observeCall(now, q, now.Sub(started))
 	g.recordOutcome(now, e.Service, e.ID, true)
 	g.recordProgress(now, e.ID)
 	g.addEnd(now, q)
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -39,6 +39,8 @@
 	Store string
 	// Grace is the time between the stop request and the forced kill.
 	Grace time.Duration
+	// HedgeShare is the most copies of slow requests per request; 0 allows none.
+	HedgeShare float64
 	// Off holds the mechanisms that are switched off.
 	Off toggle.Set
 }
