--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -45,7 +45,7 @@
 func ModelCalls(on bool) Policy {
 	p := Policy{MaxCredits: 10, Quantile: 95, Factor: 1.5, MinDelay: 150 * time.Millisecond, MinAnswers: 200}
 	if on {
-		p.Share = DefaultShare
+		p.Share = modelShare
 	}
 	return p
 }
@@ -62,9 +62,14 @@
 	}
 }
 
-// DefaultShare is the share of extra calls unless the operators set another. The
-// replays in this package's tests gain most of what hedging can give at this share.
-const DefaultShare = 0.03
+const (
+	// DefaultShare is the share of extra calls of plain services unless the operators set
+	// another. In the replays of this package's tests it is the smallest that takes the
+	// 99.9th percentile with a grey endpoint to less than half.
+	DefaultShare = 0.05
+	// modelShare is the share for model calls, whose copies cost a whole prompt each.
+	modelShare = 0.03
+)
 
 // ErrShare means that a share of extra calls is not allowed.
 var ErrShare = errors.New("hedge: the share of extra calls must be from 0 to 1")
@@ -118,12 +123,15 @@
 }
 
 // ObserveCancelled records that a call was cancelled after some time without an
-// answer. It counts only if it was late, since shorter times say nothing.
-func (h *Hedger) ObserveCancelled(now time.Time, service string, after, expected time.Duration) {
-	t := h.timesOf(service)
-	if r := ratio(after, expected); t.late > 0 && r >= t.late {
-		t.add(now, r, &h.policy)
+// answer. It counts only if it was late, since shorter times say nothing; the result
+// reports whether it was.
+func (h *Hedger) ObserveCancelled(now time.Time, service string, after, expected time.Duration) bool {
+	t, r := h.timesOf(service), ratio(after, expected)
+	if t.late == 0 || r < t.late {
+		return false
 	}
+	t.add(now, r, &h.policy)
+	return true
 }
 
 // Delay returns how long a call with the expected time may take before it is
--- a/gate/hedge.go
+++ b/gate/hedge.go
@@ -83,10 +83,11 @@
 	}
 	lag := now.Sub(t.due)
 	t.restart(now)
-	reason := deniedPaused
-	if lag <= maxTimerLag {
-		reason = a.sendCopy(ctx, now)
+	if lag > maxTimerLag {
+		a.gate.meters.countDenied(string(deniedPaused))
+		return false
 	}
+	reason := a.sendCopy(ctx, now)
 	if reason == hedge.Allowed {
 		a.copies++
 		a.gate.meters.hedges.Inc()
@@ -168,14 +169,19 @@
 	g.hedger.Observe(now, q.service.Name, took, plainExpected)
 }
 
-// observeCancelled tells the hedger how long a call had no answer before it was cancelled.
-func (g *Gate) observeCancelled(now time.Time, q *request, after time.Duration) {
+// observeCancelled learns from a call that was cancelled without an answer. If it was late,
+// its time counts as a step of the endpoint, else hedging would hide slow endpoints from
+// placement.
+func (g *Gate) observeCancelled(now time.Time, q *request, id string, after time.Duration) {
 	if q.route.Kind != table.Idempotent {
 		return
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.hedger.ObserveCancelled(now, q.service.Name, after, plainExpected)
+	late := g.hedger.ObserveCancelled(now, q.service.Name, after, plainExpected)
+	g.mu.Unlock()
+	if late {
+		g.recordStep(now, id, after)
+	}
 }
 
 // retryLost sends a request whose answer is presumed lost to another endpoint. That is a
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -212,7 +212,7 @@
 	answered := false
 	defer func() {
 		if !answered && ctx.Err() != nil {
-			g.observeCancelled(time.Now(), q, time.Since(started))
+			g.observeCancelled(time.Now(), q, e.ID, time.Since(started))
 		}
 	}()
 	a, err := g.pool.Send(ctx, g.endpointRequest(q, e.Addr, e.ID, q.body))
