Merge of main: admission and quotas beside hedging

Both sides added counters, fields of the gate and rows of the metrics page at the same places; both are kept. go test ./docs passes, the golden files of protocol/vaults match as merged.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -97,6 +97,8 @@
 	stopping atomic.Bool
 	// active counts the requests in progress.
 	active atomic.Int64
+	// allowances holds the customers' quotas.
+	allowances *allowances
 
 	mu sync.Mutex
 	// outliers, stalls and loads hold what this gate's calls have shown of the
@@ -118,6 +120,11 @@
 	hedger *hedge.Hedger
 	// lostRetries bounds the retries of calls whose answers are presumed lost.
 	lostRetries *retry.Budget
+	// waiting counts the calls that wait for room.
+	waiting waiting
+	// resends bounds by service how often calls that endpoints declined are sent again,
+	// where admission is controlled.
+	resends map[string]*retry.Budget
 	// speeds holds what calls have shown of each service's engines.
 	speeds map[string]*gauge.Gauge
 	// crashProbes holds the recent probes of endpoints whose connections broke.
@@ -142,7 +149,9 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
+	g.waiting.calls, g.resends = map[string]int{}, map[string]*retry.Budget{}
 	g.homes = homes.New(int(s.Memory / homeBytes))
+	g.allowances = newAllowances(time.Now())
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
@@ -164,6 +173,7 @@
 	}
 	g.table.Store(t)
 	g.ready.Store(!g.stopping.Load())
+	g.allowances.signal()
 	g.log.Info().Uint64("version", t.Version()).Msg("configuration in force")
 }
 
@@ -211,6 +221,7 @@
 	go g.vaults.connectLoop(background)
 	go g.vaults.loadLoop(background)
 	go g.limitsLoop(background)
+	go g.allowancesLoop(background)
 	go g.suspectsLoop(background)
 	go g.probeLoop(background)
 	go g.relayLoop(background)
@@ -218,6 +229,7 @@
 	relayListener := g.listenRelay()
 	<-ctx.Done()
 	g.stop(callerListener, relayListener)
+	g.endAllowances(background)
 	return balancerServer.Close()
 }
 
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,6 +29,9 @@
 	crashes *metrics.Counter
 	// blocked counts the requests refused because they crash endpoints.
 	blocked *metrics.Counter
+	// waited counts the calls that waited for room at the endpoints, shed those that were
+	// refused because there was none, and resendsDenied those that were not sent again.
+	waited, shed, resendsDenied *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
 	// hedges counts the copies of late requests, hedgesWon those that were answered
@@ -37,21 +41,24 @@
 
 func newMeters(set *metrics.Set) *meters {
 	return &meters{
-		set:          set,
-		firstEvent:   set.NewHistogram("cowslipstage_gate_first_event_seconds"),
-		stream:       set.NewHistogram("cowslipstage_gate_stream_seconds"),
-		call:         set.NewHistogram("cowslipstage_gate_call_seconds"),
-		streamsCut:   set.NewCounter("cowslipstage_gate_streams_cut_total"),
-		limitChanges: set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
-		cutOff:       set.NewGauge("cowslipstage_gate_cut_off", nil),
-		relayed:      set.NewCounter("cowslipstage_gate_relayed_connections_total"),
-		crashes:      set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
-		blocked:      set.NewCounter("cowslipstage_gate_requests_blocked_total"),
-		panics:       set.NewCounter("cowslipstage_gate_panics_total"),
-		hedges:       set.NewCounter("cowslipstage_gate_hedges_total"),
-		hedgesWon:    set.NewCounter("cowslipstage_gate_hedges_won_total"),
-		lostRetries:  set.NewCounter("cowslipstage_gate_lost_retries_total"),
-		leaving:      set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
+		set:           set,
+		firstEvent:    set.NewHistogram("cowslipstage_gate_first_event_seconds"),
+		stream:        set.NewHistogram("cowslipstage_gate_stream_seconds"),
+		call:          set.NewHistogram("cowslipstage_gate_call_seconds"),
+		streamsCut:    set.NewCounter("cowslipstage_gate_streams_cut_total"),
+		limitChanges:  set.NewCounter("cowslipstage_gate_endpoint_limit_changes_total"),
+		cutOff:        set.NewGauge("cowslipstage_gate_cut_off", nil),
+		relayed:       set.NewCounter("cowslipstage_gate_relayed_connections_total"),
+		crashes:       set.NewCounter("cowslipstage_gate_endpoint_crashes_total"),
+		blocked:       set.NewCounter("cowslipstage_gate_requests_blocked_total"),
+		waited:        set.NewCounter("cowslipstage_gate_calls_waited_total"),
+		shed:          set.NewCounter("cowslipstage_gate_calls_shed_total"),
+		resendsDenied: set.NewCounter("cowslipstage_gate_resends_denied_total"),
+		panics:        set.NewCounter("cowslipstage_gate_panics_total"),
+		leaving:       set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
+		hedges:        set.NewCounter("cowslipstage_gate_hedges_total"),
+		hedgesWon:     set.NewCounter("cowslipstage_gate_hedges_won_total"),
+		lostRetries:   set.NewCounter("cowslipstage_gate_lost_retries_total"),
 	}
 }
 
@@ -65,5 +72,10 @@
 	m.set.GetOrCreateCounter(`cowslipstage_gate_hedges_denied_total{reason="` + reason + `"}`).Inc()
 }
 
+// countAllowance counts a request of a customer with a quota.
+func (m *meters) countAllowance(customer string, passed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q,passed="%t"}`, customer, passed)).Inc()
+}
+
 // observeSince adds the time since started to a histogram.
 func (m *meters) observeSince(h *metrics.Histogram, started time.Time) { h.UpdateDuration(started) }
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -85,6 +85,7 @@
 	if m.Session != "" {
 		b.Home = v.findHome(now, m.Hold.Program, m.Session)
 	}
+	b.Age = v.chains.AccountAge(now, m.Hold.Program)
 	m.Hold.Written = now.UnixMilli()
 	v.chains.Add(m.Hold)
 	account := v.chains.Account(m.Hold.Program)
@@ -144,8 +145,9 @@
 	limits := v.exchangeLimits(now, l)
 	relays := v.exchangeRelays(now, l)
 	verdicts, revision := v.exchangeVerdicts(now, l)
+	allowances := v.exchangeAllowances(now, l)
 	if l.Partial {
-		return &vaults.LoadReply{Limits: limits, Relays: relays, Verdicts: verdicts, VerdictsRevision: revision}
+		return &vaults.LoadReply{Limits: limits, Relays: relays, Verdicts: verdicts, VerdictsRevision: revision, Allowances: allowances}
 	}
 	v.runningCalls.Update(now, l.Node, l.Calls)
 	v.successes.Update(now, l.Node, l.Succeeded)
