--- a/cmd/cowslipstage/cmds/check.go
+++ b/cmd/cowslipstage/cmds/check.go
@@ -14,14 +14,19 @@
 
 func checkCommand() *cobra.Command {
 	var settings, sections bool
+	var routes routesFlags
 	c := &cobra.Command{
 		Use:   "check FILE|DIR...",
-		Short: "Check settings and tickets",
+		Short: "Check settings, tickets and the configuration of gates",
 		Long: "Check tells settings from tickets by their sections and prints every problem as\n" +
 			"file:line: [section] key: what is wrong and what is allowed. The tickets of a\n" +
-			"folder are also applied to an empty configuration, by number.",
+			"folder are also applied to an empty configuration, by number.\n\n" +
+			"With --routes it checks a configuration of routes, services, customers and limits\n" +
+			"before it is sent: 0 is fine, 1 means problems, 2 unusable input or usage.",
 		RunE: func(c *cobra.Command, args []string) error {
 			switch {
+			case routes.used(c):
+				return routes.check(c, args)
 			case settings:
 				c.Print(setup.Page())
 				return nil
@@ -36,6 +41,7 @@
 	}
 	c.Flags().BoolVar(&settings, "settings", false, "print all settings as Markdown")
 	c.Flags().BoolVar(&sections, "tickets", false, "print all that tickets may say as Markdown")
+	routes.register(c)
 	return c
 }
 
--- a/cmd/cowslipstage/cmds/root.go
+++ b/cmd/cowslipstage/cmds/root.go
@@ -13,9 +13,12 @@
 // errRuleBroken means that a run violated an invariant.
 var errRuleBroken = errors.New("a rule was broken")
 
+// errUnusable means that the input cannot be read, or that the flags contradict each other.
+var errUnusable = errors.New("unusable input")
+
 // ExitCode returns the exit code for a command's error.
 func ExitCode(err error) int {
-	if errors.Is(err, errRuleBroken) {
+	if errors.IsAny(err, errRuleBroken, errUnusable) {
 		return 2
 	}
 	return 1
