--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/fresh"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
+	"github.com/cowslipstage/cowslipstage/coordination/hedge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/coordination/retry"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
@@ -117,6 +118,10 @@
 	relays relays
 	// homes holds the endpoints of the sessions whose last turn ran through this gate.
 	homes *homes.Homes
+	// hedger decides when slow calls of plain services are also sent elsewhere.
+	hedger *hedge.Hedger
+	// lostRetries bounds the retries of calls whose answers are presumed lost.
+	lostRetries *retry.Budget
 	// waiting counts the calls that wait for room.
 	waiting waiting
 	// resends bounds by service how often calls that endpoints declined are sent again,
@@ -149,6 +154,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
 	g.waiting.calls, g.resends = map[string]int{}, map[string]*retry.Budget{}
 	g.confirmed, g.customers = fresh.New(s.Revocation), heavy.New(labelledCustomers)
 	g.homes = homes.New(int(s.Memory / homeBytes))
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -34,6 +34,9 @@
 	waited, shed, resendsDenied *metrics.Counter
 	// panics counts the calls of endpoints that ended with a panic.
 	panics *metrics.Counter
+	// hedges counts the copies of late requests, hedgesWon those that were answered
+	// first, lostRetries the retries of requests whose answers are presumed lost.
+	hedges, hedgesWon, lostRetries *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -53,6 +56,9 @@
 		resendsDenied: set.NewCounter("cowslipstage_gate_resends_denied_total"),
 		panics:        set.NewCounter("cowslipstage_gate_panics_total"),
 		leaving:       set.NewCounter("cowslipstage_gate_endpoints_leaving_total"),
+		hedges:        set.NewCounter("cowslipstage_gate_hedges_total"),
+		hedgesWon:     set.NewCounter("cowslipstage_gate_hedges_won_total"),
+		lostRetries:   set.NewCounter("cowslipstage_gate_lost_retries_total"),
 	}
 }
 
@@ -61,6 +67,11 @@
 	m.set.GetOrCreateCounter(`cowslipstage_gate_answers_total{reason="` + reason + `"}`).Inc()
 }
 
+// countDenied counts a hedge or a retry that was not sent, by its reason.
+func (m *meters) countDenied(reason string) {
+	m.set.GetOrCreateCounter(`cowslipstage_gate_hedges_denied_total{reason="` + reason + `"}`).Inc()
+}
+
 // countAllowance counts a request of a customer with a quota.
 func (m *meters) countAllowance(customer string, passed bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslipstage_gate_customer_requests_total{customer=%q,passed="%t"}`, customer, passed)).Inc()
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -42,6 +42,8 @@
 	// Revocation is how long a gate checks keys by a configuration that nobody confirms;
 	// 0 for any time.
 	Revocation time.Duration
+	// HedgeShare is the most copies of slow requests per request; 0 allows none.
+	HedgeShare float64
 	// Off holds the mechanisms that are switched off.
 	Off toggle.Set
 }
