Requests of a small customer pass while there is room, whichever gate they reach

Change: customers whose limit is small against the guarantee's slack may take all of the room but what other gates pass before they are heard of.

--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -37,6 +37,11 @@
 	overshoot = 0.1
 	slack     = 20
 	window    = 5 * time.Second
+	// smallLimits is how many times the slack a small customer's limit may be within a window.
+	smallLimits = 6
+	// unheardTime is the time for which gates may not have heard of each other's requests,
+	// some three times the usual.
+	unheardTime = 400 * time.Millisecond
 	// nearLevel is the part of the bucket below which a customer is near its quota.
 	nearLevel = 0.6
 	// equalPart is the part of a share that does not follow the gate's recent requests.
@@ -185,7 +190,22 @@
 	if unseen+1 <= own+c.luck || seen > 0 && unseen+1 <= soloPart*seen*seen/full || unseen < fewRequests && a.random.Float64() < seen/full/sureLevel {
 		return true, 0
 	}
-	return false, usage.Interval
+	return c.small() && level-c.unheard()-unseen >= 1, usage.Interval
+}
+
+// small reports whether the guarantee's slack covers what gates pass before they hear of each
+// other, however fast the customer's requests come.
+func (c *customer) small() bool { return c.rate*window.Seconds()+c.burst <= smallLimits*slack }
+
+// unheard returns how many requests other gates may have passed that the view lacks, at the
+// customer's recent pace.
+func (c *customer) unheard() float64 {
+	recent := 0
+	for _, n := range c.view[:min(len(c.view), shareIntervals)] {
+		recent += n
+	}
+	pace := float64(recent) / (shareIntervals * usage.Interval).Seconds()
+	return 1 + pace*unheardTime.Seconds()
 }
 
 // takePart decides without knowing what other gates pass now: this gate has a part of the
--- a/coordination/allot/allot_test.go
+++ b/coordination/allot/allot_test.go
@@ -194,3 +194,12 @@
 		expect(t, 0.01, d)
 	}
 }
+
+// The requests of a small customer's programs come in quick succession to one gate, which
+// had none of it before, while its use is far below its limit. They are not refused.
+func TestAProgramOfASmallCustomerIsNotCutShort(t *testing.T) {
+	f, d := newFleet(gates, 1), usual("small", 8)
+	f.weigh = func(gate int, at time.Duration) float64 { return bit(int(at/time.Second)*7%gates == gate) }
+	f.run(60*time.Second, d)
+	expect(t, 0.01, d)
+}
