--- a/state/usage/usage.go
+++ b/state/usage/usage.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// Interval is the length of an interval, and Intervals how many are kept: the window
-	// over which quotas are measured (5 s) and what a report may be late.
-	Interval  = 250 * time.Millisecond
+	// Interval is the length of an interval.
+	Interval = 250 * time.Millisecond
+	// Intervals is how many intervals are kept: the window over which quotas are measured
+	// (5 s) and what a report may be late.
 	Intervals = 32
 	// presentAge is how long after its last report a gate counts as present. Gates report
 	// three times a second.
