--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -102,5 +102,5 @@
 		least, most = min(least, after), max(most, after)
 	}
 	g.Expect(most).To(gomega.BeNumerically("<=", c.TimeLeft/3))
-	g.Expect(most-least).To(gomega.BeNumerically(">", 300*time.Millisecond))
+	g.Expect(most - least).To(gomega.BeNumerically(">", 300*time.Millisecond))
 }
