Admission: ejected endpoints take no room, and waiting calls are judged by those before them

Cause: calls that hang at an ejected or stalled endpoint counted against the slots of the others; with a third of the endpoints stalled, idle ones got no programs. A waiting call counted itself and all that came later as ahead of it, and was refused for them. Its program's age and time left stood still meanwhile, and callers that name no time for their program counted as late when they came back. A full queue told all callers the same time to come back. A call whose time ended while it waited was not counted as shed. Each look for room added up all endpoints. A turn remembers how many waited before it. The time of a program is marked as given or not, and goes on. The queue's bound is an input of the decision, which spreads the time.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -18,7 +18,7 @@
 	// Arrived is when the call reached the gate.
 	Arrived time.Time
 	// Age is how long ago the program first asked to be served, ProgramLeft the time within
-	// which it should end. ProgramLeft is 0 if that time is over or not known.
+	// which it should end, 0 if that time is over. Both are 0 if that time is not known.
 	Age, ProgramLeft time.Duration
 	// Target is the time to the first event up to which an answer has its full value.
 	Target time.Duration
@@ -35,8 +35,10 @@
 	Slots float64
 	// Calls counts the calls of all gates that run at the engines or wait there.
 	Calls float64
-	// Waiting counts the calls that wait at this gate.
+	// Waiting counts the calls that wait at this gate and came before.
 	Waiting int
+	// QueueFull says that no further call may wait at this gate.
+	QueueFull bool
 	// Call is how long a call takes.
 	Call time.Duration
 }
@@ -107,7 +109,7 @@
 		// Its program is lost without the call, so it waits as long as its caller allows.
 		until = now.Add(c.TimeLeft / 2)
 	}
-	if now.Before(until) && !now.Add(r.forecast(c)).After(until) {
+	if !r.QueueFull && now.Before(until) && !now.Add(r.forecast(c)).After(until) {
 		return Wait{Until: until}
 	}
 	return Refuse{RetryAfter: r.returnTime(c, random)}
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -16,7 +16,7 @@
 	// fraction of the time in which one of the busiest pools ends a call.
 	roomCheckEvery = 5 * time.Millisecond
 	// maxWaitingCalls bounds the calls that wait at one gate, and maxWaitingShare the part of
-	// its memory that their bodies take.
+	// its memory that their prompts take.
 	maxWaitingCalls = 256
 	maxWaitingShare = 0.05
 )
@@ -24,8 +24,8 @@
 // waiting counts the calls that wait for room by service. The gate's mutex guards it.
 type waiting struct {
 	calls map[string]int
-	// bytes is the size of all their bodies.
-	bytes int64
+	// bytes is the size of all their prompts, at most maxBytes.
+	bytes, maxBytes int64
 }
 
 // controlsAdmission reports whether calls of a route are admitted by the room of their
@@ -88,7 +88,8 @@
 		g.log.Info().Str("request", t.ID).Dur("after", time.Since(t.started)).Msg("caller left while its call waited")
 		panic(http.ErrAbortHandler)
 	}
-	g.refuse(t.request, http.StatusServiceUnavailable, "no room at the endpoints in time; it has not run")
+	g.meters.shed.Inc()
+	g.refuse(t.request, http.StatusServiceUnavailable, "no room at the endpoints of "+t.service.Name+" in time; it has not run")
 }
 
 // decideAdmission returns the verdict for a turn, and counts the turn as waiting if that is
@@ -97,19 +98,24 @@
 	room := g.room(now, t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if first {
+		room.QueueFull = g.waiting.full(t)
+		t.ahead = room.Waiting
+	}
+	room.Waiting = min(room.Waiting, t.ahead)
 	verdict := admit.Decide(now, t.admitCall(now), room, g.random)
 	if _, wait := verdict.(admit.Wait); wait && first {
-		full := g.waiting.calls[t.service.Name] >= maxWaitingCalls ||
-			g.waiting.bytes+int64(len(t.promptText)) > int64(maxWaitingShare*float64(g.site.Memory))
-		if full {
-			return admit.Refuse{RetryAfter: room.Call}, room
-		}
 		g.waiting.calls[t.service.Name]++
 		g.waiting.bytes += int64(len(t.promptText))
 	}
 	return verdict, room
 }
 
+// full reports whether a turn may not wait because too many do.
+func (w *waiting) full(t *turn) bool {
+	return w.calls[t.service.Name] >= maxWaitingCalls || w.bytes+int64(len(t.promptText)) > w.maxBytes
+}
+
 // endWait ends the count of a turn that waited.
 func (g *Gate) endWait(t *turn) {
 	g.mu.Lock()
@@ -118,30 +124,17 @@
 	g.waiting.bytes -= int64(len(t.promptText))
 }
 
-// admitCall describes a turn to the admission control.
+// admitCall describes a turn to the admission control. What the caller and the vaults said
+// held when the request arrived.
 func (q *request) admitCall(now time.Time) admit.Call {
-	return admit.Call{
-		UnderWay: q.underWay, Age: q.age, ProgramLeft: q.ProgramTimeLeft,
-		Arrived: q.started, Target: q.route.FirstByteTarget, TimeLeft: q.deadline.Sub(now), Importance: q.importance,
+	c := admit.Call{
+		UnderWay: q.underWay, Arrived: q.started, Target: q.route.FirstByteTarget, TimeLeft: q.deadline.Sub(now), Importance: q.importance,
 	}
-}
-
-// room returns what this gate knows of the room at the endpoints of a turn's service.
-func (g *Gate) room(now time.Time, t *turn) admit.Room {
-	usable := g.fleet.Usable(now, t.service.Name)
-	var others map[string]int
-	if g.site.Off.On(toggle.Exchange) {
-		others, _ = g.vaults.exchange.others(now)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r := admit.Room{Waiting: g.waiting.calls[t.service.Name], Call: g.speedOf(t.service.Name).Speed().Call}
-	for _, e := range usable {
-		c := g.candidate(now, e, 0)
-		r.Slots += float64(c.Slots) * c.Share
-		r.Calls += float64(c.OwnCalls + others[e.ID])
+	if q.HasProgramTimeLeft { // without it, the age does not tell whether the program is late
+		elapsed := now.Sub(q.started)
+		c.Age, c.ProgramLeft = q.age+elapsed, max(0, q.ProgramTimeLeft-elapsed)
 	}
-	return r
+	return c
 }
 
 // mayResend reports whether a call that an endpoint declined or did not get may be sent to
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -124,6 +124,8 @@
 	lostRetries *retry.Budget
 	// waiting counts the calls that wait for room.
 	waiting waiting
+	// rooms holds the room of each service as it was last added up.
+	rooms map[string]*room
 	// resends bounds by service how often calls that endpoints declined are sent again,
 	// where admission is controlled.
 	resends map[string]*retry.Budget
@@ -155,7 +157,8 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
-	g.waiting.calls, g.resends = map[string]int{}, map[string]*retry.Budget{}
+	g.waiting = waiting{calls: map[string]int{}, maxBytes: int64(maxWaitingShare * float64(s.Memory))}
+	g.resends, g.rooms = map[string]*retry.Budget{}, map[string]*room{}
 	g.confirmed, g.customers = fresh.New(s.Revocation), heavy.New(labelledCustomers)
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.allowances = newAllowances(time.Now())
--- a/gate/load.go
+++ b/gate/load.go
@@ -100,6 +100,7 @@
 	}
 	c := choices[i]
 	g.loadOf(c.ID).calls++
+	g.takeRoom(entries[i])
 	limit, limited := g.caps.Rate(c.ID, entries[i].StartedAt)
 	if limited {
 		g.quota.Take(now, c.ID, c.LimitWait)
@@ -120,19 +121,13 @@
 	off := g.site.Off
 	l := g.loadOf(e.ID)
 	c := assign.Candidate{
-		ID: e.ID, OwnCalls: l.calls, Slots: e.Slots, Slowdown: 1, Share: 1,
+		ID: e.ID, OwnCalls: l.calls, Slots: e.Slots, Slowdown: 1, Share: g.share(now, e.ID),
 		SameCentre: e.Centre == g.site.Centre || !off.On(toggle.Nearness),
 		Connected:  !off.On(toggle.Connections) || g.pool.HasFreshConn(now, e.Addr),
 	}
-	if off.On(toggle.Ejection) {
-		c.Share = g.outliers.Share(now, e.ID)
-	}
 	if off.On(toggle.Warmup) {
 		c.WarmupLeft = e.WarmupLeft
 	}
-	if off.On(toggle.Stalls) && g.stalls.Stalled(now, e.ID) {
-		c.Share = 0
-	}
 	if off.On(toggle.Slowness) && meanStep > 0 && l.stepSeconds > 0 && now.Sub(l.measuredAt) < stepAge {
 		c.Slowdown = l.stepSeconds / meanStep
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -37,6 +37,8 @@
 	// previousEndpoint is the endpoint that ran the chain's previous turn, or
 	// "".
 	previousEndpoint string
+	// ahead is how many calls of its service waited at this gate when the turn began to wait.
+	ahead int
 	// hasHold says that the vaults hold tokens of the budget for this turn.
 	hasHold bool
 	// begun says that part of an answer was sent to the caller. eventsSent counts the
--- a/protocol/meta/meta.go
+++ b/protocol/meta/meta.go
@@ -21,8 +21,10 @@
 	// Program and Session identify the program and its conversation.
 	Program string
 	Session string
-	// ProgramTimeLeft is the time within which the program should end, 0 if not given.
-	ProgramTimeLeft time.Duration
+	// ProgramTimeLeft is the time within which the program should end, if
+	// HasProgramTimeLeft is set; 0 if that time is over.
+	ProgramTimeLeft    time.Duration
+	HasProgramTimeLeft bool
 	// Budget bounds the program's tokens, -1 if not given.
 	Budget int
 	// PromptTokens is the length of the prompt. MaxOutputTokens bounds the tokens
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -158,7 +158,7 @@
 func (f *Fleet) Usable(now time.Time, service string) []Entry {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	var usable []Entry
+	usable := make([]Entry, 0, len(f.services[service]))
 	for _, m := range f.services[service] {
 		removed := !m.removeAt.IsZero() && !now.Before(m.removeAt)
 		if !m.Leaving && !f.leaving.Covers(m.ID, m.StartedAt) && !m.wrongAddress && !removed {
