Admission: bounded waits, importance on one scale, and homes of short names only

Cause: a call of a program under way could wait until its caller's time was over, as half of the time left was counted anew at each look. Customers' priorities ranked below those of all customers without one, whatever the route's, and a rank of requests without a customer was counted where none can occur, so that nobody had importance 1. Homes were bounded in number, but their names, which callers choose, could have 64 KB each. Change: the wait ends at half of the time that the caller had on arrival. A customer's priority replaces the route's on one scale, and only ranks that can occur count. Homes of names over 1 KB are not kept.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -106,8 +106,8 @@
 	}
 	until := c.Arrived.Add(time.Duration(waitShare * float64(c.Target)))
 	if c.UnderWay {
-		// Its program is lost without the call, so it waits as long as its caller allows.
-		until = now.Add(c.TimeLeft / 2)
+		// Its program is lost without the call, so it waits for half of its caller's time.
+		until = c.Arrived.Add((now.Sub(c.Arrived) + c.TimeLeft) / 2)
 	}
 	if !r.QueueFull && now.Before(until) && !now.Add(r.forecast(c)).After(until) {
 		return Wait{Until: until}
--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -104,3 +104,22 @@
 	g.Expect(most).To(gomega.BeNumerically("<=", c.TimeLeft/3))
 	g.Expect(most - least).To(gomega.BeNumerically(">", 300*time.Millisecond))
 }
+
+// A call of a program under way is told after half of its caller's time that there is no
+// room, and not held until that time is over, even if room always seems near.
+func TestNoCallWaitsUntilItsCallersTimeIsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	random := rand.New(rand.NewPCG(1, 1))
+	const patience = 4 * time.Second
+	full := admit.Room{Slots: 80, Calls: 240, Call: 400 * time.Millisecond}
+	for waited := time.Duration(0); waited < patience; waited += 100 * time.Millisecond {
+		c := admit.Call{UnderWay: true, Arrived: now, TimeLeft: patience - waited}
+		v := admit.Decide(now.Add(waited), c, full, random)
+		if waited < patience/2 {
+			g.Expect(v).To(gomega.Equal(admit.Wait{Until: now.Add(patience / 2)}))
+		} else {
+			g.Expect(v).To(gomega.BeAssignableToTypeOf(admit.Refuse{}))
+		}
+	}
+}
--- a/state/homes/homes.go
+++ b/state/homes/homes.go
@@ -13,6 +13,10 @@
 // prompts of a session that paused that long.
 const maxAge = 30 * time.Second
 
+// maxName bounds the names of a program and a session together. Callers send at most some
+// tens of bytes, and without a bound could send headers of 64 KB.
+const maxName = 1 << 10
+
 // Home is where a session's prompt is probably cached.
 type Home struct {
 	Endpoint string
@@ -50,9 +54,9 @@
 
 func key(program, session string) string { return program + "\x00" + session }
 
-// Put notes where a session's last turn ran.
+// Put notes where a session's last turn ran, unless the names are too long.
 func (h *Homes) Put(now time.Time, program, session string, home Home) {
-	if session == "" || home.Endpoint == "" {
+	if session == "" || home.Endpoint == "" || len(program)+len(session) > maxName {
 		return
 	}
 	e := entry{Home: home, session: session, at: now}
--- a/state/homes/homes_test.go
+++ b/state/homes/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,13 @@
 	_, ok = h.Get(now.Add(time.Minute), "p99", "s")
 	g.Expect(ok).To(gomega.BeFalse())
 }
+
+// Callers choose the names of their programs and sessions. Long ones must not take the
+// memory of thousands of others.
+func TestHomesOfLongNamesAreNotKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := homes.New(5)
+	h.Put(now, strings.Repeat("p", 60<<10), "s", homes.Home{Endpoint: "a"})
+	h.Put(now, "p", strings.Repeat("s", 60<<10), homes.Home{Endpoint: "a"})
+	g.Expect(h.Size()).To(gomega.BeZero())
+}
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -126,19 +126,21 @@
 }
 
 // rank returns the order of a request of a customer, nil for none, on a route: first by the
-// customer's priority if it has one, then by the route's.
+// customer's priority, or the route's if it has none, then by the route's.
 func rank(c *keys.Customer, r *Route) int {
 	const routeRanks = 1 << 10 // more than any route's priority
 	routePriority := min(max(r.Priority, 0), routeRanks-1)
+	priority := routePriority
 	if c != nil {
 		if p, set := c.Priority(); set {
-			return p*routeRanks + routePriority
+			priority = p
 		}
 	}
-	return routePriority
+	return priority*routeRanks + routePriority
 }
 
-// collectRanks returns the distinct ranks of all customers' requests for streams, ascending.
+// collectRanks returns the distinct ranks of the requests for streams that can occur,
+// ascending.
 func (t *Table) collectRanks() []int {
 	var ranks []int
 	for _, routes := range t.hosts {
@@ -146,7 +148,9 @@
 			if r.Kind != Stream {
 				continue
 			}
-			ranks = append(ranks, rank(nil, r))
+			if t.customers == nil || r.Public {
+				ranks = append(ranks, rank(nil, r))
+			}
 			for _, c := range t.customers.All() {
 				ranks = append(ranks, rank(c, r))
 			}
--- a/state/table/table_test.go
+++ b/state/table/table_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/cowslipstage/cowslipstage/state/keys"
 	"github.com/cowslipstage/cowslipstage/state/table"
 )
 
@@ -30,3 +31,31 @@
 	g.Expect(r.PickService(0.91)).To(gomega.Equal("b"))
 	g.Expect(r.PickService(0.9999)).To(gomega.Equal("b"))
 }
+
+// The importance of a request is its place among those that can occur. The priority of a
+// customer replaces the route's, on the same scale.
+func TestImportanceFollowsTheCustomersPriorityThenTheRoutes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one := 1
+	known, err := keys.New([]keys.Customer{keys.NewCustomer("one", []string{"k1"}, &one, 0, 0), keys.NewCustomer("unset", []string{"k2"}, nil, 0, 0)})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	c, _ := known.Find("k1")
+	unset, _ := known.Find("k2")
+	routes := []*table.Route{{Name: "a", Host: "h", Prefix: "/a/", Priority: 0}, {Name: "b", Host: "h", Prefix: "/b/", Priority: 2}}
+	for _, r := range routes {
+		r.Kind = table.Stream
+	}
+	tb := table.New(1, routes, nil, known, table.Limits{})
+	var order []float64
+	for _, i := range []struct {
+		customer *keys.Customer
+		route    *table.Route
+	}{{unset, routes[0]}, {c, routes[0]}, {c, routes[1]}, {unset, routes[1]}} {
+		order = append(order, tb.Importance(i.customer, i.route))
+	}
+	g.Expect(order).To(gomega.HaveExactElements(1.0, gomega.BeNumerically("~", 2.0/3, 0.01), gomega.BeNumerically("~", 1.0/3, 0.01), 0.0))
+	known, err = keys.New([]keys.Customer{keys.NewCustomer("one", []string{"k1"}, &one, 0, 0)})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	tb = table.New(1, routes[:1], nil, known, table.Limits{})
+	g.Expect(tb.Importance(c, routes[0])).To(gomega.Equal(1.0), "requests without a customer cannot occur")
+}
