--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -18,7 +18,7 @@
 	// Arrived is when the call reached the gate.
 	Arrived time.Time
 	// Age is how long ago the program first asked to be served, ProgramLeft the time within
-	// which it should end. ProgramLeft is 0 if that time is over or not known.
+	// which it should end, 0 if that time is over. Both are 0 if that time is not known.
 	Age, ProgramLeft time.Duration
 	// Target is the time to the first event up to which an answer has its full value.
 	Target time.Duration
@@ -35,8 +35,10 @@
 	Slots float64
 	// Calls counts the calls of all gates that run at the engines or wait there.
 	Calls float64
-	// Waiting counts the calls that wait at this gate.
+	// Waiting counts the calls that wait at this gate and came before.
 	Waiting int
+	// QueueFull says that no further call may wait at this gate.
+	QueueFull bool
 	// Call is how long a call takes.
 	Call time.Duration
 }
@@ -69,6 +71,11 @@
 	// importanceRoom is the share of the slots that is kept for beginning programs of the
 	// highest importance.
 	importanceRoom = 0.1
+	// evenShare is the part of the decisions that disregard importance. Without it, the
+	// least important programs of a replay with four times the load that can be served
+	// ended in time 0.18 times as often as all. Refused callers ask again, so a small part
+	// suffices: it is then 0.43.
+	evenShare = 0.05
 	// returnRoom is the share of the slots up to which programs are admitted that begin too
 	// late to end in time. Above it they would take the room of programs that can.
 	returnRoom = 0.85
@@ -88,15 +95,21 @@
 
 // Decide returns the verdict for a call. random spreads the times to come back.
 func Decide(now time.Time, c Call, r Room, random *rand.Rand) Verdict {
-	if r.Slots <= 0 || r.allows(c) {
+	if r.Slots <= 0 {
+		return Send{}
+	}
+	if random.Float64() < evenShare {
+		c.Importance = 1
+	}
+	if r.allows(c) {
 		return Send{}
 	}
 	until := c.Arrived.Add(time.Duration(waitShare * float64(c.Target)))
 	if c.UnderWay {
-		// Its program is lost without the call, so it waits as long as its caller allows.
-		until = now.Add(c.TimeLeft / 2)
+		// Its program is lost without the call, so it waits for half of its caller's time.
+		until = c.Arrived.Add((now.Sub(c.Arrived) + c.TimeLeft) / 2)
 	}
-	if now.Before(until) && !now.Add(r.forecast(c)).After(until) {
+	if !r.QueueFull && now.Before(until) && !now.Add(r.forecast(c)).After(until) {
 		return Wait{Until: until}
 	}
 	return Refuse{RetryAfter: r.returnTime(c, random)}
@@ -134,11 +147,13 @@
 }
 
 // returnTime returns when a refused caller may come back: about when there is room, and
-// spread so that callers that are refused together do not return together.
+// spread so that callers that are refused together do not return together, also if they
+// are told the longest time that they accept.
 func (r Room) returnTime(c Call, random *rand.Rand) time.Duration {
-	after := max(minReturn, r.forecast(c), r.Call)
+	most := max(minReturn, time.Duration(returnShare*float64(c.TimeLeft)))
+	after := min(max(minReturn, r.forecast(c), r.Call), max(minReturn, most/2))
 	after += time.Duration(random.Float64() * float64(after))
-	return min(after, max(minReturn, time.Duration(returnShare*float64(c.TimeLeft))))
+	return min(after, most)
 }
 
 // The ranks of calls at engines that admit the most urgent one first.
