An empty stream has its endpoint's headers

Cause: a caller that resumes a stream after its last event gets no event, and the gate sent the headers of an endpoint's answer with the first event only.

Change: the headers are sent at the end of a complete stream at the latest. Two further sizes of customers in the replay of hot ones.

--- a/coordination/allot/allot_test.go
+++ b/coordination/allot/allot_test.go
@@ -82,7 +82,7 @@
 // refused. It gets what one token bucket would let pass, less the reserve for programs in
 // progress.
 func TestAHotCustomerIsKeptToItsLimit(t *testing.T) {
-	for _, k := range []int{0, 1, 5, 20, 84} {
+	for _, k := range []int{0, 1, 5, 20, 25, 50, 84} {
 		for _, factor := range []float64{3, 7.5, 20} {
 			t.Run(fmt.Sprint(k, " times ", factor), func(t *testing.T) {
 				t.Parallel()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -273,3 +273,19 @@
 		})
 	}
 }
+
+// A caller resumes a stream after its last event, so that nothing is left to send. The answer
+// has the endpoint's headers nevertheless.
+func TestAnEmptyStreamHasTheEndpointsHeaders(t *testing.T) {
+	h := newGateFixture(t, time.Second, plainRoute(table.Stream, 1), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "endpoint")
+	})
+	r, err := http.NewRequest(http.MethodGet, "http://"+h.gate.site.Frontend+"/a", nil)
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Host = "h"
+	response, err := http.DefaultClient.Do(r)
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	h.g.Expect(response.Body.Close()).To(gomega.Succeed())
+	h.g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	h.g.Expect(response.Header.Get("Seal")).To(gomega.Equal("endpoint"))
+}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -226,6 +226,16 @@
 	return errors.Wrapf(errPassed, "status %d", a.Status)
 }
 
+// begin sends the status and headers of an endpoint's answer to the caller, once.
+func (t *turn) begin(a *pool.Answer) {
+	if t.begun {
+		return
+	}
+	copyHeader(t.writer.Header(), a.Header)
+	t.writer.WriteHeader(a.Status)
+	t.begun = true
+}
+
 // relayEvents sends events to the caller as they arrive, complete events only.
 func (g *Gate) relayEvents(t *turn, a *pool.Answer, p placement, sent time.Time) error {
 	e := p.Entry
@@ -237,11 +247,7 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		if complete, count := split.Add(buffer[:n]); len(complete) > 0 {
-			if !t.begun {
-				copyHeader(t.writer.Header(), a.Header)
-				t.writer.WriteHeader(a.Status)
-				t.begun = true
-			}
+			t.begin(a)
 			if count > 0 {
 				now := time.Now()
 				g.recordProgress(now, e.ID)
@@ -268,6 +274,7 @@
 		case errors.Is(err, io.EOF) && split.Buffered() > 0:
 			return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream ended within an event"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF):
+			t.begin(a) // a stream that is resumed after its last event has none
 			g.recordCall(p, firstEvent, lastEvent.Sub(sent))
 			return nil
 		case err != nil:
@@ -279,9 +286,6 @@
 // finishTurn records a complete turn at the vaults. Returning ends the caller's
 // answer, so the answer ends only once the turn is kept.
 func (g *Gate) finishTurn(ctx context.Context, t *turn, e fleet.Entry) {
-	if !t.begun {
-		t.writer.WriteHeader(http.StatusOK)
-	}
 	if t.route.KeepsTurns {
 		record := &chains.Turn{
 			ID: t.ID, Previous: t.Previous, Program: t.account(), Endpoint: e.ID, Input: t.body, Output: t.output,
