--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -71,7 +71,7 @@
 	}
 	o.register(c)
 	c.Flags().StringVar(&without, "without", "", fmt.Sprintf("mechanisms to switch off, separated by commas: %v", toggle.All()))
-	c.Flags().Float64Var(&hedgeShare, "hedges", hedge.DefaultShare, "most copies of slow requests per request; 0 sends none")
+	c.Flags().Float64Var(&hedgeShare, "hedges", 0, "most copies of slow requests per request, such as 0.05; 0 sends none")
 	return c
 }
 
--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -63,10 +63,10 @@
 }
 
 const (
-	// DefaultShare is the share of extra calls of plain services unless the operators set
-	// another. In the replays of this package's tests it is the smallest that takes the
-	// 99.9th percentile with a grey endpoint to less than half.
-	DefaultShare = 0.05
+	// SuggestedShare is a share of extra calls of plain services for operators to begin with.
+	// In the replays of this package's tests it is the smallest that takes the 99.9th
+	// percentile with a grey endpoint to less than half.
+	SuggestedShare = 0.05
 	// modelShare is the share for model calls, whose copies cost a whole prompt each.
 	modelShare = 0.03
 )
--- a/coordination/hedge/replay_test.go
+++ b/coordination/hedge/replay_test.go
@@ -273,7 +273,7 @@
 				unseen := 2*replayGates + share*reportEvery.Seconds()*burstLoad
 				g.Expect(float64(r.busyHedges)).To(BeNumerically("<=", unseen))
 			}
-			without, with := runs[0], runs[hedge.DefaultShare]
+			without, with := runs[0], runs[hedge.SuggestedShare]
 			g.Expect(with.quantile(0.5)).To(BeNumerically("<=", without.quantile(0.5)+max(time.Millisecond, without.quantile(0.5)/100)))
 			switch s.name {
 			case "grey endpoint":
