--- /dev/null
+++ b/review/stand/endpoint.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// defaultEventPause is the usual pause before each event, workTime the time of a plain request.
+	defaultEventPause = 10 * time.Millisecond
+	workTime          = 20 * time.Millisecond
+)
+
+// endpoint is a runner that runs whatever is sent to it, as its page says.
+type endpoint struct {
+	id, service, addr string
+	record            *record
+	// eventPause is the pause before each event. unframed streams have neither a length nor
+	// chunks and end with their channel.
+	eventPause time.Duration
+	unframed   bool
+	listener   net.Listener
+}
+
+// listen accepts new channels at the endpoint's address from now on.
+func (e *endpoint) listen() error {
+	l, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.addr, e.listener = l.Addr().String(), l
+	go func() { _ = (&http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}).Serve(l) }() // until the listener is closed
+	return nil
+}
+
+// refuse refuses new channels from now on. Open ones live on.
+func (e *endpoint) refuse() { _ = e.listener.Close() } // it only stops accepting
+
+// ServeHTTP runs one request.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
+		w.Header().Set("Cowslipstage-Instance-Id", e.id)
+		return
+	}
+	id := r.Header.Get("Cowslipstage-Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // it is incomplete and does not run
+	}
+	w.Header().Set("Cowslipstage-Attempt-Id", id)
+	if want := r.Header.Get("Cowslipstage-Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("Cowslipstage-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.record.ran(e.id, id, string(body))
+	w.Header().Set("Cowslipstage-Server-Seal", e.id+"."+id)
+	if e.service != "conselheiro" {
+		time.Sleep(workTime)
+		_, _ = io.WriteString(w, answerOf(id)) // the caller may have left
+		return
+	}
+	_, most, _ := strings.Cut(r.Header.Get("Cowslipstage-Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(most)
+	w.Header().Set("Content-Type", "text/event-stream")
+	if e.unframed {
+		e.streamUnframed(w, id, tokens)
+		return
+	}
+	flush := http.NewResponseController(w)
+	e.stream(r.Context().Done(), id, tokens, func(event string) error {
+		if _, err := io.WriteString(w, event); err != nil {
+			return err
+		}
+		return flush.Flush()
+	})
+}
+
+// stream sends the events of an answer until send fails or the caller leaves.
+func (e *endpoint) stream(left <-chan struct{}, id string, tokens int, send func(event string) error) {
+	for n := range tokens / tokensPerEvent {
+		select {
+		case <-time.After(e.eventPause):
+		case <-left:
+			return
+		}
+		if send(fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, eventOf(id, n))) != nil {
+			return
+		}
+	}
+	e.record.say("%s has sent all of %s", e.id, id)
+}
+
+// streamUnframed sends an answer that ends with its channel.
+func (e *endpoint) streamUnframed(w http.ResponseWriter, id string, tokens int) {
+	header := w.Header().Clone()
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }() // that ends the answer
+	var head strings.Builder
+	_ = header.Write(&head) // it cannot fail
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head.String()+"Connection: close\r\n\r\n"); err != nil {
+		return
+	}
+	e.stream(nil, id, tokens, func(event string) error {
+		_, err := io.WriteString(conn, event)
+		return err
+	})
+}
+
+func answerOf(id string) string { return "done " + id + "\n" }
+
+func eventOf(id string, n int) string { return fmt.Sprintf("%s says %d", id, n) }
+
+// outputOf returns what a turn adds to its chain: the data of each event and a line feed.
+func outputOf(id string, tokens int) string {
+	var text strings.Builder
+	for n := range tokens / tokensPerEvent {
+		text.WriteString(eventOf(id, n) + "\n")
+	}
+	return text.String()
+}
