Review, case 5: a deadly request is never blocked where answers end with their channel

A crash closes a runner's channels in order, so a stream without a length or chunks ends without an error, and the gate counts it as run to its end.

--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -16,6 +16,9 @@
 	workTime          = 20 * time.Millisecond
 )
 
+// deadlyInput begins the input of a request that crashes each runner that begins to run it.
+const deadlyInput = "a deadly question"
+
 // endpoint is a runner that runs whatever is sent to it, as its page says.
 type endpoint struct {
 	id, service, addr string
@@ -24,7 +27,10 @@
 	// chunks and end with their channel.
 	eventPause time.Duration
 	unframed   bool
-	listener   net.Listener
+	// onDeadly is called when a deadly request has begun to run; nil if none is.
+	onDeadly func()
+	listener net.Listener
+	server   *http.Server
 }
 
 // listen accepts new channels at the endpoint's address from now on.
@@ -33,11 +39,14 @@
 	if err != nil {
 		return err
 	}
-	e.addr, e.listener = l.Addr().String(), l
-	go func() { _ = (&http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}).Serve(l) }() // until the listener is closed
+	e.addr, e.listener, e.server = l.Addr().String(), l, &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // until the listener is closed
 	return nil
 }
 
+// crash closes the listener and all channels, as the end of a process does.
+func (e *endpoint) crash() { _ = e.server.Close() } // nobody is left to be told
+
 // refuse refuses new channels from now on. Open ones live on.
 func (e *endpoint) refuse() { _ = e.listener.Close() } // it only stops accepting
 
@@ -68,10 +77,18 @@
 	_, most, _ := strings.Cut(r.Header.Get("Cowslipstage-Token-Usage"), ",")
 	tokens, _ := strconv.Atoi(most)
 	w.Header().Set("Content-Type", "text/event-stream")
+	deadly := strings.HasPrefix(string(body), deadlyInput)
 	if e.unframed {
-		e.streamUnframed(w, id, tokens)
+		e.streamUnframed(w, id, tokens, deadly)
 		return
 	}
+	if e.onDeadly != nil && deadly {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush() // the crash ends it anyway
+		time.Sleep(e.eventPause)
+		e.onDeadly()
+		panic(http.ErrAbortHandler)
+	}
 	flush := http.NewResponseController(w)
 	e.stream(r.Context().Done(), id, tokens, func(event string) error {
 		if _, err := io.WriteString(w, event); err != nil {
@@ -97,7 +114,7 @@
 }
 
 // streamUnframed sends an answer that ends with its channel.
-func (e *endpoint) streamUnframed(w http.ResponseWriter, id string, tokens int) {
+func (e *endpoint) streamUnframed(w http.ResponseWriter, id string, tokens int, deadly bool) {
 	header := w.Header().Clone()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -109,6 +126,11 @@
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head.String()+"Connection: close\r\n\r\n"); err != nil {
 		return
 	}
+	if e.onDeadly != nil && deadly {
+		time.Sleep(e.eventPause)
+		e.onDeadly()
+		return
+	}
 	e.stream(nil, id, tokens, func(event string) error {
 		_, err := io.WriteString(conn, event)
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 	"budget": playBudget,
 	"roll":   playRoll,
 	"relay":  playRelay,
+	"deadly": playDeadly,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
