--- a/review/stand/budget.go
+++ b/review/stand/budget.go
@@ -45,7 +45,7 @@
 // playBudget lets programs run some turns through one zone and go on through another for
 // longer than an account is kept, and kills one vault.
 func playBudget(folder string, r *record, trouble bool) ([]string, error) {
-	d, err := newDeployment(folder, r, options{gates: []int{0, 1}, vaults: []int{0, 1, 2}, retention: budgetRetention, engines: 4})
+	d, err := newDeployment(folder, r, options{gates: []int{0, 1}, vaults: []int{0, 1, 2}, retention: budgetRetention, engines: 4, tokens: budgetMost})
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/stand/chain.go
+++ b/review/stand/chain.go
@@ -32,7 +32,7 @@
 // playChain lets programs pause between their turns and come through another zone with each,
 // and lets one store machine lose its disk before the third turns.
 func playChain(folder string, r *record, trouble bool) ([]string, error) {
-	d, err := newDeployment(folder, r, options{gates: []int{0, 1, 2, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: 4})
+	d, err := newDeployment(folder, r, options{gates: []int{0, 1, 2, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: 4, tokens: chainMost})
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -1,15 +1,21 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	_ "embed" // for headers.txt
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
 
 // turn is one client attempt of a turn, or of a plain request if it has no program.
@@ -31,6 +37,20 @@
 	err   error
 }
 
+// further holds the headers of a turn that platform/fake does not set. The platform's names stay out
+// of Go sources outside platform/ (platform/names_test.go).
+//
+//go:embed headers.txt
+var further string
+
+// setFurther sets these headers. aim is what is left of the program's time.
+func setFurther(h http.Header, aim time.Duration) error {
+	text := strings.ReplaceAll(further, "{aim}", strconv.FormatInt(aim.Milliseconds(), 10))
+	more, err := textproto.NewReader(bufio.NewReader(strings.NewReader(text))).ReadMIMEHeader()
+	maps.Copy(h, http.Header(more))
+	return err
+}
+
 // events returns the number of whole events in a stream.
 func (r result) events() int { return strings.Count(r.body, "\n\n") }
 
@@ -48,22 +68,12 @@
 		return result{err: err}
 	}
 	r.Host, r.GetBody, r.Close = routeHost, nil, true // never sent again by the HTTP client itself
-	h := r.Header
-	h.Set("Cowslipstage-Attempt-Id", t.id)
-	h.Set("Cowslipstage-Deadline-Ms", strconv.FormatInt(t.deadline.Milliseconds(), 10))
-	if t.program != "" {
-		h.Set("Cowslipstage-Program-Id", t.program)
-		h.Set("Cowslipstage-Session-Id", t.program+"0")
-		h.Set("Cowslipstage-Program-Deadline-Ms", strconv.FormatInt(t.aim.Milliseconds(), 10))
-	}
-	if t.most > 0 {
-		h.Set("Cowslipstage-Model", "m")
-		h.Set("Cowslipstage-Token-Budget", strconv.Itoa(t.budget))
-		h.Set("Cowslipstage-Token-Usage", fmt.Sprintf("%d,%d", 1+len(t.input)/2, t.most))
-		h.Set("Cowslipstage-Prompt-Prefix", fmt.Sprintf("5c1e07a2:%d", 1+len(t.input)/2))
-	}
-	if t.previous != "" {
-		h.Set("Cowslipstage-Previous-Turn", t.previous)
+	fake.Request{
+		ID: t.id, Program: t.program, Previous: t.previous, Session: t.program + "0", Budget: t.budget, PromptTokens: 1 + len(t.input)/2,
+		MaxTokens: t.most, Timeout: t.deadline,
+	}.SetHeaders(r.Header)
+	if err := setFurther(r.Header, t.aim); err != nil {
+		return result{err: err}
 	}
 	client := http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true}}
 	d.record.sent(g.name, t)
--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -51,7 +51,7 @@
 // FRAMED=1 has the runners' answers come in chunks.
 func playDeadly(folder string, r *record, trouble bool) ([]string, error) {
 	d, err := newDeployment(folder, r, options{
-		gates: []int{0, 1, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: deadlyEngines, unframed: os.Getenv("FRAMED") != "1",
+		gates: []int{0, 1, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: deadlyEngines, tokens: chainMost, unframed: os.Getenv("FRAMED") != "1",
 	})
 	if d != nil {
 		defer d.stop()
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -47,6 +47,8 @@
 	gates, vaults []int
 	retention     time.Duration
 	engines       int
+	// tokens is how many tokens a stream has.
+	tokens int
 	// eventPause and unframed are those of the endpoints.
 	eventPause time.Duration
 	unframed   bool
@@ -64,11 +66,11 @@
 	}
 	d.storeAddr = l.Addr().String()
 	go func() { _ = (&http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}).Serve(l) }() // until the driver ends
-	d.store.Set("op/config", configuration(1, o.retention))
+	d.store.Set(fake.ConfigKey, configuration(1, o.retention))
 	for i := range o.engines {
 		for _, service := range []string{"conselheiro", "balcao"} {
 			e := &endpoint{
-				id: fmt.Sprintf("i-%s-%d", service, i), service: service, addr: "127.0.0.1:0", record: r,
+				id: fmt.Sprintf("i-%s-%d", service, i), service: service, addr: "127.0.0.1:0", record: r, tokens: o.tokens,
 				eventPause: max(o.eventPause, defaultEventPause), unframed: o.unframed,
 			}
 			if err := e.listen(); err != nil {
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -5,9 +5,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
 
 const (
@@ -23,6 +24,8 @@
 type endpoint struct {
 	id, service, addr string
 	record            *record
+	// tokens is how many tokens each stream has.
+	tokens int
 	// eventPause is the pause before each event. unframed streams have neither a length nor
 	// chunks and end with their channel.
 	eventPause time.Duration
@@ -52,34 +55,27 @@
 
 // ServeHTTP runs one request.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
-		w.Header().Set("Cowslipstage-Instance-Id", e.id)
-		return
-	}
-	id := r.Header.Get("Cowslipstage-Attempt-Id")
+	id, want := fake.ParseRequest(r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // it is incomplete and does not run
 	}
-	w.Header().Set("Cowslipstage-Attempt-Id", id)
-	if want := r.Header.Get("Cowslipstage-Expect-Instance"); want != "" && want != e.id {
-		w.Header().Set("Cowslipstage-Not-Executed", "1")
+	if want != "" && want != e.id {
+		fake.SetNotRun(w.Header(), id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.record.ran(e.id, id, string(body))
-	w.Header().Set("Cowslipstage-Server-Seal", e.id+"."+id)
+	fake.SetAnswerHeaders(w.Header(), id, e.id)
 	if e.service != "conselheiro" {
 		time.Sleep(workTime)
 		_, _ = io.WriteString(w, answerOf(id)) // the caller may have left
 		return
 	}
-	_, most, _ := strings.Cut(r.Header.Get("Cowslipstage-Token-Usage"), ",")
-	tokens, _ := strconv.Atoi(most)
 	w.Header().Set("Content-Type", "text/event-stream")
 	deadly := strings.HasPrefix(string(body), deadlyInput)
 	if e.unframed {
-		e.streamUnframed(w, id, tokens, deadly)
+		e.streamUnframed(w, id, deadly)
 		return
 	}
 	if e.onDeadly != nil && deadly {
@@ -90,7 +86,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	flush := http.NewResponseController(w)
-	e.stream(r.Context().Done(), id, tokens, func(event string) error {
+	e.stream(r.Context().Done(), id, func(event string) error {
 		if _, err := io.WriteString(w, event); err != nil {
 			return err
 		}
@@ -99,8 +95,8 @@
 }
 
 // stream sends the events of an answer until send fails or the caller leaves.
-func (e *endpoint) stream(left <-chan struct{}, id string, tokens int, send func(event string) error) {
-	for n := range tokens / tokensPerEvent {
+func (e *endpoint) stream(left <-chan struct{}, id string, send func(event string) error) {
+	for n := range e.tokens / tokensPerEvent {
 		select {
 		case <-time.After(e.eventPause):
 		case <-left:
@@ -114,7 +110,7 @@
 }
 
 // streamUnframed sends an answer that ends with its channel.
-func (e *endpoint) streamUnframed(w http.ResponseWriter, id string, tokens int, deadly bool) {
+func (e *endpoint) streamUnframed(w http.ResponseWriter, id string, deadly bool) {
 	header := w.Header().Clone()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -131,7 +127,7 @@
 		e.onDeadly()
 		return
 	}
-	e.stream(nil, id, tokens, func(event string) error {
+	e.stream(nil, id, func(event string) error {
 		_, err := io.WriteString(conn, event)
 		return err
 	})
--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -22,7 +22,7 @@
 // neighbours, and kills one of these. All streams end with their channel.
 func playRelay(folder string, r *record, trouble bool) ([]string, error) {
 	d, err := newDeployment(folder, r, options{
-		gates: []int{0, 0, 0, 1, 1, 2, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: 4, eventPause: relayPause, unframed: true,
+		gates: []int{0, 0, 0, 1, 1, 2, 2}, vaults: []int{0, 1, 2}, retention: chainRetention, engines: 4, tokens: relayEvents * tokensPerEvent, eventPause: relayPause, unframed: true,
 	})
 	if d != nil {
 		defer d.stop()
--- a/review/stand/roll.go
+++ b/review/stand/roll.go
@@ -26,7 +26,7 @@
 // playRoll lets programs go on through all zones for longer than an account is kept, and stops
 // and starts the vaults in turn.
 func playRoll(folder string, r *record, trouble bool) ([]string, error) {
-	d, err := newDeployment(folder, r, options{gates: []int{0, 1, 2}, vaults: []int{0, 1, 2}, retention: budgetRetention, engines: 4})
+	d, err := newDeployment(folder, r, options{gates: []int{0, 1, 2}, vaults: []int{0, 1, 2}, retention: budgetRetention, engines: 4, tokens: budgetMost})
 	if d != nil {
 		defer d.stop()
 	}
