--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -51,6 +51,16 @@
 // and enough that any two quorums share a seat.
 func (r *Roster) Quorum() int { return max(r.MaxLosses+1, len(r.Seats)/2+1) }
 
+// Witnesses returns how many replicas must be asked so that every quorum has one of them,
+// or the asking host itself if that is a replica, too.
+func (r *Roster) Witnesses(replica bool) int {
+	n := len(r.Seats) - r.Quorum() + 1
+	if replica {
+		n--
+	}
+	return max(0, n)
+}
+
 // Free returns how many seats nobody holds.
 func (r *Roster) Free() int { return max(0, TargetCount(r.MaxLosses)-len(r.Seats)) }
 
--- a/gate/recordturn_test.go
+++ b/gate/recordturn_test.go
@@ -54,8 +54,9 @@
 	g := gomega.NewWithT(t)
 	q, c, written := &request{route: &table.Route{Retention: time.Minute}}, chains.New(), time.UnixMilli(1_700_000_000_000)
 	c.Add(&chains.Turn{ID: "t", Program: "p", Retention: q.turnRetention(), Written: written.UnixMilli()})
-	c.Expire(written.Add(q.route.Retention + 4*time.Second))
+	expire := func(now time.Time) { c.Expire(now, c.Due(now, 1)) }
+	expire(written.Add(q.route.Retention + 4*time.Second))
 	g.Expect(c.Turn("t")).To(gomega.HaveLen(1))
-	c.Expire(written.Add(q.route.Retention + clockMargin + time.Second))
+	expire(written.Add(q.route.Retention + clockMargin + time.Second))
 	g.Expect(c.Turn("t")).To(gomega.BeEmpty())
 }
--- /dev/null
+++ b/gate/retention_test.go
@@ -0,0 +1,118 @@
+package gate
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
+)
+
+// longExpiry is longer than the pause between two removals of expired records.
+const longExpiry = 15 * time.Second
+
+// briefTurn returns a turn whose own retention is over at once.
+func briefTurn(id, previous, root string) *chains.Turn {
+	t := newTurn(id, previous)
+	t.Retention, t.Root = time.Millisecond, root
+	return t
+}
+
+// holds reports whether a host holds a turn.
+func (r *vaultCluster) holds(host int, id string) bool {
+	h := r.hosts[host]
+	m, err := r.call(net.JoinHostPort(h.site.IP, strconv.Itoa(h.site.FirstPort)), &vaults.Get{Turns: []string{id}})
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return len(m.(*vaults.GetReply).Turns) > 0
+}
+
+// awaitExpiry waits until some hosts have dropped what they need not keep.
+func (r *vaultCluster) awaitExpiry(name string, hosts ...int) {
+	id := func(host int) string { return fmt.Sprint(name, "-", host) }
+	for _, i := range hosts {
+		r.recordAt(briefTurn(id(i), "", ""), i)
+	}
+	for _, i := range hosts {
+		r.g.Eventually(func() bool { return r.holds(i, id(i)) }).WithTimeout(longExpiry).Should(gomega.BeFalse())
+	}
+}
+
+// reopenChain opens a turn through a gate that has nothing cached.
+func (r *vaultCluster) reopenChain(previous string) ([]string, error) {
+	r.client = r.newClient(1)
+	r.g.Eventually(func() int { return len(r.client.currentRoster().Seats) }).WithTimeout(5 * time.Second).Should(gomega.Equal(3))
+	chain, err := r.openTurn(previous)
+	return ids(chain), err
+}
+
+// A vault dropped a turn because the turns that continue it were recorded at other vaults.
+// The copy on one disk was then the only one, and its loss ended the chain.
+func TestAChainIsKeptWhereItsLaterTurnsAreNotHeard(t *testing.T) {
+	t.Parallel()
+	for name, root := range map[string]string{"with its root": "a", "of an earlier build": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newVaultCluster(t, 1)
+			r.recordAt(briefTurn("a", "", ""), 0, 2)
+			next := newTurn("b", "a")
+			next.Root = root
+			r.recordAt(next, 1, 2)
+			r.awaitExpiry("old", 0, 2)
+			r.wipeDisk(2)
+			r.waitCaughtUp()
+			chain, err := r.reopenChain("b")
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(chain).To(gomega.Equal([]string{"a", "b"}))
+		})
+	}
+}
+
+// Each vault lacked another turn of a chain, so that no vault heard that its first turn was
+// still needed, and all dropped it.
+func TestAChainIsKeptWhereEachVaultLacksATurn(t *testing.T) {
+	t.Parallel()
+	r := newVaultCluster(t, 1)
+	r.recordAt(briefTurn("a", "", ""), 0, 2)
+	r.recordAt(briefTurn("b", "a", "a"), 0, 1)
+	last := newTurn("c", "b")
+	last.Root = "a"
+	r.recordAt(last, 1, 2)
+	r.awaitExpiry("old", 0, 1, 2)
+	chain, err := r.reopenChain("c")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(chain).To(gomega.Equal([]string{"a", "b", "c"}))
+}
+
+// A vault that copies turns after their successors, as one with an empty disk does, dropped
+// them early.
+func TestACopiedTurnIsKeptAsLongAsItsSuccessors(t *testing.T) {
+	t.Parallel()
+	r := newVaultCluster(t, 1)
+	r.recordAt(newTurn("b", "a"), 0, 1)
+	r.recordAt(briefTurn("a", "", ""), 0, 1)
+	r.awaitExpiry("old", 0, 1)
+	chain, err := r.reopenChain("b")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(chain).To(gomega.Equal([]string{"a", "b"}))
+}
+
+// While too few vaults answer, a vault cannot know which chains go on.
+func TestNothingExpiresWhileOtherVaultsAreAway(t *testing.T) {
+	t.Parallel()
+	r := newVaultCluster(t, 1)
+	r.recordAt(briefTurn("a", "", ""), 0, 2)
+	r.recordAt(newTurn("b", "a"), 1, 2)
+	for _, i := range []int{1, 2} {
+		r.hosts[i].stop()
+		r.hosts[i].site.FirstStart = false
+	}
+	r.g.Consistently(func() bool { return r.holds(0, "a") }).WithTimeout(6 * time.Second).Should(gomega.BeTrue())
+	r.start(r.hosts[1])
+	r.awaitExpiry("old", 0)
+	r.g.Expect(r.holds(0, "a")).To(gomega.BeTrue())
+}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -38,6 +38,8 @@
 	*request
 	// promptText is the endpoint's input: the chain and the new input.
 	promptText []byte
+	// root is the first turn of the chain that the turn continues, or "".
+	root string
 	// previousEndpoint is the endpoint that ran the chain's previous turn, or
 	// "".
 	previousEndpoint string
@@ -144,7 +146,7 @@
 		return false
 	}
 	if chain := result.chain; len(chain) > 0 {
-		t.previousEndpoint = chain[len(chain)-1].Endpoint
+		t.previousEndpoint, t.root = chain[len(chain)-1].Endpoint, chain[0].ID
 		t.promptText = chains.BuildInput(chain, t.body)
 	}
 	if h := result.home; h != nil {
@@ -298,7 +300,7 @@
 		record := &chains.Turn{
 			ID: t.ID, Previous: t.Previous, Program: t.account(), Endpoint: e.ID, Input: t.body, Output: t.output,
 			Used: t.usedTokens(), Retention: t.turnRetention(),
-			Owner: t.customerName(),
+			Owner: t.customerName(), Root: t.root,
 		}
 		if err := g.vaults.recordTurn(ctx, record); err != nil {
 			g.settleTurn(t, nil)
--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -1,6 +1,7 @@
 package chains
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -14,21 +15,21 @@
 // designed for has 120 turns, so a longer chain is a fault, such as a cycle.
 const maxChainLength = 4096
 
-// Source is where the record of a turn is stored. It is safe for concurrent use.
+// Source is where a record is stored. It is safe for concurrent use.
 type Source interface {
 	// Read returns the encoded record.
 	Read() ([]byte, error)
-	// KeepUntil keeps the record until the given time at least.
-	KeepUntil(t time.Time)
+	// Pin keeps the record stored until Release is called as often.
+	Pin()
+	Release()
 }
 
 // Kept is a turn that is held, with its texts in memory or where they are stored.
 type Kept struct {
 	*Turn
-	// source is nil while the texts are in memory.
+	// source is nil while the texts are in memory. It is pinned.
 	source Source
-	// expiresAt only moves later: a turn is kept as long as any turn that continues it.
-	expiresAt time.Time
+	tree   *tree
 	// cursor is that of the turn's record.
 	cursor uint64
 }
@@ -72,17 +73,25 @@
 type Chains struct {
 	// turns holds the turns by ID, one of each owner: callers choose the IDs, so customers
 	// can choose the same one.
-	turns    map[string][]*Kept
+	turns map[string][]*Kept
+	// trees holds the trees by root. Each has a turn.
+	trees    map[string]*tree
 	accounts map[string]*account
-	// received holds the records in order of arrival, for replicas that catch up. base is
-	// the cursor of the first one.
-	received []Record
-	base     uint64
+	// received holds the records in order of arrival, for replicas that catch up, without
+	// those that are no longer needed. next is the cursor of the next one.
+	received []numbered
+	next     uint64
+}
+
+// numbered is a record and its cursor.
+type numbered struct {
+	cursor uint64
+	record Record
 }
 
 // New returns a Chains without records.
 func New() *Chains {
-	return &Chains{turns: map[string][]*Kept{}, accounts: map[string]*account{}}
+	return &Chains{turns: map[string][]*Kept{}, trees: map[string]*tree{}, accounts: map[string]*account{}}
 }
 
 // Add stores a record and reports whether it changed anything.
@@ -104,7 +113,8 @@
 		added = c.merge(r.Program, r.Turn, spend.Entry{Used: r.Used, Settled: true}, r.writtenAt(), r.Retention)
 	}
 	if added {
-		c.received = append(c.received, stored)
+		c.received = append(c.received, numbered{c.next, stored})
+		c.next++
 	}
 	return added
 }
@@ -116,21 +126,27 @@
 	if k == nil || k.source != nil {
 		return
 	}
-	s.KeepUntil(k.expiresAt)
+	s.Pin()
 	// Answers that are being sent may use the turn, so it is replaced, not changed.
 	k.Turn, k.source = k.withoutTexts(), s
-	if k.cursor >= c.base {
-		c.received[k.cursor-c.base] = k.Turn
+	if i := c.position(k.cursor); i < len(c.received) && c.received[i].cursor == k.cursor {
+		c.received[i].record = k.Turn
 	}
 }
 
+// position returns the index of the first received record from a cursor on.
+func (c *Chains) position(cursor uint64) int {
+	i, _ := slices.BinarySearchFunc(c.received, cursor, func(n numbered, cursor uint64) int { return cmp.Compare(n.cursor, cursor) })
+	return i
+}
+
 func (c *Chains) addTurn(t *Turn) bool {
 	if c.ownedBy(t.ID, t.Owner) != nil {
 		return false
 	}
-	until := t.writtenAt().Add(t.Retention)
-	c.turns[t.ID] = append(c.turns[t.ID], &Kept{Turn: t, expiresAt: until, cursor: c.base + uint64(len(c.received))})
-	c.extendRetention(t.Previous, t.Owner, until)
+	k := &Kept{Turn: t, cursor: c.next}
+	c.turns[t.ID] = append(c.turns[t.ID], k)
+	c.addToTree(k)
 	return true
 }
 
@@ -153,21 +169,6 @@
 	return c.ownedBy(id, "")
 }
 
-// extendRetention keeps an owner's turn and its predecessors until the given time.
-func (c *Chains) extendRetention(id, owner string, until time.Time) {
-	for range maxChainLength {
-		k := c.visible(id, owner)
-		if k == nil || !k.expiresAt.Before(until) {
-			return
-		}
-		k.expiresAt = until
-		if k.source != nil {
-			k.source.KeepUntil(until)
-		}
-		id = k.Previous
-	}
-}
-
 func (c *Chains) merge(program, turn string, e spend.Entry, written time.Time, retention time.Duration) bool {
 	a, until := c.accounts[program], written.Add(retention)
 	if a == nil {
@@ -261,24 +262,40 @@
 
 // After returns up to limit records from a cursor on, and the next cursor.
 func (c *Chains) After(cursor uint64, limit int) ([]Record, uint64) {
-	if cursor < c.base {
-		cursor = c.base
+	rest := c.received[c.position(cursor):]
+	next := c.next
+	if len(rest) > limit {
+		next = rest[limit].cursor
+		rest = rest[:limit]
+	}
+	records := make([]Record, 0, len(rest))
+	for _, n := range rest {
+		records = append(records, n.record)
 	}
-	first := min(cursor-c.base, uint64(len(c.received)))
-	last := min(first+uint64(limit), uint64(len(c.received)))
-	return c.received[first:last], c.base + last
+	return records, next
 }
 
 // Size returns how many records are held.
 func (c *Chains) Size() int { return len(c.received) }
 
-// Expire drops expired turns and accounts, and the oldest records up to the first one that
-// a turn or an account still needs.
-func (c *Chains) Expire(now time.Time) {
-	for id, kept := range c.turns {
-		kept = slices.DeleteFunc(kept, func(k *Kept) bool { return now.After(k.expiresAt) })
-		if c.turns[id] = kept; len(kept) == 0 {
-			delete(c.turns, id)
+// Due returns up to limit roots of trees that may be dropped by what this replica has
+// heard. Others may have heard of later turns.
+func (c *Chains) Due(now time.Time, limit int) []string {
+	var roots []string
+	for root, t := range c.trees {
+		if len(roots) < limit && now.After(t.until) {
+			roots = append(roots, root)
+		}
+	}
+	return roots
+}
+
+// Expire drops those of the trees that are still due, expired accounts, and the records
+// that neither a turn nor an account needs any more.
+func (c *Chains) Expire(now time.Time, roots []string) {
+	for _, root := range roots {
+		if t := c.trees[root]; t != nil && now.After(t.until) {
+			c.dropTree(t)
 		}
 	}
 	for p, a := range c.accounts {
@@ -286,12 +303,13 @@
 			delete(c.accounts, p)
 		}
 	}
-	dropped := 0
-	for dropped < len(c.received) && !c.needed(c.received[dropped]) {
-		dropped++
+	kept := make([]numbered, 0, len(c.received))
+	for _, n := range c.received {
+		if c.needed(n.record) {
+			kept = append(kept, n)
+		}
 	}
-	c.received = append([]Record(nil), c.received[dropped:]...)
-	c.base += uint64(dropped)
+	c.received = kept
 }
 
 func (c *Chains) needed(r Record) bool {
--- a/state/chains/chains_test.go
+++ b/state/chains/chains_test.go
@@ -36,27 +36,27 @@
 	c := chains.New()
 	c.Add(turn("a", "", 0))
 	c.Add(turn("b", "a", 50*time.Second))
-	c.Expire(epoch.Add(100 * time.Second))
+	expire(c, epoch.Add(100*time.Second))
 	_, complete := c.Chain("b", "")
 	g.Expect(complete).To(gomega.BeTrue())
-	c.Expire(epoch.Add(2 * time.Minute))
+	expire(c, epoch.Add(2*time.Minute))
 	g.Expect(c.Turn("a")).To(gomega.BeEmpty())
 	g.Expect(c.Size()).To(gomega.BeZero())
 }
 
+// expire drops what is due, as if no other replica had heard of more.
+func expire(c *chains.Chains, now time.Time) { c.Expire(now, c.Due(now, 100)) }
+
 // source stands for a record on disk.
 type source struct {
-	data      []byte
-	keptUntil time.Time
+	data []byte
+	pins int
 }
 
 func (s *source) Read() ([]byte, error) { return s.data, nil }
 
-func (s *source) KeepUntil(t time.Time) {
-	if t.After(s.keptUntil) {
-		s.keptUntil = t
-	}
-}
+func (s *source) Pin()     { s.pins++ }
+func (s *source) Release() { s.pins-- }
 
 // Once a turn is stored, only its place is in memory; the texts are read when they are
 // needed, and stay stored as long as a turn that continues it is kept.
@@ -78,13 +78,15 @@
 	records, _ := c.After(0, 10)
 	g.Expect(records).To(gomega.HaveLen(1))
 	g.Expect(records[0].(*chains.Turn).Input).To(gomega.BeEmpty())
-	before := s.keptUntil
 	c.Add(turn("b", "a", 50*time.Second))
-	g.Expect(s.keptUntil).To(gomega.Equal(before.Add(50 * time.Second)))
+	expire(c, epoch.Add(110*time.Second))
+	g.Expect(s.pins).To(gomega.Equal(1), "stored as long as a turn that continues it is kept")
 
 	s.data = s.data[:len(s.data)-3]
 	_, err = kept[0].Load()
 	g.Expect(errors.Is(err, chains.ErrRecord)).To(gomega.BeTrue(), "%v", err)
+	expire(c, epoch.Add(111*time.Second))
+	g.Expect(s.pins).To(gomega.BeZero())
 }
 
 func TestACursorReturnsEachRecordOnce(t *testing.T) {
--- a/state/chains/golden_test.go
+++ b/state/chains/golden_test.go
@@ -19,7 +19,7 @@
 // addedFields names the fields that production does not know, by record. It ignores them,
 // and a record without them is written as production writes it. Each has its case in
 // docs/design/compat.md.
-var addedFields = map[string][]uint64{"Turn": {10}}
+var addedFields = map[string][]uint64{"Turn": {10, 11}}
 
 // Records that the build in production wrote are read without loss and written again byte
 // for byte. What is written now has every field of them with its type, and no further
--- a/state/chains/owner_test.go
+++ b/state/chains/owner_test.go
@@ -47,7 +47,7 @@
 		g.Expect(complete).To(gomega.Equal(v.complete), "%s of %q", v.id, v.owner)
 	}
 	g.Expect(c.Turn("same")).To(gomega.HaveLen(2), "copied to other vaults")
-	c.Expire(epoch.Add(2 * time.Minute))
+	expire(c, epoch.Add(2*time.Minute))
 	g.Expect(c.Size()).To(gomega.BeZero())
 }
 
--- a/state/chains/record.go
+++ b/state/chains/record.go
@@ -36,6 +36,8 @@
 	// Owner is the customer whose requests may continue the turn. A turn without an owner
 	// belongs to whoever names it.
 	Owner string `cbor:"10,keyasint,omitempty"`
+	// Root is the ID of the chain's first turn. It is "" in a first turn.
+	Root string `cbor:"11,keyasint,omitempty"`
 }
 
 // Hold is the most that a turn may spend. It is stored before the turn runs.
@@ -101,6 +103,7 @@
 	Retention time.Duration `cbor:"8,keyasint"`
 	Written   int64         `cbor:"9,keyasint"`
 	Owner     string        `cbor:"10,keyasint"`
+	Root      string        `cbor:"11,keyasint"`
 }
 
 // DecodeFacts returns the record encoded in data, a turn without its texts.
@@ -114,7 +117,7 @@
 	}
 	return &Turn{
 		ID: f.ID, Previous: f.Previous, Program: f.Program, Endpoint: f.Endpoint, Used: f.Used, Retention: f.Retention, Written: f.Written,
-		Owner: f.Owner,
+		Owner: f.Owner, Root: f.Root,
 	}, nil
 }
 
--- a/transport/wallog/wallog.go
+++ b/transport/wallog/wallog.go
@@ -48,6 +48,8 @@
 	mu sync.Mutex
 	// expiry is when the last of its records expires. It only moves later.
 	expiry time.Time
+	// pins counts the records that must stay whatever the time.
+	pins int
 }
 
 func (s *segment) keepUntil(t time.Time) {
@@ -64,6 +66,19 @@
 	return s.expiry
 }
 
+func (s *segment) pin(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pins += n
+}
+
+// removable reports whether all records have expired and none is pinned.
+func (s *segment) removable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pins == 0 && now.After(s.expiry)
+}
+
 // Location is where a record lies on disk. It may be used once the Sync that wrote
 // the record has succeeded, by any goroutine.
 type Location struct {
@@ -72,8 +87,11 @@
 	offset int64
 }
 
-// KeepUntil keeps the record until the given time at least.
-func (l *Location) KeepUntil(t time.Time) { l.segment.keepUntil(t) }
+// Pin keeps the record, also beyond its expiry, until Release is called as often.
+func (l *Location) Pin() { l.segment.pin(1) }
+
+// Release undoes one call of Pin.
+func (l *Location) Release() { l.segment.pin(-1) }
 
 // Read returns the record.
 func (l *Location) Read() ([]byte, error) {
@@ -294,11 +312,11 @@
 	return total
 }
 
-// Expire removes the closed segments whose records have all expired.
+// Expire removes the closed segments whose records have all expired and are not pinned.
 func (l *Log) Expire(now time.Time) error {
 	var err error
 	l.closed = slices.DeleteFunc(l.closed, func(s *segment) bool {
-		if !now.After(s.expiresAt()) {
+		if !s.removable(now) {
 			return false
 		}
 		removeErr := os.Remove(s.path)
--- a/transport/wallog/wallog_test.go
+++ b/transport/wallog/wallog_test.go
@@ -76,7 +76,7 @@
 			kept = at
 		}
 	}
-	kept.KeepUntil(soon.Add(time.Hour))
+	kept.Pin()
 	g.Expect(l.Expire(soon.Add(time.Minute))).To(gomega.Succeed())
 	_, err = kept.Read()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -86,6 +86,10 @@
 			g.Expect(errors.Is(err, wallog.ErrDisk)).To(gomega.BeTrue(), "its segment has expired")
 		}
 	}
+	kept.Release()
+	g.Expect(l.Expire(soon.Add(time.Minute))).To(gomega.Succeed())
+	_, err = kept.Read()
+	g.Expect(errors.Is(err, wallog.ErrDisk)).To(gomega.BeTrue(), "its segment has expired")
 }
 
 // After a power failure a file holds all data up to its last sync. Data written
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -46,6 +46,10 @@
 		}
 		r.answer(&vaults.LoadReply{})
 	case *vaults.Get:
+		if len(m.Roots) > 0 {
+			r.answer(v.answerKept(now, m))
+			return
+		}
 		v.answerGet(m, r.answer)
 	}
 }
@@ -228,7 +232,9 @@
 	var owners []string
 	for _, r := range records {
 		if t, ok := r.(*chains.Turn); ok {
-			l.Turns, owners = append(l.Turns, t.ID), append(owners, t.Owner)
+			if v.chains.Holds(t.ID, t.Owner) { // else only what it spent is still kept
+				l.Turns, owners = append(l.Turns, t.ID), append(owners, t.Owner)
+			}
 			if t.Owner != "" {
 				l.Owners = owners
 			}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -136,6 +136,9 @@
 	homes *homes.Homes
 	// usage counts what all gates pass by customer; it belongs to the control goroutine, too.
 	usage *usage.Usage
+	// expiring is set while other vaults are asked what they still keep; it belongs to the
+	// control goroutine, too.
+	expiring bool
 	// verdicts and uses write what blame and usage hold to disk.
 	verdicts, uses *saver
 
@@ -319,8 +322,7 @@
 				v.uses.put(s)
 			}
 		case now := <-tick.C:
-			v.chains.Expire(now)
-			v.writer.expire(now)
+			v.startExpiry(ctx, now)
 		case <-ctx.Done():
 			return
 		}
