--- a/gate/relay.go
+++ b/gate/relay.go
@@ -45,8 +45,8 @@
 	// failedAt holds by address when a relay could not help, and when no relay helped to
 	// reach a vault.
 	failedAt map[string]time.Time
-	// vaultVia is the relay that last reached a vault, or "".
-	vaultVia string
+	// vaultVia is the relay that last reached a vault; it has no address if none has.
+	vaultVia peers.Peer
 }
 
 // stale reports whether the other gates' offers are to be requested again.
@@ -128,13 +128,13 @@
 		if !ok {
 			break
 		}
-		conn, err := relay.Dial(ctx, g.connect, via, addr)
+		conn, err := relay.Dial(ctx, g.connect, via.Addr, addr, via.Framed)
 		if err == nil || !errors.Is(err, relay.ErrRelay) || ctx.Err() != nil {
 			return conn, err
 		}
 		lastErr = err
 		g.mu.Lock()
-		g.relays.failedAt[via] = time.Now()
+		g.relays.failedAt[via.Addr] = time.Now()
 		g.mu.Unlock()
 	}
 	return nil, lastErr
@@ -155,17 +155,17 @@
 		if !ok {
 			break
 		}
-		conn, err := relay.Dial(ctx, g.connect, via, addr)
+		conn, err := relay.Dial(ctx, g.connect, via.Addr, addr, via.Framed)
 		if err == nil {
 			g.mu.Lock()
 			g.relays.vaultVia = via
 			g.mu.Unlock()
-			g.log.Info().Str("vault", addr).Str("relay", via).Msg("vault reached through another gate")
+			g.log.Info().Str("vault", addr).Str("relay", via.Addr).Msg("vault reached through another gate")
 			return conn, nil
 		}
 		lastErr = err
 		g.mu.Lock()
-		g.relays.failedAt[via] = time.Now()
+		g.relays.failedAt[via.Addr] = time.Now()
 		g.mu.Unlock()
 	}
 	g.mu.Lock()
@@ -176,10 +176,10 @@
 
 // pickVaultRelay returns the relay that has reached a vault before, or another one. A gate that
 // reached some vaults only would be missing in what the others know of the customers' quotas.
-func (g *Gate) pickVaultRelay(now time.Time) (string, bool) {
+func (g *Gate) pickVaultRelay(now time.Time) (peers.Peer, bool) {
 	g.mu.Lock()
 	via := g.relays.vaultVia
-	usable := via != "" && now.Sub(g.relays.failedAt[via]) >= relayPause
+	usable := via.Addr != "" && now.Sub(g.relays.failedAt[via.Addr]) >= relayPause
 	g.mu.Unlock()
 	if usable {
 		return via, true
@@ -187,28 +187,28 @@
 	return g.pickRelay(now)
 }
 
-// pickRelay returns the address of a relay, in this data centre if there is one.
-func (g *Gate) pickRelay(now time.Time) (string, bool) {
+// pickRelay returns a relay, in this data centre if there is one.
+func (g *Gate) pickRelay(now time.Time) (peers.Peer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var near, far []string
+	var near, far []peers.Peer
 	for _, p := range g.relays.peers {
 		switch {
 		case now.Sub(g.relays.failedAt[p.Addr]) < relayPause:
 		case p.Centre == g.site.Centre:
-			near = append(near, p.Addr)
+			near = append(near, p)
 		default:
-			far = append(far, p.Addr)
+			far = append(far, p)
 		}
 	}
-	addrs := near
+	usable := near
 	if len(near) == 0 {
-		addrs = far
+		usable = far
 	}
-	if len(addrs) == 0 {
-		return "", false
+	if len(usable) == 0 {
+		return peers.Peer{}, false
 	}
-	return addrs[g.random.IntN(len(addrs))], true
+	return usable[g.random.IntN(len(usable))], true
 }
 
 // isolated reports whether this gate reaches no endpoint and knows no gate that does.
@@ -250,7 +250,7 @@
 	g.mu.Unlock()
 	l := &vaults.Load{Node: g.site.Node, Partial: true, Relay: &peers.Peer{Centre: g.site.Centre}}
 	if !cut && !g.stopping.Load() {
-		l.Relay.Addr = g.relayAddr()
+		l.Relay.Addr, l.Relay.Framed = g.relayAddr(), true
 	}
 	for _, s := range g.vaults.currentRoster().Order(g.site.Centre, g.site.Node) {
 		if !g.vaults.connection(s.Addr).Connected() {
--- a/gate/vaultcut_test.go
+++ b/gate/vaultcut_test.go
@@ -105,17 +105,17 @@
 	gate, now := p.gates[0].gate, time.Now()
 	gate.mu.Lock()
 	gate.relays.peers = []peers.Peer{{Addr: "10.0.0.1:1"}, {Addr: "10.0.0.2:1"}, {Addr: "10.0.0.3:1"}}
-	gate.relays.vaultVia = "10.0.0.2:1"
+	gate.relays.vaultVia = peers.Peer{Addr: "10.0.0.2:1"}
 	gate.mu.Unlock()
 	for range 20 {
 		via, ok := gate.pickVaultRelay(now)
 		p.g.Expect(ok).To(gomega.BeTrue())
-		p.g.Expect(via).To(gomega.Equal("10.0.0.2:1"))
+		p.g.Expect(via.Addr).To(gomega.Equal("10.0.0.2:1"))
 	}
 	gate.mu.Lock()
 	gate.relays.failedAt["10.0.0.2:1"] = now
 	gate.mu.Unlock()
 	via, ok := gate.pickVaultRelay(now)
 	p.g.Expect(ok).To(gomega.BeTrue())
-	p.g.Expect(via).NotTo(gomega.Equal("10.0.0.2:1"))
+	p.g.Expect(via.Addr).NotTo(gomega.Equal("10.0.0.2:1"))
 }
--- a/state/peers/peers.go
+++ b/state/peers/peers.go
@@ -16,6 +16,8 @@
 	// Addr is the IP:port of its relay, Centre its data centre.
 	Addr   string `cbor:"1,keyasint,omitempty"`
 	Centre string `cbor:"2,keyasint,omitempty"`
+	// Framed says that the relay can tell the end of an endpoint's bytes from its own end.
+	Framed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Peers holds the offers by gate. It is not safe for concurrent use.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -1,9 +1,14 @@
 // Package relay (transport layer) lets a gate that reaches no endpoint connect to one
 // through another gate, which only passes bytes on.
 //
-// A connection begins with the endpoint's IP:port and a line feed. The relay answers with
-// one byte of type outcome. After connected, the connection carries the endpoint's bytes
-// in both directions. It ends as the endpoint's does: closed, or reset.
+// A connection begins with the endpoint's IP:port, " framed" if the gate reads frames, and a
+// line feed. The relay answers with one byte of type outcome. After connected, the gate's bytes
+// follow as they are, and the endpoint's in frames: two bytes of length, big-endian, and as
+// many bytes. A frame without bytes says that the endpoint has closed its connection. Without
+// it the relay has failed, since a process that is killed closes its connections in order, too.
+//
+// Relays of earlier builds send the endpoint's bytes as they are. A connection through one
+// ends with ErrUnmarked where it cannot be told who has closed it.
 package relay
 
 import (
@@ -26,6 +31,8 @@
 	ErrRelay = errors.New("relay: no relay")
 	// ErrEndpoint means that the relay does not reach this endpoint.
 	ErrEndpoint = errors.New("relay: endpoint not reached")
+	// ErrUnmarked means that a connection ended without a mark that the endpoint closed it.
+	ErrUnmarked = errors.New("relay: ended before the endpoint's bytes did")
 )
 
 // outcome is a relay's answer to an address.
@@ -42,6 +49,8 @@
 const (
 	// maxAddress bounds the first line.
 	maxAddress = 64
+	// framedWord follows the address in the first line.
+	framedWord = "framed"
 	// openTimeout bounds the first line and its answer. It is longer than connecting to an
 	// endpoint may take.
 	openTimeout = 400 * time.Millisecond
@@ -96,7 +105,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	to, err := s.dial(ctx, strings.TrimSuffix(line, "\n"))
+	addr, word, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+	to, err := s.dial(ctx, addr)
 	answer := connected
 	switch {
 	case errors.Is(err, ErrRelay):
@@ -111,19 +121,24 @@
 		return
 	}
 	_ = from.SetDeadline(time.Time{})
-	pass(from, to)
+	if word == framedWord {
+		pass(from, to, copyFramed)
+	} else {
+		pass(from, to, copyBuffered)
+	}
 }
 
 // pass copies bytes between a gate and an endpoint until one of them ends. A gate that
-// closes has given up its request, so the endpoint sees that at once.
-func pass(gate, endpoint net.Conn) {
+// closes has given up its request, so the endpoint sees that at once. back copies the
+// endpoint's bytes.
+func pass(gate, endpoint net.Conn, back func(to io.Writer, from io.Reader) error) {
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
 		_ = copyBuffered(endpoint, gate) // either end has gone, which the other copy notices
 		_ = endpoint.Close()
 	}()
-	err := copyBuffered(gate, endpoint)
+	err := back(gate, endpoint)
 	closer, isTCP := gate.(*net.TCPConn)
 	switch {
 	case !isTCP:
@@ -158,15 +173,22 @@
 }
 
 // Dial connects to an endpoint through the relay at via. connect opens the connection to
-// the relay.
-func Dial(ctx context.Context, connect DialFunc, via, addr string) (net.Conn, error) {
+// the relay. framed says that the relay is known to send frames.
+func Dial(ctx context.Context, connect DialFunc, via, addr string, framed bool) (net.Conn, error) {
 	c, err := connect(ctx, via)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "relay: %s", via), ErrRelay)
 	}
-	answer, err := open(ctx, c, addr)
-	if err == nil && answer == connected {
-		return c, nil
+	line := addr
+	if framed {
+		line += " " + framedWord
+	}
+	answer, err := open(ctx, c, line)
+	switch {
+	case err == nil && answer == connected && framed:
+		return newFramedConn(c), nil
+	case err == nil && answer == connected:
+		return unmarkedConn{c}, nil
 	}
 	_ = c.Close() // it leads nowhere
 	switch {
@@ -179,8 +201,8 @@
 	}
 }
 
-// open sends the address and reads the answer.
-func open(ctx context.Context, c net.Conn, addr string) (outcome, error) {
+// open sends the first line and reads the answer.
+func open(ctx context.Context, c net.Conn, line string) (outcome, error) {
 	deadline := time.Now().Add(openTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
@@ -188,7 +210,7 @@
 	if err := c.SetDeadline(deadline); err != nil {
 		return 0, err
 	}
-	if _, err := io.WriteString(c, addr+"\n"); err != nil {
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
 		return 0, err
 	}
 	// Exactly one byte: what follows is the endpoint's.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -44,7 +45,7 @@
 }
 
 func dial(t *testing.T, via, addr string) net.Conn {
-	c, err := relay.Dial(context.Background(), pool.Dial, via, addr)
+	c, err := relay.Dial(context.Background(), pool.Dial, via, addr, true)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = c.Close() })
 	gomega.NewWithT(t).Expect(c.SetDeadline(time.Now().Add(2 * time.Second))).To(gomega.Succeed())
@@ -114,7 +115,7 @@
 		"endpoint gone": {sound, relay.ErrEndpoint}, "relay cut off": {cut, relay.ErrRelay}, "relay gone": {gone.Addr().String(), relay.ErrRelay},
 		"relay mute": {mute, relay.ErrRelay}, "relay closes": {closing, relay.ErrRelay},
 	} {
-		_, err := relay.Dial(context.Background(), pool.Dial, c.via, gone.Addr().String())
+		_, err := relay.Dial(context.Background(), pool.Dial, c.via, gone.Addr().String(), true)
 		g.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%s: %v", name, err)
 	}
 }
@@ -135,3 +136,52 @@
 	}()
 	g.Eventually(func() int64 { return s.Active() }).WithTimeout(2 * time.Second).Should(gomega.BeZero())
 }
+
+// A relay that is killed closes its connections in order. An answer without a length looked
+// complete then.
+func TestTheEndOfARelayIsNotTheEndOfAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		framed  bool
+		written string
+		whole   bool
+	}{
+		"between frames": {true, "c\x00\x04half", false}, "in a frame": {true, "c\x00\x08half", false}, "in a length": {true, "c\x00\x04half\x00", false},
+		"before a byte": {true, "c", false}, "closed by the endpoint": {true, "c\x00\x04half\x00\x00", true},
+		"an earlier build": {false, "chalf", false},
+	} {
+		g := gomega.NewWithT(t)
+		via := listen(t, func(conn net.Conn) {
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			if err == nil && strings.HasSuffix(line, " framed\n") == c.framed {
+				_, _ = io.WriteString(conn, c.written)
+			}
+			_ = conn.Close()
+		})
+		conn, err := relay.Dial(context.Background(), pool.Dial, via, "10.0.0.1:1", c.framed)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), name)
+		answer, err := io.ReadAll(conn)
+		g.Expect(strings.HasPrefix("half", string(answer))).To(gomega.BeTrue(), "%s: %q", name, answer)
+		if c.whole {
+			g.Expect(err).NotTo(gomega.HaveOccurred(), name)
+		} else {
+			g.Expect(errors.Is(err, relay.ErrUnmarked)).To(gomega.BeTrue(), "%s: %v", name, err)
+		}
+		_ = conn.Close()
+	}
+}
+
+// A gate of an earlier build gets the endpoint's bytes as they are.
+func TestAGateThatReadsNoFramesGetsNone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	endpoint := listen(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "text")
+		_ = c.Close()
+	})
+	_, via := newRelay(t, pool.Dial)
+	c, err := net.Dial("tcp", via)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, endpoint+"\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(io.ReadAll(c)).To(gomega.Equal([]byte("ctext")))
+}
