--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -266,21 +266,23 @@
 	Packed []byte `cbor:"10,keyasint,omitempty"`
 }
 
-// Get requests turns with their texts, and how long chains are kept.
+// Get requests turns with their texts, or how long chains and accounts are kept.
 type Get struct {
 	Turns []string `cbor:"1,keyasint"`
-	// Roots names the chains by their first turns. Version is that of the sender's roster.
-	Roots   []string `cbor:"2,keyasint,omitempty"`
-	Version uint64   `cbor:"3,keyasint,omitempty"`
+	// Roots and Accounts are as in chains.Names. Version is that of the sender's roster.
+	Roots    []string `cbor:"2,keyasint,omitempty"`
+	Version  uint64   `cbor:"3,keyasint,omitempty"`
+	Accounts []string `cbor:"4,keyasint,omitempty"`
 }
 
 // GetReply answers Get.
 type GetReply struct {
 	Turns []*chains.Turn `cbor:"1,keyasint,omitempty"`
-	// Status says whether the vault counts as a copy under the sender's roster. KeptFor
-	// holds how much longer it keeps each of Get.Roots, 0 for those that it need not keep.
-	Status  Status          `cbor:"2,keyasint,omitempty"`
-	KeptFor []time.Duration `cbor:"3,keyasint,omitempty"`
+	// Status says whether the vault counts as a copy under the sender's roster. RootsLeft and
+	// AccountsLeft answer Get.Roots and Get.Accounts as in chains.Left.
+	Status       Status          `cbor:"2,keyasint,omitempty"`
+	RootsLeft    []time.Duration `cbor:"3,keyasint,omitempty"`
+	AccountsLeft []time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Adopt sends a roster to a vault.
--- /dev/null
+++ b/state/chains/account.go
@@ -0,0 +1,82 @@
+package chains
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cowslipstage/cowslipstage/state/spend"
+)
+
+// account is what one program has spent. Its records are kept for one time.
+type account struct {
+	*spend.Account
+	// openedAt is when the first of its records was written.
+	openedAt time.Time
+	// until is when it may be dropped, by the records that this replica has heard of. It only
+	// moves later.
+	until time.Time
+	// sources holds its records, since a budget counts all of a program's turns. They are pinned.
+	sources []Source
+}
+
+func (a *account) keepUntil(until time.Time) {
+	if until.After(a.until) {
+		a.until = until
+	}
+}
+
+func (c *Chains) merge(program, turn string, e spend.Entry, written time.Time, retention time.Duration) bool {
+	a, until := c.accounts[program], written.Add(retention)
+	if a == nil {
+		a = &account{Account: spend.New(), openedAt: written}
+		c.accounts[program] = a
+	}
+	if written.Before(a.openedAt) {
+		a.openedAt = written
+	}
+	a.keepUntil(until)
+	return a.Merge(turn, e)
+}
+
+// accountSeparator separates the owner from the program in the key of an account. Neither
+// can contain it.
+const accountSeparator = "\x00"
+
+// AccountKey returns the key under which the spending of an owner's program is recorded,
+// the program itself if it has no owner.
+func AccountKey(owner, program string) string {
+	if owner == "" || program == "" {
+		return program
+	}
+	return owner + accountSeparator + program
+}
+
+// Account returns the account with a key, or nil if there is none. What was recorded for
+// the same program without an owner counts for every owner that names the program.
+func (c *Chains) Account(key string) *spend.Account {
+	_, program, owned := strings.Cut(key, accountSeparator)
+	a, shared := c.accounts[key], c.accounts[program]
+	switch {
+	case a == nil && (!owned || shared == nil):
+		return nil
+	case a == nil:
+		return shared.Account
+	case !owned || shared == nil:
+		return a.Account
+	}
+	merged := spend.New()
+	for _, one := range []*account{a, shared} {
+		for turn, e := range one.Entries() {
+			merged.Merge(turn, e)
+		}
+	}
+	return merged
+}
+
+// AccountAge returns how long ago the account with a key was opened, 0 if there is none.
+func (c *Chains) AccountAge(now time.Time, key string) time.Duration {
+	if a := c.accounts[key]; a != nil {
+		return max(0, now.Sub(a.openedAt))
+	}
+	return 0
+}
--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,7 +17,7 @@
 type Source interface {
 	// Read returns the encoded record.
 	Read() ([]byte, error)
-	// Pin keeps the record stored until Release is called as often.
+	// Pin keeps the record stored until Release is called once more.
 	Pin()
 	Release()
 }
@@ -62,13 +60,6 @@
 	return &short
 }
 
-type account struct {
-	*spend.Account
-	// openedAt is when the first of its records was written.
-	openedAt  time.Time
-	expiresAt time.Time
-}
-
 // Chains holds the turns and accounts of one replica. It is not safe for concurrent use.
 type Chains struct {
 	// turns holds the turns by ID, one of each owner: callers choose the IDs, so customers
@@ -119,10 +110,29 @@
 	return added
 }
 
-// SetSource notes where the record of an owner's turn is stored, and drops its texts from
-// memory. Memory would bound the turns that a host can hold far sooner than its disk.
-func (c *Chains) SetSource(id, owner string, s Source) {
-	k := c.ownedBy(id, owner)
+// SetSource notes where a record is stored, and releases it once that is not needed here. It
+// drops the texts of a turn from memory, which would bound the turns that a host can hold far sooner
+// than its disk.
+func (c *Chains) SetSource(r Record, s Source) {
+	defer s.Release()
+	var program string
+	switch r := r.(type) {
+	case *Turn:
+		program = r.Program
+		c.setTurnSource(r, s)
+	case *Hold:
+		program = r.Program
+	case *Spent:
+		program = r.Program
+	}
+	if a := c.accounts[program]; a != nil {
+		s.Pin()
+		a.sources = append(a.sources, s)
+	}
+}
+
+func (c *Chains) setTurnSource(t *Turn, s Source) {
+	k := c.ownedBy(t.ID, t.Owner)
 	if k == nil || k.source != nil {
 		return
 	}
@@ -169,64 +179,6 @@
 	return c.ownedBy(id, "")
 }
 
-func (c *Chains) merge(program, turn string, e spend.Entry, written time.Time, retention time.Duration) bool {
-	a, until := c.accounts[program], written.Add(retention)
-	if a == nil {
-		a = &account{Account: spend.New(), openedAt: written}
-		c.accounts[program] = a
-	}
-	if written.Before(a.openedAt) {
-		a.openedAt = written
-	}
-	if a.expiresAt.Before(until) {
-		a.expiresAt = until
-	}
-	return a.Merge(turn, e)
-}
-
-// accountSeparator separates the owner from the program in the key of an account. Neither
-// can contain it.
-const accountSeparator = "\x00"
-
-// AccountKey returns the key under which the spending of an owner's program is recorded,
-// the program itself if it has no owner.
-func AccountKey(owner, program string) string {
-	if owner == "" || program == "" {
-		return program
-	}
-	return owner + accountSeparator + program
-}
-
-// Account returns the account with a key, or nil if there is none. What was recorded for
-// the same program without an owner counts for every owner that names the program.
-func (c *Chains) Account(key string) *spend.Account {
-	_, program, owned := strings.Cut(key, accountSeparator)
-	a, shared := c.accounts[key], c.accounts[program]
-	switch {
-	case a == nil && (!owned || shared == nil):
-		return nil
-	case a == nil:
-		return shared.Account
-	case !owned || shared == nil:
-		return a.Account
-	}
-	merged := spend.New()
-	for _, one := range []*account{a, shared} {
-		for turn, e := range one.Entries() {
-			merged.Merge(turn, e)
-		}
-	}
-	return merged
-}
-
-// AccountAge returns how long ago the account with a key was opened, 0 if there is none.
-func (c *Chains) AccountAge(now time.Time, key string) time.Duration {
-	if a := c.accounts[key]; a != nil {
-		return max(0, now.Sub(a.openedAt))
-	}
-	return 0
-}
-
 // Turn returns the turns with an id, one of each owner.
 func (c *Chains) Turn(id string) []Kept {
 	kept := make([]Kept, 0, len(c.turns[id]))
@@ -278,40 +230,7 @@
 // Size returns how many records are held.
 func (c *Chains) Size() int { return len(c.received) }
 
-// Due returns up to limit roots of trees that may be dropped by what this replica has
-// heard. Others may have heard of later turns.
-func (c *Chains) Due(now time.Time, limit int) []string {
-	var roots []string
-	for root, t := range c.trees {
-		if len(roots) < limit && now.After(t.until) {
-			roots = append(roots, root)
-		}
-	}
-	return roots
-}
-
-// Expire drops those of the trees that are still due, expired accounts, and the records
-// that neither a turn nor an account needs any more.
-func (c *Chains) Expire(now time.Time, roots []string) {
-	for _, root := range roots {
-		if t := c.trees[root]; t != nil && now.After(t.until) {
-			c.dropTree(t)
-		}
-	}
-	for p, a := range c.accounts {
-		if now.After(a.expiresAt) {
-			delete(c.accounts, p)
-		}
-	}
-	kept := make([]numbered, 0, len(c.received))
-	for _, n := range c.received {
-		if c.needed(n.record) {
-			kept = append(kept, n)
-		}
-	}
-	c.received = kept
-}
-
+// needed reports whether a turn or an account needs a record.
 func (c *Chains) needed(r Record) bool {
 	switch r := r.(type) {
 	case *Turn:
--- a/state/chains/record.go
+++ b/state/chains/record.go
@@ -142,17 +142,3 @@
 	}
 	return r, nil
 }
-
-// ExpiresAt returns when a record may be dropped unless a later record extends its
-// retention.
-func ExpiresAt(r Record) time.Time {
-	switch r := r.(type) {
-	case *Turn:
-		return r.writtenAt().Add(r.Retention)
-	case *Hold:
-		return r.writtenAt().Add(r.Retention)
-	case *Spent:
-		return r.writtenAt().Add(r.Retention)
-	}
-	return time.Time{}
-}
--- a/state/chains/tree.go
+++ b/state/chains/tree.go
@@ -80,20 +80,3 @@
 	}
 	delete(c.trees, t.root)
 }
-
-// KeptFor returns how much longer this replica keeps the tree with a root, by the turns
-// that it has heard of, 0 if it need not be kept.
-func (c *Chains) KeptFor(now time.Time, root string) time.Duration {
-	if t := c.trees[root]; t != nil {
-		return max(0, t.until.Sub(now))
-	}
-	return 0
-}
-
-// KeepFor keeps the tree with a root for as long as another replica keeps it, if there is
-// such a tree.
-func (c *Chains) KeepFor(now time.Time, root string, left time.Duration) {
-	if t := c.trees[root]; t != nil && left > 0 {
-		t.keepUntil(now.Add(left))
-	}
-}
--- a/transport/wallog/wallog.go
+++ b/transport/wallog/wallog.go
@@ -1,5 +1,5 @@
 // Package wallog (transport layer) is a write-ahead log: it keeps checksummed
-// records in files that survive a power failure.
+// records in files that survive a power failure, each until it is released.
 package wallog
 
 import (
@@ -12,8 +12,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,79 +33,14 @@
 	maxRecordBytes = 32 << 20
 	// readBytes is how much of a segment is read at once.
 	readBytes = 64 << 10
-	suffix    = ".wal"
+	// compactShare is the fraction of its space from which on the log is compacted.
+	compactShare = 2
+	suffix       = ".wal"
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// segment is one file of the log.
-type segment struct {
-	path  string
-	bytes int64
-
-	mu sync.Mutex
-	// expiry is when the last of its records expires. It only moves later.
-	expiry time.Time
-	// pins counts the records that must stay whatever the time.
-	pins int
-}
-
-func (s *segment) keepUntil(t time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t.After(s.expiry) {
-		s.expiry = t
-	}
-}
-
-func (s *segment) expiresAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.expiry
-}
-
-func (s *segment) pin(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pins += n
-}
-
-// removable reports whether all records have expired and none is pinned.
-func (s *segment) removable(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pins == 0 && now.After(s.expiry)
-}
-
-// Location is where a record lies on disk. It may be used once the Sync that wrote
-// the record has succeeded, by any goroutine.
-type Location struct {
-	segment *segment
-	// offset is that of the record's header.
-	offset int64
-}
-
-// Pin keeps the record, also beyond its expiry, until Release is called as often.
-func (l *Location) Pin() { l.segment.pin(1) }
-
-// Release undoes one call of Pin.
-func (l *Location) Release() { l.segment.pin(-1) }
-
-// Read returns the record.
-func (l *Location) Read() ([]byte, error) {
-	f, err := os.Open(l.segment.path)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
-	}
-	defer func() { _ = f.Close() }() // opened read-only
-	if _, err := f.Seek(l.offset, io.SeekStart); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "wallog: seeking"), ErrDisk)
-	}
-	data, err := ReadRecord(f)
-	return data, errors.Wrapf(err, "wallog: %s at %d", l.segment.path, l.offset)
-}
-
-// Log is a folder of segments. It is not safe for concurrent use.
+// Log is a folder of segments. It is not safe for concurrent use, but for its Locations.
 type Log struct {
 	folder     string
 	maxBytes   int64
@@ -116,24 +49,31 @@
 	// file is the open segment; nil after a failed write.
 	file *os.File
 	open *segment
-	// buffer holds the records added since the last successful Sync, and pending
-	// their locations, with offsets in the buffer.
+	// buffer holds the records added or moved since the last successful Sync, and pending
+	// their locations.
 	buffer  []byte
-	pending []*Location
+	pending []pendingRecord
+}
+
+// pendingRecord is a record in the buffer.
+type pendingRecord struct {
+	at *Location
+	// offset is that of its header in the buffer.
+	offset int64
 }
 
 // Open passes the records of a folder to each, in the order in which they were
-// added, and returns a log that adds to them. The data is valid only during the call.
-// It skips the torn end that a power failure can leave in a file. The log takes at
-// most maxBytes.
-func Open(folder string, maxBytes int64, each func(data []byte, at *Location) (expiry time.Time)) (*Log, error) {
+// added, and returns a log that adds to them. The data is valid only during the call, and the
+// record is kept until its location is released. It skips the torn end that a power failure can
+// leave in a file. The log takes at most maxBytes.
+func Open(folder string, maxBytes int64, each func(data []byte, at *Location)) (*Log, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "wallog: folder"), ErrDisk)
 	}
 	if err := files.SyncDir(filepath.Dir(folder)); err != nil {
 		return nil, errors.Mark(err, ErrDisk)
 	}
-	l := &Log{folder: folder, maxBytes: maxBytes, open: &segment{}}
+	l := &Log{folder: folder, maxBytes: maxBytes, open: newSegment("")}
 	names, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "wallog: listing"), ErrDisk)
@@ -153,13 +93,13 @@
 }
 
 // readSegment passes the records of one file to each, up to the first corrupt one.
-func readSegment(path string, each func([]byte, *Location) time.Time) (*segment, error) {
+func readSegment(path string, each func([]byte, *Location)) (*segment, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "wallog: opening"), ErrDisk)
 	}
 	defer func() { _ = f.Close() }() // opened read-only
-	s := &segment{path: path}
+	s := newSegment(path)
 	r := bufio.NewReaderSize(f, readBytes)
 	var buffer []byte
 	for {
@@ -171,8 +111,10 @@
 		if err != nil {
 			return s, errors.Mark(errors.Wrapf(err, "wallog: %s", path), ErrDisk)
 		}
-		s.keepUntil(each(data, &Location{s, s.bytes}))
-		s.bytes += int64(len(data)) + headerBytes
+		at := newLocation(len(data))
+		at.place(s, s.bytes)
+		s.bytes += at.bytes
+		each(data, at)
 	}
 }
 
@@ -229,24 +171,27 @@
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "wallog: creating"), ErrDisk)
 	}
-	l.file, l.open = f, &segment{path: path}
+	l.file, l.open = f, newSegment(path)
 	if err := files.SyncDir(l.folder); err != nil {
 		return errors.Mark(err, ErrDisk)
 	}
 	return nil
 }
 
-// Add buffers a record that may be dropped after expiry, and returns where it will
-// lie.
-func (l *Log) Add(data []byte, expiry time.Time) *Location {
-	at := &Location{offset: int64(len(l.buffer))}
-	l.pending = append(l.pending, at)
+// Add buffers a record, and returns where it will lie.
+func (l *Log) Add(data []byte) *Location {
+	at := newLocation(len(data))
+	l.write(data, at)
+	return at
+}
+
+// write buffers a record that will lie at a location.
+func (l *Log) write(data []byte, at *Location) {
+	l.pending = append(l.pending, pendingRecord{at, int64(len(l.buffer))})
 	var header [headerBytes]byte
 	binary.LittleEndian.PutUint32(header[:4], uint32(len(data)))
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(data, castagnoli))
 	l.buffer = append(append(l.buffer, header[:]...), data...)
-	l.open.keepUntil(expiry)
-	return at
 }
 
 // Sync writes the added records and syncs them to disk. After a failed write, the
@@ -268,8 +213,8 @@
 		l.closeFailed(err)
 		return errors.Mark(errors.Wrap(err, "wallog: writing"), ErrDisk)
 	}
-	for _, at := range l.pending {
-		at.segment, at.offset = l.open, l.open.bytes+at.offset
+	for _, p := range l.pending {
+		p.at.place(l.open, l.open.bytes+p.offset)
 	}
 	l.pending = l.pending[:0]
 	l.open.bytes += int64(len(l.buffer))
@@ -290,7 +235,6 @@
 
 // rotate closes the open segment and starts the next.
 func (l *Log) rotate() error {
-	expiry := l.open.expiresAt()
 	if l.file != nil {
 		if err := l.file.Close(); err != nil {
 			return errors.Mark(errors.Wrap(err, "wallog: closing"), ErrDisk)
@@ -298,9 +242,7 @@
 		l.closed = append(l.closed, l.open)
 		l.file = nil
 	}
-	err := l.openSegment()
-	l.open.keepUntil(expiry)
-	return err
+	return l.openSegment()
 }
 
 // Size returns the number of bytes on disk.
@@ -312,11 +254,11 @@
 	return total
 }
 
-// Expire removes the closed segments whose records have all expired and are not pinned.
-func (l *Log) Expire(now time.Time) error {
+// Clean removes the closed segments all of whose records have been released.
+func (l *Log) Clean() error {
 	var err error
 	l.closed = slices.DeleteFunc(l.closed, func(s *segment) bool {
-		if !s.removable(now) {
+		if s.liveBytes() > 0 {
 			return false
 		}
 		removeErr := os.Remove(s.path)
@@ -326,6 +268,32 @@
 	return errors.Wrap(err, "wallog: removing")
 }
 
+// Compact moves the records of the emptiest closed segment to the open one, if the log takes
+// much of its space and at least half of that segment has been released. Else a few records that
+// are kept for long would hold a whole segment each.
+func (l *Log) Compact() error {
+	if l.Size() < l.maxBytes/compactShare {
+		return nil
+	}
+	var emptiest *segment
+	for _, s := range l.closed {
+		if s.liveBytes() > 0 && (emptiest == nil || s.liveBytes() < emptiest.liveBytes()) {
+			emptiest = s
+		}
+	}
+	if emptiest == nil || emptiest.liveBytes() > emptiest.bytes/2 {
+		return nil
+	}
+	for _, at := range emptiest.locations() {
+		data, err := at.Read()
+		if err != nil {
+			return err
+		}
+		l.write(data, at)
+	}
+	return l.Sync()
+}
+
 // Close closes the open segment.
 func (l *Log) Close() error {
 	if l.file == nil {
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -46,8 +46,8 @@
 		}
 		r.answer(&vaults.LoadReply{})
 	case *vaults.Get:
-		if len(m.Roots) > 0 {
-			r.answer(v.answerKept(now, m))
+		if len(m.Roots)+len(m.Accounts) > 0 {
+			r.answer(v.answerLeft(now, m))
 			return
 		}
 		v.answerGet(m, r.answer)
--- a/vault/expiry.go
+++ b/vault/expiry.go
@@ -5,45 +5,40 @@
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/chains"
 )
 
-// rootsPerGet is the most chains that one message asks about.
-const rootsPerGet = 2000
+// namesPerGet is the most chains and accounts that one message asks about.
+const namesPerGet = 2000
 
 // startExpiry drops what has expired. A quorum that records a turn need not include this
-// vault, so the others are asked first whether a chain goes on. It runs on the control
-// goroutine.
+// vault, so the others are asked first whether a chain or a program goes on. It runs on the
+// control goroutine.
 func (v *Vault) startExpiry(ctx context.Context, now time.Time) {
 	if v.expiring {
 		return
 	}
-	due := v.chains.Due(now, rootsPerGet)
-	if len(due) == 0 {
-		v.expire(now, nil)
+	due := v.chains.Due(now, namesPerGet)
+	if due.Size() == 0 {
+		v.writer.clean()
 		return
 	}
 	v.expiring = true
 	go func() {
-		confirmed := v.askKept(ctx, due)
+		confirmed := v.askLeft(ctx, due)
 		_ = v.runOnControl(ctx, func() { // the vault stops otherwise
 			v.expiring = false
-			if !confirmed {
-				due = nil
+			if confirmed {
+				v.chains.Expire(time.Now(), due)
 			}
-			v.expire(time.Now(), due)
+			v.writer.clean()
 		})
 	}()
 }
 
-// expire drops those of the chains that no vault has extended, and what has expired besides.
-func (v *Vault) expire(now time.Time, due []string) {
-	v.chains.Expire(now, due)
-	v.writer.expire(now)
-}
-
-// askKept asks the other seats how long they keep chains, and keeps them here as long. It
-// reports whether enough of them answered to know of every turn that was recorded.
-func (v *Vault) askKept(ctx context.Context, roots []string) bool {
+// askLeft asks the other seats how long they keep chains and accounts, and keeps them here as
+// long. It reports whether enough of them answered to know of every record of these.
+func (v *Vault) askLeft(ctx context.Context, due chains.Names) bool {
 	roster, caughtUp := v.seatState()
 	seated := roster.Find(v.site.Node) != nil
 	if len(roster.Seats) == 0 || seated && !caughtUp {
@@ -57,7 +52,7 @@
 		}
 		asked++
 		go func() {
-			m, err := callPeer(ctx, v.peer(s.Addr), &vaults.Get{Roots: roots, Version: roster.Version})
+			m, err := callPeer(ctx, v.peer(s.Addr), &vaults.Get{Roots: due.Roots, Accounts: due.Accounts, Version: roster.Version})
 			if err != nil {
 				v.log.Info().Err(err).Str("vault", s.Node).Msg("a vault did not say what it keeps")
 			}
@@ -73,29 +68,22 @@
 		}
 		answered++
 		now := time.Now()
-		err := v.runOnControl(ctx, func() {
-			for i, left := range reply.KeptFor[:min(len(roots), len(reply.KeptFor))] {
-				v.chains.KeepFor(now, roots[i], left)
-			}
-		})
-		if err != nil {
+		left := chains.Left{Roots: reply.RootsLeft, Accounts: reply.AccountsLeft}
+		if err := v.runOnControl(ctx, func() { v.chains.Prolong(now, due, left) }); err != nil {
 			return false
 		}
 	}
 	if needed := roster.Witnesses(seated); answered < needed {
-		v.log.Info().Int("chains", len(roots)).Int("answered", answered).Int("needed", needed).Msg("nothing expires: too few vaults say what they keep")
+		v.log.Info().Int("chains", len(due.Roots)).Int("accounts", len(due.Accounts)).Int("answered", answered).Int("needed", needed).Msg("nothing expires: too few vaults say what they keep")
 		return false
 	}
 	return true
 }
 
-// answerKept answers how much longer this vault keeps chains. It runs on the control
-// goroutine.
-func (v *Vault) answerKept(now time.Time, m *vaults.Get) *vaults.GetReply {
+// answerLeft answers how much longer this vault keeps chains and accounts. It runs on the
+// control goroutine.
+func (v *Vault) answerLeft(now time.Time, m *vaults.Get) *vaults.GetReply {
 	status, _ := v.checkVersion(m.Version)
-	reply := &vaults.GetReply{Status: status}
-	for _, root := range m.Roots {
-		reply.KeptFor = append(reply.KeptFor, v.chains.KeptFor(now, root))
-	}
-	return reply
+	left := v.chains.TimeLeft(now, chains.Names{Roots: m.Roots, Accounts: m.Accounts})
+	return &vaults.GetReply{Status: status, RootsLeft: left.Roots, AccountsLeft: left.Accounts}
 }
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -97,8 +97,8 @@
 // copied holds records from another vault that are already on this disk.
 type copied struct{ records []chains.Record }
 
-// stored holds turns whose records are on disk now.
-type stored struct{ turns []storedTurn }
+// stored holds records that are on disk now.
+type stored struct{ records []storedRecord }
 
 // task is a function to run on the control goroutine.
 type task struct{ run func() }
@@ -199,17 +199,15 @@
 // loadData reads the data folder.
 func (v *Vault) loadData() error {
 	unreadable := 0
-	l, err := wallog.Open(filepath.Join(v.site.Data, logFolder), int64(float64(v.site.Disk)*diskShare), func(data []byte, at *wallog.Location) time.Time {
+	l, err := wallog.Open(filepath.Join(v.site.Data, logFolder), int64(float64(v.site.Disk)*diskShare), func(data []byte, at *wallog.Location) {
 		r, err := chains.DecodeFacts(data) // the texts stay on disk
 		if err != nil {
 			unreadable++
-			return time.Time{}
+			at.Release()
+			return
 		}
 		v.chains.Add(r)
-		if t, ok := r.(*chains.Turn); ok {
-			v.chains.SetSource(t.ID, t.Owner, at)
-		}
-		return chains.ExpiresAt(r)
+		v.chains.SetSource(r, at)
 	})
 	if err != nil {
 		return err
@@ -346,8 +344,8 @@
 			v.chains.Add(r)
 		}
 	case stored:
-		for _, t := range e.turns {
-			v.chains.SetSource(t.id, t.owner, t.at)
+		for _, r := range e.records {
+			v.chains.SetSource(r.record, r.at)
 		}
 	case task:
 		e.run()
@@ -362,12 +360,14 @@
 	}
 }
 
-// noteStored notes where turns are on disk. If too many events wait, their texts
-// stay in memory.
-func (v *Vault) noteStored(turns []storedTurn) {
+// noteStored notes where records are on disk. It reports false if too many events wait; then
+// it is to be told again, since what nobody notes is never released.
+func (v *Vault) noteStored(records []storedRecord) bool {
 	select {
-	case v.mailbox <- stored{turns}:
+	case v.mailbox <- stored{records}:
+		return true
 	default:
+		return false
 	}
 }
 
--- a/vault/write.go
+++ b/vault/write.go
@@ -18,18 +18,16 @@
 
 var errClosed = errors.New("vault: stopping")
 
-// storedTurn is a turn and where its record is on disk.
-type storedTurn struct {
-	id, owner string
-	at        *wallog.Location
+// storedRecord is a record and where it is on disk.
+type storedRecord struct {
+	record chains.Record
+	at     *wallog.Location
 }
 
 // entry is a record to be written to disk.
 type entry struct {
-	data    []byte
-	expires time.Time
-	// turn and owner identify the turn that the record holds; turn is "" if it holds none.
-	turn, owner string
+	record chains.Record
+	data   []byte
 	// done is called once the record is on disk or could not be written.
 	done func(error)
 }
@@ -40,22 +38,24 @@
 	log         zerolog.Logger
 	syncSeconds *metrics.Histogram
 	finished    chan struct{}
-	// onStored is called with the turns of each batch that was written.
-	onStored func([]storedTurn)
+	// onStored is called with the records that were written, again until it reports that it
+	// has noted them.
+	onStored func([]storedRecord) bool
 
 	mu     sync.Mutex
 	wakeup *sync.Cond
 	queue  []entry
-	// expireBefore asks run to remove segments whose records expired by then.
-	// Zero asks for nothing.
-	expireBefore time.Time
-	stopped      bool
-
-	// wal belongs to run.
-	wal *wallog.Log
+	// cleaning asks run to remove what has been released.
+	cleaning bool
+	stopped  bool
+
+	// wal belongs to run, like unnoted: records that are on disk, or will be with the next
+	// sync that succeeds, and have not been noted.
+	wal     *wallog.Log
+	unnoted []storedRecord
 }
 
-func newWriter(l *wallog.Log, onStored func([]storedTurn), latency *metrics.Histogram, log zerolog.Logger) *writer {
+func newWriter(l *wallog.Log, onStored func([]storedRecord) bool, latency *metrics.Histogram, log zerolog.Logger) *writer {
 	w := &writer{wal: l, onStored: onStored, syncSeconds: latency, log: log, finished: make(chan struct{})}
 	w.wakeup = sync.NewCond(&w.mu)
 	return w
@@ -71,11 +71,7 @@
 			done(err)
 			return
 		}
-		e := entry{data: data, expires: chains.ExpiresAt(r)}
-		if t, ok := r.(*chains.Turn); ok {
-			e.turn, e.owner = t.ID, t.Owner
-		}
-		entries = append(entries, e)
+		entries = append(entries, entry{record: r, data: data})
 	}
 	if len(entries) == 0 {
 		done(nil)
@@ -93,10 +89,10 @@
 	w.wakeup.Signal()
 }
 
-// expire asks for the removal of segments whose records have all expired.
-func (w *writer) expire(now time.Time) {
+// clean asks for the removal of what has been released.
+func (w *writer) clean() {
 	w.mu.Lock()
-	w.expireBefore = now
+	w.cleaning = true
 	w.mu.Unlock()
 	w.wakeup.Signal()
 }
@@ -107,16 +103,14 @@
 	failing := false
 	for {
 		w.mu.Lock()
-		for len(w.queue) == 0 && !w.stopped && w.expireBefore.IsZero() {
+		for len(w.queue) == 0 && !w.stopped && !w.cleaning {
 			w.wakeup.Wait()
 		}
-		batch, expired, stopped := w.queue, w.expireBefore, w.stopped
-		w.queue, w.expireBefore = nil, time.Time{}
+		batch, cleaning, stopped := w.queue, w.cleaning, w.stopped
+		w.queue, w.cleaning = nil, false
 		w.mu.Unlock()
-		if !expired.IsZero() {
-			if err := w.wal.Expire(expired); err != nil {
-				w.log.Warn().Err(err).Msg("removing expired records failed")
-			}
+		if cleaning {
+			w.cleanLog()
 		}
 		if len(batch) > 0 {
 			failing = w.writeBatch(batch, failing)
@@ -126,18 +120,26 @@
 	}
 }
 
+// cleanLog removes what has been released from the disk.
+func (w *writer) cleanLog() {
+	err := w.wal.Clean()
+	if err == nil {
+		err = w.wal.Compact()
+	}
+	if err != nil {
+		w.log.Warn().Err(err).Msg("removing released records failed")
+	}
+}
+
 // writeBatch writes and syncs a batch and reports whether the disk failed.
 func (w *writer) writeBatch(batch []entry, failing bool) bool {
 	started := time.Now()
-	var turns []storedTurn
 	for _, e := range batch {
-		if at := w.wal.Add(e.data, e.expires); e.turn != "" {
-			turns = append(turns, storedTurn{e.turn, e.owner, at})
-		}
+		w.unnoted = append(w.unnoted, storedRecord{e.record, w.wal.Add(e.data)})
 	}
 	err := w.wal.Sync()
-	if err == nil && len(turns) > 0 {
-		w.onStored(turns)
+	if err == nil && w.onStored(w.unnoted) {
+		w.unnoted = nil
 	}
 	w.syncSeconds.UpdateDuration(started)
 	if failed := err != nil; failed != failing {
