Gates: a stopping gate begins nothing that it may cut

Another operator's callers saw: in a planned stop of one entry host, requests that came late in the grace period were passed on and cut with no answer at its end. It could happen here, also to requests that may not be repeated, and to those relayed for another gate.

Cause: a gate that stops waited for the requests in progress but took up further ones without asking whether they could still end, and what was left ended with the process.

Why this works: a request whose time limit ends after nine tenths of the grace period is refused as not run at a stopping gate (coordination/halt), before each attempt, so whatever is passed on has its whole time. Callers repeat a refusal through another gate. What was begun before and is left at nine tenths is ended with an answer, 502, before the process ends.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -42,6 +42,12 @@
 	}
 	for first := true; ; first = false {
 		now := time.Now()
+		if !first && !g.mayBegin(t.request) {
+			g.endWait(t)
+			g.settleTurn(t, nil)
+			g.refuseUnplaced(t.request)
+			return false
+		}
 		verdict, room := g.decideAdmission(now, t, first)
 		switch v := verdict.(type) {
 		case admit.Send:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/fresh"
 	"github.com/cowslipstage/cowslipstage/coordination/gauge"
+	"github.com/cowslipstage/cowslipstage/coordination/halt"
 	"github.com/cowslipstage/cowslipstage/coordination/hedge"
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/coordination/retry"
@@ -46,10 +47,8 @@
 	// drainDelay is how long a stopping gate still accepts new connections: the
 	// balancer checks once a second and acts on the second failed check.
 	drainDelay = 2500 * time.Millisecond
-	// graceShare is the fraction of the grace period after which remaining
-	// requests are cut, so that the gate cuts them in order before the process
-	// is killed.
-	graceShare = 0.9
+	// endTime is how long requests that are ended may take to answer their callers.
+	endTime = 200 * time.Millisecond
 	// drainCheckEvery is the pause between two checks whether all connections
 	// have ended.
 	drainCheckEvery = 50 * time.Millisecond
@@ -100,8 +99,11 @@
 	fleet      *fleet.Fleet
 	table      atomic.Pointer[table.Table]
 	ready      atomic.Bool
-	// stopping tells callers to use other connections.
-	stopping atomic.Bool
+	// halt is nil until the gate is stopped. It then tells callers to use other connections.
+	halt atomic.Pointer[halt.Plan]
+	// ended ends with end, when the requests in progress must end.
+	ended context.Context
+	end   context.CancelFunc
 	// active counts the requests in progress.
 	active atomic.Int64
 	// allowances holds the customers' quotas.
@@ -163,6 +165,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, slacks: map[string]*slack.Slack{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.ended, g.end = context.WithCancel(context.Background())
 	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
 	g.waiting = waiting{calls: map[string]int{}, maxBytes: int64(maxWaitingShare * float64(s.Memory))}
 	g.resends, g.rooms = map[string]*retry.Budget{}, map[string]*room{}
@@ -191,7 +194,7 @@
 		return
 	}
 	g.table.Store(t)
-	g.ready.Store(!g.stopping.Load())
+	g.ready.Store(!g.stopping())
 	g.allowances.signal()
 	g.log.Info().Uint64("version", t.Version()).Msg("configuration in force")
 }
@@ -275,16 +278,19 @@
 	return r
 }
 
+// stopping reports whether the gate is being stopped.
+func (g *Gate) stopping() bool { return g.halt.Load() != nil }
+
 // stop drains the gate: it reports not ready, then closes the listener and idle
 // connections, then waits for the requests in progress until most of the grace
-// period is over.
+// period is over, and ends them.
 func (g *Gate) stop(listener *drain.Listener, relayListener net.Listener) {
-	g.log.Info().Int64("active", g.active.Load()).Msg("stopping, draining requests")
 	started := time.Now()
-	g.stopping.Store(true)
+	plan := halt.New(started, g.site.Grace)
+	g.log.Info().Int64("active", g.active.Load()).Time("until", plan.CutAt()).Msg("stopping, draining requests")
+	g.halt.Store(plan)
 	g.ready.Store(false)
 	g.signalCut() // withdraws the offer to relay
-	deadline := started.Add(time.Duration(float64(g.site.Grace) * graceShare))
 	time.Sleep(min(drainDelay, g.site.Grace/3))
 	if err := listener.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("closing the listener failed")
@@ -294,14 +300,19 @@
 	}
 	// A connection accepted before the listener closed may be read only now, so
 	// two checks in a row must find nothing in progress.
-	for quiet := 0; quiet < 2 && time.Now().Before(deadline); time.Sleep(drainCheckEvery) {
+	for quiet := 0; quiet < 2 && time.Now().Before(plan.CutAt()); time.Sleep(drainCheckEvery) {
 		if listener.CloseIdle() == 0 && g.active.Load() == 0 && g.relay.Active() <= g.vaultRelays.Load() {
 			quiet++
 		} else {
 			quiet = 0
 		}
 	}
-	g.log.Info().Int64("cut", g.active.Load()).Dur("took", time.Since(started)).Msg("stopped")
+	cut := g.active.Load()
+	g.end()
+	for end := time.Now().Add(min(endTime, time.Until(started.Add(g.site.Grace))/2)); g.active.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainCheckEvery / 10)
+	}
+	g.log.Info().Int64("cut", cut).Int64("unanswered", g.active.Load()).Dur("took", time.Since(started)).Msg("stopped")
 }
 
 // sweep closes idle connections to endpoints until ctx ends.
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -131,7 +131,7 @@
 // refuseUnplaced refuses a request that no endpoint has run.
 func (g *Gate) refuseUnplaced(q *request) {
 	g.returnAllowance(time.Now(), q)
-	if !g.refuseRevoked(q) && !g.refuseBlocked(time.Now(), q) {
+	if !g.refuseRevoked(q) && !g.refuseBlocked(time.Now(), q) && !g.refuseStopping(q) {
 		g.refuse(q, http.StatusServiceUnavailable, "no endpoint of "+q.service.Name+" took it; it has not run")
 	}
 }
@@ -145,7 +145,7 @@
 // one. mayWait says whether it may wait for a limited one, copied that the call is a hedge.
 func (a *attempts) startAttempt(ctx context.Context, mayWait, copied bool) bool {
 	q := a.request
-	if len(q.tried) >= maxDeclines+q.route.Attempts || a.gate.blockLeft(time.Now(), q) > 0 {
+	if len(q.tried) >= maxDeclines+q.route.Attempts || a.gate.blockLeft(time.Now(), q) > 0 || !a.gate.mayBegin(q) {
 		return false
 	}
 	p, ok := a.gate.choose(time.Now(), q, "", mayWait)
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -81,7 +81,8 @@
 	return l
 }
 
-// dialForPeer connects to an endpoint or a vault for another gate, always directly.
+// dialForPeer connects to an endpoint or a vault for another gate, always directly. A gate that
+// is being stopped does not know whether the request can end in time, and connects to no endpoint.
 func (g *Gate) dialForPeer(ctx context.Context, addr string) (net.Conn, error) {
 	if slices.Contains(g.vaults.vaultAddrs(), addr) {
 		if !g.vaults.connection(addr).Connected() {
@@ -89,7 +90,7 @@
 		}
 		return g.connectVault(ctx, addr)
 	}
-	if g.isCutOff() || !slices.Contains(g.fleet.Addrs(), addr) {
+	if g.stopping() || g.isCutOff() || !slices.Contains(g.fleet.Addrs(), addr) {
 		return nil, errors.Wrapf(relay.ErrRelay, "%s", addr)
 	}
 	g.meters.relayed.Inc()
@@ -249,7 +250,7 @@
 	learn := cut || g.relays.stale(time.Now())
 	g.mu.Unlock()
 	l := &vaults.Load{Node: g.site.Node, Partial: true, Relay: &peers.Peer{Centre: g.site.Centre}}
-	if !cut && !g.stopping.Load() {
+	if !cut && !g.stopping() {
 		l.Relay.Addr, l.Relay.Framed = g.relayAddr(), true
 	}
 	for _, s := range g.vaults.currentRoster().Order(g.site.Centre, g.site.Node) {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -118,8 +118,12 @@
 	q.deadline = q.started.Add(timeout)
 	q.admission, q.importance = g.controlsAdmission(q.route), t.Importance(q.customer, q.route)
 	q.service, _ = t.Service(q.route.PickService(g.randomFloat()))
+	if g.refuseStopping(q) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.ended, cancel)()
 	switch q.route.Kind {
 	case table.Stream:
 		g.serveStream(ctx, q)
@@ -130,6 +134,20 @@
 	}
 }
 
+// mayBegin reports whether a request may be sent to an endpoint: not if it could be cut there
+// because this gate is being stopped.
+func (g *Gate) mayBegin(q *request) bool { return g.halt.Load().MayBegin(q.deadline) }
+
+// refuseStopping refuses a request that may not be sent to an endpoint any more. Nothing has run
+// it, so its caller can send it to another gate.
+func (g *Gate) refuseStopping(q *request) bool {
+	if g.mayBegin(q) {
+		return false
+	}
+	g.refuse(q, http.StatusServiceUnavailable, "this gate is being stopped; it has not run")
+	return true
+}
+
 // randomFloat returns a random number in [0, 1).
 func (g *Gate) randomFloat() float64 {
 	g.mu.Lock()
@@ -186,6 +204,9 @@
 	}
 	e.Msg("refused")
 	h := q.writer.Header()
+	if g.stopping() {
+		h.Set("Connection", "close")
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		wait := retryAfterMin + time.Duration(g.randomFloat()*float64(retryAfterSpread))
 		if !g.acceptsCallers() || q.limitWait >= quota.Never {
@@ -232,6 +253,8 @@
 		panic(http.ErrAbortHandler)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		g.refuse(q, http.StatusGatewayTimeout, "not answered in time; it may have run: "+err.Error())
+	case g.ended.Err() != nil:
+		g.refuse(q, http.StatusBadGateway, "this gate's time to stop is over; it may have run: "+err.Error())
 	default:
 		g.refuse(q, http.StatusBadGateway, "it may have run: "+err.Error())
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -74,7 +74,7 @@
 	if !g.admit(ctx, t) {
 		return
 	}
-	for len(q.tried) < maxDeclines+q.route.Attempts && g.blockLeft(time.Now(), q) == 0 {
+	for len(q.tried) < maxDeclines+q.route.Attempts && g.blockLeft(time.Now(), q) == 0 && g.mayBegin(q) {
 		p, ok := g.choose(time.Now(), q, t.previousEndpoint, true)
 		if !ok {
 			break
