Gates: all answers in progress together have a bound

Another operator's callers saw: a faulty runner sent bytes without end to many requests, the host that had called it ran out of memory, and the requests of other clients on it ended with the process.

Cause: the length of each answer was bounded, 1 MB, but memory belongs to the process and nothing bounded what it held of all of them. A stream held its output also where nobody keeps the turn. Comments counted against no bound.

Why this works: a process counts what it holds of answers (state/bulk). Beyond 15% of its memory the largest is ended, as a request that may have run: an answer that comes whole is small beside those that do not end.

--- a/gate/endless_test.go
+++ b/gate/endless_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -100,3 +102,105 @@
 		}
 	}
 }
+
+// drip serves each request with the same bytes again and again, with a pause, until the gate
+// closes.
+func drip(t *testing.T, begin, repeat string, pause time.Duration) fleet.Entry {
+	return rawEndpoint(t, "e", func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, err = io.WriteString(c, strings.ReplaceAll(begin, "ID", r.Header.Get(headerID)))
+		for ; err == nil; time.Sleep(pause) {
+			_, err = io.WriteString(c, repeat)
+		}
+	})
+}
+
+// Many answers at once came without end, each within its bound, and took more memory together
+// than the process may have. Another caller's request on the same gate is served.
+func TestManyAnswersWithoutEndStayWithinTheMemory(t *testing.T) {
+	const (
+		memory  = 64 << 20
+		callers = 200
+		head    = "HTTP/1.1 200 OK\r\nId: ID\r\n\r\n"
+	)
+	filler := strings.Repeat("x", 8<<10)
+	for _, c := range []struct {
+		name   string
+		kind   table.Kind
+		keeps  bool
+		repeat string
+	}{
+		{"body", table.Unsafe, false, filler}, {"events", table.Stream, true, "data: " + filler + "\n\n"},
+		{"events that are not kept", table.Stream, false, "data: " + filler + "\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var entries []fleet.Entry
+			for i := range 20 {
+				e := drip(t, head, c.repeat, 20*time.Millisecond)
+				e.ID, e.Slots = fmt.Sprint("e", i), 64
+				entries = append(entries, e)
+			}
+			route := plainRoute(c.kind, 1)
+			route.Timeout, route.KeepsTurns = 4*time.Second, c.keeps
+			h := startGate(t, &site.Site{Node: "gate", Centre: "c", Memory: memory, Grace: time.Second}, coord.New(), route, entries)
+			runtime.GC()
+			var before, now runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var peak uint64
+			done := make(chan struct{})
+			var measured, served sync.WaitGroup
+			measured.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(20 * time.Millisecond):
+						runtime.GC() // what is still held, not what has not been collected
+						runtime.ReadMemStats(&now)
+						peak = max(peak, now.HeapAlloc)
+						h.g.Expect(h.gate.bulk.Total()).To(gomega.BeNumerically("<=", memory))
+					}
+				}
+			})
+			for i := range callers {
+				served.Go(func() { _, _, _ = h.discard(fmt.Sprint(i)) })
+			}
+			served.Wait()
+			close(done)
+			measured.Wait()
+			h.g.Expect(peak - min(peak, before.HeapAlloc)).To(gomega.BeNumerically("<", memory/2))
+			h.g.Expect(h.gate.bulk.Total()).To(gomega.BeZero())
+		})
+	}
+}
+
+// A stream of comments without end was passed on until its time limit.
+func TestCommentsWithoutEndAreNoStream(t *testing.T) {
+	e := drip(t, "HTTP/1.1 200 OK\r\nId: ID\r\n\r\ndata: a\n\n", strings.Repeat(": comment\n\n", 800), 0)
+	route := plainRoute(table.Stream, 1)
+	route.Timeout = 4 * time.Second
+	h := startGate(t, &site.Site{Node: "gate", Centre: "c", Memory: 64 << 20, Grace: time.Second}, coord.New(), route, []fleet.Entry{e})
+	_, taken, err := h.discard("x")
+	h.g.Expect(err).To(gomega.HaveOccurred())
+	h.g.Expect(taken).To(gomega.BeNumerically("<", 1<<20))
+}
+
+// discard sends a request, and returns the status and how long the answer was.
+func (h *gateFixture) discard(id string) (int, int64, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 8 * time.Second}
+	r, err := http.NewRequest(http.MethodGet, "http://"+h.gate.site.Frontend+"/a", nil)
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Host = "h"
+	r.Header.Set(headerID, id)
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	n, err := io.Copy(io.Discard, response.Body)
+	return response.StatusCode, n, err
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -30,6 +30,7 @@
 	"github.com/cowslipstage/cowslipstage/coordination/stall"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
 	"github.com/cowslipstage/cowslipstage/state/blame"
+	"github.com/cowslipstage/cowslipstage/state/bulk"
 	"github.com/cowslipstage/cowslipstage/state/caps"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/heavy"
@@ -60,6 +61,9 @@
 	headerTime     = 5 * time.Second
 	idleTime       = 60 * time.Second
 	maxHeaderBytes = 64 << 10
+	// answersShare is the fraction of the memory that answers in progress may take. Reading them
+	// takes up to as much again.
+	answersShare = 0.15
 	// homeBytes is the memory for which a gate remembers the home of one session.
 	homeBytes = 32 << 10
 	// routineLines is how many log lines a second report requests that end
@@ -101,6 +105,8 @@
 	ready      atomic.Bool
 	// halt is nil until the gate is stopped. It then tells callers to use other connections.
 	halt atomic.Pointer[halt.Plan]
+	// bulk bounds what is held of all answers.
+	bulk *bulk.Bulk
 	// ended ends with end, when the requests in progress must end.
 	ended context.Context
 	end   context.CancelFunc
@@ -165,6 +171,7 @@
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, slacks: map[string]*slack.Slack{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.bulk = bulk.New(int64(answersShare * float64(s.Memory)))
 	g.ended, g.end = context.WithCancel(context.Background())
 	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
 	g.waiting = waiting{calls: map[string]int{}, maxBytes: int64(maxWaitingShare * float64(s.Memory))}
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
+	"github.com/cowslipstage/cowslipstage/state/bulk"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
@@ -223,7 +224,7 @@
 	}
 	defer a.Close()
 	answer := g.parseAnswer(q, e, a)
-	body, err := readAnswer(a)
+	body, err := readAnswer(q, a)
 	if answer.NotRun {
 		g.recordProgress(time.Now(), e.ID)
 		return nil, g.recordDecline(q, e, a.Status, answer)
@@ -244,14 +245,27 @@
 }
 
 // readAnswer reads the whole body of an answer that is not a stream.
-func readAnswer(a *pool.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+func readAnswer(q *request, a *pool.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(countedReader{a.Body, q.answer}, maxBufferedBytes+1))
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errors.Mark(errors.Newf("the answer is longer than %d bytes", maxBufferedBytes), pool.ErrMayHaveRun)
 	}
 	return body, err
 }
 
+// countedReader counts what is read as held for an answer.
+type countedReader struct {
+	io.Reader
+	answer *bulk.Answer
+}
+
+// Read reads from the answer.
+func (r countedReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	r.answer.Grow(n)
+	return n, err
+}
+
 // parseAnswer reads the headers of an endpoint's answer, and gives the endpoint no new
 // work if it is leaving.
 func (g *Gate) parseAnswer(q *request, e fleet.Entry, a *pool.Answer) meta.Answer {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
+	"github.com/cowslipstage/cowslipstage/state/bulk"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/keys"
 	"github.com/cowslipstage/cowslipstage/state/table"
@@ -50,6 +51,8 @@
 	// service is the service that the route chose for this request.
 	service table.Service
 	body    []byte
+	// answer counts what is held of the endpoints' answers.
+	answer  *bulk.Answer
 	started time.Time
 	// deadline is the caller's or the route's, whichever is earlier.
 	deadline time.Time
@@ -121,9 +124,8 @@
 	if g.refuseStopping(q) {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := g.requestContext(q)
 	defer cancel()
-	defer context.AfterFunc(g.ended, cancel)()
 	switch q.route.Kind {
 	case table.Stream:
 		g.serveStream(ctx, q)
@@ -134,6 +136,27 @@
 	}
 }
 
+// The reasons for which this gate ends requests in progress.
+var (
+	errStopped  = errors.New("gate: its time to stop is over")
+	errTooLarge = errors.New("gate: the answers in progress take too much memory, this one the most")
+)
+
+// requestContext returns the context in which a request is served. The request must not be
+// served beyond its end.
+func (g *Gate) requestContext(q *request) (context.Context, context.CancelFunc) {
+	ended, end := context.WithCancelCause(q.httpRequest.Context())
+	ctx, cancel := context.WithDeadline(ended, q.deadline)
+	detach := context.AfterFunc(g.ended, func() { end(errStopped) })
+	q.answer = g.bulk.Open(func() { end(errTooLarge) })
+	return ctx, func() {
+		q.answer.Close()
+		detach()
+		cancel()
+		end(nil)
+	}
+}
+
 // mayBegin reports whether a request may be sent to an endpoint: not if it could be cut there
 // because this gate is being stopped.
 func (g *Gate) mayBegin(q *request) bool { return g.halt.Load().MayBegin(q.deadline) }
@@ -253,9 +276,10 @@
 		panic(http.ErrAbortHandler)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		g.refuse(q, http.StatusGatewayTimeout, "not answered in time; it may have run: "+err.Error())
-	case g.ended.Err() != nil:
-		g.refuse(q, http.StatusBadGateway, "this gate's time to stop is over; it may have run: "+err.Error())
 	default:
+		if cause := context.Cause(ctx); errors.IsAny(cause, errStopped, errTooLarge) {
+			err = cause
+		}
 		g.refuse(q, http.StatusBadGateway, "it may have run: "+err.Error())
 	}
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -51,8 +51,12 @@
 	// events with data in it.
 	begun      bool
 	eventsSent int
-	// output is the data of those events.
-	output []byte
+	// output is the data of those events, if the vaults keep the turn. outputBytes is its size
+	// in any case.
+	output      []byte
+	outputBytes int
+	// idleBytes counts what was passed on since the last event with data.
+	idleBytes int
 }
 
 // serveStream serves a request that is answered with events.
@@ -224,7 +228,7 @@
 
 // passFailure sends an endpoint's answer that is not a stream to the caller.
 func (g *Gate) passFailure(t *turn, a *pool.Answer) error {
-	body, err := readAnswer(a)
+	body, err := readAnswer(t.request, a)
 	if err != nil {
 		return err
 	}
@@ -246,6 +250,16 @@
 	t.begun = true
 }
 
+// addOutput adds the data of complete events to the turn's output.
+func (t *turn) addOutput(complete []byte) {
+	if !t.route.KeepsTurns {
+		t.outputBytes += len(complete)
+		return
+	}
+	t.output = events.AppendData(t.output, complete)
+	t.outputBytes = len(t.output)
+}
+
 // relayEvents sends events to the caller as they arrive, complete events only.
 func (g *Gate) relayEvents(t *turn, a *pool.Answer, p placement, sent time.Time) error {
 	e := p.Entry
@@ -256,9 +270,12 @@
 	lastEvent := time.Now()
 	for {
 		n, err := a.Body.Read(buffer)
+		held := len(t.output) + split.Buffered()
 		if complete, count := split.Add(buffer[:n]); len(complete) > 0 {
 			t.begin(a)
+			t.idleBytes += len(complete)
 			if count > 0 {
+				t.idleBytes = 0
 				now := time.Now()
 				g.recordProgress(now, e.ID)
 				if t.eventsSent == 0 {
@@ -270,7 +287,7 @@
 				lastEvent = now
 				t.eventsSent += count
 			}
-			t.output = events.AppendData(t.output, complete)
+			t.addOutput(complete)
 			if _, err := t.writer.Write(complete); err != nil {
 				return errors.Wrap(err, "caller")
 			}
@@ -278,8 +295,9 @@
 				return errors.Wrap(err, "caller")
 			}
 		}
+		t.answer.Grow(max(0, len(t.output)+split.Buffered()-held))
 		switch {
-		case split.Buffered() > maxEventBytes || len(t.output) > maxBufferedBytes:
+		case split.Buffered() > maxEventBytes || t.idleBytes > maxEventBytes || t.outputBytes > maxBufferedBytes:
 			return errors.Mark(errors.New("the stream has no end, or an event in it"), pool.ErrMayHaveRun)
 		case errors.Is(err, io.EOF) && split.Buffered() > 0:
 			return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream ended within an event"), pool.ErrMayHaveRun)
