Gates: a turn is not continued from the cache beyond its retention

A turn that went on from one in a gate's cache, whose retention was over and which all vaults had dropped, was recorded without its chain, and answered 503 for ever when it was continued through another gate (LOST).

A turn that was sent just before the end of a retention could also be recorded after its chain had been dropped.

Evidence: TestATurnThatTheVaultsHaveDroppedIsNotContinued failed before (the dropped turn is continued).

Why this works: within its own retention a turn is held at the vaults; later only they know, and are asked. Turns are kept longer by their route's time limit, so a turn sent in time is recorded while the chain is there.

--- a/gate/chain.go
+++ b/gate/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,6 +25,18 @@
 	return c.cache.Get(cacheKey{id, ""})
 }
 
+// dropStale drops a turn from the cache whose own retention is over. Whether a turn that continues
+// it keeps it alive, only the vaults know; a turn that went on from a chain that they have dropped
+// could not be continued itself.
+func (c *vaultClient) dropStale(now time.Time, wanted opening) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.cachedTurn(wanted.previous, wanted.owner)
+	if ok && now.After(time.UnixMilli(t.Written).Add(t.Retention-wanted.margin)) {
+		c.cache.Remove(cacheKey{t.ID, t.Owner})
+	}
+}
+
 // fetchChain fetches an owner's chain from the vaults. The turns of one chain may lie on
 // different vaults, so it continues with the turns before the ones received.
 // The newest turn is known not to exist only if every seat counts as a copy and
--- a/gate/open.go
+++ b/gate/open.go
@@ -22,6 +22,8 @@
 	previous string
 	// owner is the customer that the turn belongs to, "" if it has none.
 	owner string
+	// margin is how much longer turns are kept than they may be continued.
+	margin time.Duration
 	// session is the session whose home is wanted, "" if none is.
 	session string
 }
@@ -52,6 +54,7 @@
 	started := time.Now()
 	defer c.beginSeconds.UpdateDuration(started)
 	result := &opened{underWay: wanted.previous != ""}
+	c.dropStale(started, wanted)
 	var cached bool
 	if result.chain, cached = c.cachedChain(wanted.previous, wanted.owner); wanted.budget < 0 && cached {
 		return result, nil
--- a/gate/retention_test.go
+++ b/gate/retention_test.go
@@ -173,3 +173,21 @@
 	r.g.Expect(errors.Is(r.spendTokens("y", 30, 0, 100), errSpent)).To(gomega.BeTrue())
 	r.g.Expect(r.spendTokens("z", 20, 0, 100)).To(gomega.Succeed())
 }
+
+// A gate went on from a turn in its cache that all vaults had dropped, since its retention was over.
+// The new turn could not be continued through any other gate.
+func TestATurnThatTheVaultsHaveDroppedIsNotContinued(t *testing.T) {
+	t.Parallel()
+	r := newVaultCluster(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	r.g.Expect(r.client.recordTurn(ctx, briefTurn("a", "", ""))).To(gomega.Succeed())
+	r.g.Expect(r.client.recordTurn(ctx, newTurn("fresh", ""))).To(gomega.Succeed())
+	r.awaitExpiry("old", 0, 1, 2)
+	_, err := r.openTurn("a")
+	r.g.Expect(err).To(gomega.MatchError(errUnknown))
+	fetched := r.client.cacheMisses.Get()
+	_, err = r.openTurn("fresh")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(r.client.cacheMisses.Get()).To(gomega.Equal(fetched), "a turn within its retention is taken from the cache")
+}
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -30,6 +30,8 @@
 	// gate cannot serve. Callers then retry through another gate.
 	retryElsewhereMin    = 10 * time.Millisecond
 	retryElsewhereSpread = 40 * time.Millisecond
+	// defaultTimeout bounds requests whose route and caller say nothing.
+	defaultTimeout = time.Minute
 	// defaultBodyBytes bounds a request body if the operators set no limit.
 	defaultBodyBytes = 4 << 20
 	// replyMargin is subtracted from the time that an endpoint gets, so that
@@ -111,13 +113,10 @@
 	if !g.readBody(q, t.Limits()) || g.refuseBlocked(q.started, q) {
 		return
 	}
-	timeout := q.route.Timeout
-	if q.TimeLeft > 0 && (timeout <= 0 || q.TimeLeft < timeout) {
+	timeout := timeLimit(q.route)
+	if q.TimeLeft > 0 && (q.route.Timeout <= 0 || q.TimeLeft < timeout) {
 		timeout = q.TimeLeft
 	}
-	if timeout <= 0 {
-		timeout = time.Minute
-	}
 	q.deadline = q.started.Add(timeout)
 	q.admission, q.importance = g.controlsAdmission(q.route), t.Importance(q.customer, q.route)
 	q.service, _ = t.Service(q.route.PickService(g.randomFloat()))
@@ -171,6 +170,14 @@
 	return true
 }
 
+// timeLimit returns how long a request of a route may take.
+func timeLimit(r *table.Route) time.Duration {
+	if r.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return r.Timeout
+}
+
 // randomFloat returns a random number in [0, 1).
 func (g *Gate) randomFloat() float64 {
 	g.mu.Lock()
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -108,7 +108,11 @@
 func (q *request) hasBudget() bool { return q.Budget >= 0 && q.Program != "" && q.MaxOutputTokens > 0 }
 
 // turnRetention returns how long a turn is kept from when it is written.
-func (q *request) turnRetention() time.Duration { return q.route.Retention + clockMargin }
+func (q *request) turnRetention() time.Duration { return q.route.Retention + q.retentionMargin() }
+
+// retentionMargin returns how much longer a turn is kept than its route says: until a turn that
+// was sent in time and continues it has been recorded.
+func (q *request) retentionMargin() time.Duration { return clockMargin + timeLimit(q.route) }
 
 // accountRetention returns how long the account of a turn's program is kept.
 func (q *request) accountRetention() time.Duration {
@@ -124,7 +128,7 @@
 func (g *Gate) prepareTurn(ctx context.Context, t *turn) bool {
 	wanted := opening{
 		hold:   &chains.Hold{Program: t.account(), Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
-		budget: -1, owner: t.customerName(),
+		budget: -1, owner: t.customerName(), margin: t.retentionMargin(),
 	}
 	if t.hasHold = t.hasBudget(); t.hasHold {
 		wanted.budget = t.Budget
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -354,7 +354,9 @@
 		return &vaults.End{Version: version, Turn: &copied}
 	})
 	if err == nil {
-		c.cacheTurns(t)
+		kept := *t
+		kept.Written = started.UnixMilli()
+		c.cacheTurns(&kept)
 	}
 	return err
 }
