--- a/gate/endless_test.go
+++ b/gate/endless_test.go
@@ -134,7 +134,8 @@
 		keeps  bool
 		repeat string
 	}{
-		{"body", table.Unsafe, false, filler}, {"events", table.Stream, true, "data: " + filler + "\n\n"},
+		{"body", table.Unsafe, false, filler},
+		{"events", table.Stream, true, "data: " + filler + "\n\n"},
 		{"events that are not kept", table.Stream, false, "data: " + filler + "\n\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
