--- a/gate/chain.go
+++ b/gate/chain.go
@@ -69,6 +69,8 @@
 // vaults that count as copies lack the turn.
 func (c *vaultClient) fetchTurns(ctx context.Context, roster *seats.Roster, id, owner string) int {
 	lacking := 0
+	ctx, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
 	err := c.gather(ctx, c.orderSeats(roster, id), 1, func(int, seats.Seat) vaults.Message {
 		return &vaults.Fetch{Chain: id, Owner: owner}
 	}, func(_ seats.Seat, m vaults.Message) bool {
--- a/gate/open.go
+++ b/gate/open.go
@@ -71,6 +71,8 @@
 		return waiter.MayRetry(now, c.seatedVaults(now), deadline.Sub(now))
 	}
 	err := c.retryUncertain(ctx, mayRetry, func() error {
+		ctx, cancel := context.WithTimeout(ctx, openTime)
+		defer cancel()
 		return c.withRoster(ctx, func(roster *seats.Roster) error { return c.sendBegin(ctx, roster, wanted, result) })
 	})
 	if err != nil || cached {
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -32,9 +32,13 @@
 	// hedgeTime is how long a vault may take before another one is asked as
 	// well: several times a slow disk's sync plus the round trip.
 	hedgeTime = 40 * time.Millisecond
-	// vaultTimeout bounds a call of one vault: longer than a slow disk's sync,
-	// and a quarter of the shortest time after which a caller gives up.
+	// vaultTimeout is how long a vault may take before another one is asked even
+	// if the budget of hedges is used up: longer than a slow disk's sync. The answer
+	// of a slow vault counts nevertheless, because all may be slow.
 	vaultTimeout = 300 * time.Millisecond
+	// openTime bounds how long vaults are waited for before a turn runs. It leaves the
+	// caller time to send the turn again.
+	openTime = time.Second
 	// minRetryPause and maxRetryPause bound the pause between two attempts to record
 	// something at the vaults. The pause doubles, so that vaults that are behind are
 	// not asked ever more often; it stays short against the time after which a
@@ -216,9 +220,7 @@
 	c.mu.Lock()
 	c.hedges.AddCall()
 	c.mu.Unlock()
-	limited, cancel := context.WithTimeout(ctx, vaultTimeout)
-	defer cancel()
-	answer, err := c.connection(addr).Call(limited, m)
+	answer, err := c.connection(addr).Call(ctx, m)
 	took := time.Since(started)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -244,8 +246,9 @@
 
 // gather sends messages to seats in order until enough have accepted: as many
 // at once as are needed, one more for each that declines, and one more for each
-// hedgeTime that passes, as far as the budget of hedges allows. accept reports
-// whether an answer counts as accepted.
+// hedgeTime that passes, as far as the budget of hedges allows, and for each
+// vaultTimeout in any case. accept reports whether an answer counts as accepted. It waits for
+// vaults until ctx ends; those that are away fail before.
 func (c *vaultClient) gather(ctx context.Context, order []seats.Seat, needed int, message func(i int, s seats.Seat) vaults.Message, accept func(seats.Seat, vaults.Message) bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -268,6 +271,8 @@
 	}
 	hedge := time.NewTicker(hedgeTime)
 	defer hedge.Stop()
+	slow := time.NewTicker(vaultTimeout)
+	defer slow.Stop()
 	for accepted < needed {
 		if len(pending) == 0 {
 			return errors.Wrapf(errUncertain, "%d of %d", accepted, needed)
@@ -284,8 +289,10 @@
 			if next < len(order) && c.mayHedge(now, pending) {
 				ask()
 			}
+		case <-slow.C:
+			ask()
 		case <-ctx.Done():
-			return errors.Mark(errors.Wrap(ctx.Err(), "waiting for vaults"), errUncertain)
+			return errors.Mark(errors.Wrapf(ctx.Err(), "waiting for vaults, %d of %d", accepted, needed), errUncertain)
 		}
 	}
 	return nil
@@ -392,6 +399,8 @@
 func (c *vaultClient) sendEnd(ctx context.Context, key string, message func(version uint64) *vaults.End) error {
 	receipts := receipts{}
 	until := time.Now().Add(settleTime)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	return c.retryUncertain(ctx, func(now time.Time) bool { return now.Before(until) }, func() error {
 		return c.withRoster(ctx, func(roster *seats.Roster) error {
 			order := receipts.remaining(time.Now(), roster.Version, c.orderSeats(roster, key))
--- a/transport/wsrpc/client.go
+++ b/transport/wsrpc/client.go
@@ -34,9 +34,12 @@
 	// process.
 	dialTimeout = 400 * time.Millisecond
 	// silenceTimeout is how long a connection with pending calls may deliver nothing
-	// before it counts as dead. It is longer than a slow disk's sync and much
-	// shorter than a caller's timeout.
+	// before it counts as dead, not even the answer to a ping. It is much shorter than a
+	// caller's timeout.
 	silenceTimeout = 250 * time.Millisecond
+	// probeEvery is how long a call waits before it pings the vault, and again after each ping. A
+	// vault whose disk is slow answers that at once.
+	probeEvery = 80 * time.Millisecond
 	// redialPause is the pause after a failed dial. It limits the cost of an unreachable
 	// host.
 	redialPause = 100 * time.Millisecond
@@ -94,8 +97,10 @@
 	mu         sync.Mutex
 	lastNumber uint64
 	pending    map[uint64]chan vaults.Message
-	// lastReceived is when the last message arrived.
+	// lastReceived is when the last message or answer to a ping arrived. pinging is set while
+	// a ping is under way.
 	lastReceived time.Time
+	pinging      bool
 	closed       bool
 	// detour says that the connection is not a direct one.
 	detour bool
@@ -352,14 +357,46 @@
 	default:
 		return nil, errors.Wrap(ErrNoAnswer, "too many queued messages")
 	}
-	select {
-	case answer, ok := <-result:
-		if !ok {
-			return nil, errors.Wrap(ErrNoAnswer, "connection lost")
+	probe := time.NewTicker(probeEvery)
+	defer probe.Stop()
+	for {
+		select {
+		case answer, ok := <-result:
+			if !ok {
+				return nil, errors.Wrap(ErrNoAnswer, "connection lost")
+			}
+			return answer, nil
+		case <-probe.C:
+			go cn.ping()
+		case <-ctx.Done():
+			return nil, errors.Mark(errors.Wrap(ctx.Err(), "wsrpc: waiting for an answer"), ErrNoAnswer)
 		}
-		return answer, nil
-	case <-ctx.Done():
-		return nil, errors.Mark(errors.Wrap(ctx.Err(), "wsrpc: waiting for an answer"), ErrNoAnswer)
+	}
+}
+
+// ping asks the vault for a sign of life and closes the connection if there is none, which
+// ends all pending calls. It does nothing if the vault has just sent something, or while
+// another ping is under way.
+func (cn *connection) ping() {
+	cn.mu.Lock()
+	unneeded := cn.closed || cn.pinging || time.Since(cn.lastReceived) < probeEvery
+	cn.pinging = cn.pinging || !unneeded
+	cn.mu.Unlock()
+	if unneeded {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
+	defer cancel()
+	err := cn.socket.Ping(ctx)
+	cn.mu.Lock()
+	cn.pinging = false
+	if err == nil {
+		cn.lastReceived = time.Now()
+	}
+	silent := err != nil && time.Since(cn.lastReceived) >= silenceTimeout
+	cn.mu.Unlock()
+	if silent {
+		cn.close()
 	}
 }
 
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -68,7 +68,7 @@
 	// thousand sessions on the smallest hosts, at a hundredth of their memory.
 	homeBytes = 32 << 10
 	// maxWait is how long a gate's message may wait for the control goroutine. The
-	// gate gives up soon after that, and work on what it no longer awaits would keep
+	// gate has asked another vault by then, and work on what it no longer awaits would keep
 	// a vault behind that has fallen behind once.
 	maxWait = 250 * time.Millisecond
 )
@@ -94,6 +94,17 @@
 	}
 }
 
+// decline says that nothing was done, so that the sender asks another vault at once. Senders of
+// other messages notice by their timeouts.
+func (r request) decline() {
+	switch r.message.(type) {
+	case *vaults.Begin:
+		r.answer(&vaults.BeginReply{Status: vaults.Failed})
+	case *vaults.End:
+		r.answer(&vaults.EndReply{Status: vaults.Failed})
+	}
+}
+
 // copied holds records from another vault that are already on this disk.
 type copied struct{ records []chains.Record }
 
@@ -296,7 +307,8 @@
 		select {
 		case v.mailbox <- request{m, answer, time.Now()}:
 		default:
-			v.meters.refused.Inc() // the sender notices by its timeout
+			v.meters.refused.Inc()
+			request{message: m, answer: answer}.decline()
 		}
 	}
 }
@@ -336,6 +348,7 @@
 		now := time.Now()
 		if e.outdated(now) {
 			v.meters.refused.Inc()
+			e.decline()
 			return
 		}
 		v.answerRequest(now, e)
