--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -100,12 +100,14 @@
 	settings string
 	level    string
 	metrics  string
+	clients  site.Clients
 }
 
 func (o *roleOptions) register(c *cobra.Command) {
 	c.Flags().StringVar(&o.settings, "settings", platform.SettingsPath(), "the platform's settings file")
 	c.Flags().StringVar(&o.level, "log", "info", "log level")
 	c.Flags().StringVar(&o.metrics, "metrics", "", "port for /metrics; empty serves none")
+	c.Flags().Float64Var(&o.clients.Share, "client-memory", site.DefaultClients.Share, "share of the memory that is for clients: connections, requests and what follows from them")
 }
 
 // role holds the dependencies with which a gate or vault is started.
@@ -135,10 +137,14 @@
 	if s.Memory > 0 && s.Memory < math.MaxInt64/2 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
 	}
+	if err := o.clients.Check(); err != nil {
+		return err
+	}
 	ctx, cancel := signals.stopContext(ctx)
 	defer cancel()
 	loaded := *s // without what the role's own flags set
 	go o.reloadLoop(signals.reload, &loaded, log)
+	s.Clients = o.clients
 	if o.metrics != "" {
 		go serveMetrics(s.IP+":"+o.metrics, set, log)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -35,10 +35,11 @@
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/heavy"
 	"github.com/cowslipstage/cowslipstage/state/homes"
+	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/state/recent"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
-	"github.com/cowslipstage/cowslipstage/transport/drain"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 	"github.com/cowslipstage/cowslipstage/transport/relay"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
@@ -56,11 +57,6 @@
 	// sweepEvery is the pause between two sweeps of idle connections to
 	// endpoints.
 	sweepEvery = 2 * time.Second
-	// headerTime, idleTime and maxHeaderBytes bound callers before the
-	// operators' limits are known. Callers stay within these bounds.
-	headerTime     = 5 * time.Second
-	idleTime       = 60 * time.Second
-	maxHeaderBytes = 64 << 10
 	// answersShare is the fraction of the memory that answers in progress may take. Reading them
 	// takes up to as much again.
 	answersShare = 0.15
@@ -89,6 +85,7 @@
 	// sample. Failures are always logged, by log.
 	routine zerolog.Logger
 	meters  *meters
+	set     *metrics.Set
 	pool    *pool.Pool
 	// connect opens connections to endpoints and relays.
 	connect relay.DialFunc
@@ -103,6 +100,8 @@
 	fleet      *fleet.Fleet
 	table      atomic.Pointer[table.Table]
 	ready      atomic.Bool
+	// memory bounds what is held for callers and for other gates.
+	memory *memory.Budget
 	// halt is nil until the gate is stopped. It then tells callers to use other connections.
 	halt atomic.Pointer[halt.Plan]
 	// bulk bounds what is held of all answers.
@@ -164,13 +163,14 @@
 // New returns a gate that has no routes and no endpoints yet.
 func New(s *site.Site, d meta.Dialect, r RosterSource, set *metrics.Set, log zerolog.Logger) *Gate {
 	g := &Gate{
-		site: s, dialect: d, log: log, meters: newMeters(set), fleet: fleet.New(), connect: pool.Dial,
+		site: s, dialect: d, log: log, meters: newMeters(set), set: set, fleet: fleet.New(), connect: pool.Dial,
 		outliers: eject.New(), stalls: stall.New(), cutoff: cutoff.New(), caps: caps.New(), quota: quota.New(),
 		relays: relays{failedAt: map[string]time.Time{}}, crashProbes: map[blame.Crash]*crashProbe{},
 		suspects: newSuspects(), suspectsChanged: make(chan struct{}, 1), cutChanged: make(chan struct{}, 1),
 		loads: map[string]*load{}, speeds: map[string]*gauge.Gauge{}, slacks: map[string]*slack.Slack{}, successes: recent.New(), failures: recent.New(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.memory = memory.New(s.ClientBytes())
 	g.bulk = bulk.New(int64(answersShare * float64(s.Memory)))
 	g.ended, g.end = context.WithCancel(context.Background())
 	g.hedger, g.lostRetries = newHedger(s.HedgeShare), retry.NewHedges(time.Now())
@@ -180,6 +180,7 @@
 	g.homes = homes.New(int(s.Memory / homeBytes))
 	g.allowances = newAllowances(time.Now(), s.Quota)
 	set.NewGauge("cowslipstage_gate_quota_view_age_seconds", g.viewAge)
+	set.NewGauge("cowslipstage_client_bytes", func() float64 { return float64(g.memory.Taken()) })
 	g.pool = pool.New(set, g.dialEndpoint)
 	g.relay = relay.New(g.dialForPeer, log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
@@ -232,17 +233,15 @@
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for callers")
 	}
-	callerListener := drain.New(listener)
 	readyListener, err := net.Listen("tcp", g.site.Ready)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for the balancer")
 	}
-	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: callerListener.ConnState,
-	}
-	balancerServer := &http.Server{Handler: g.balancerHandler(), ReadHeaderTimeout: headerTime}
-	go g.listen(callerServer, callerListener)
+	callerServer := intake.New(http.HandlerFunc(g.serve), intake.Options{
+		Name: "callers", Budget: g.memory, Limits: g.callerLimits, RetryAfter: g.retryAfter, Set: g.set, Log: g.log,
+	})
+	balancerServer := &http.Server{Handler: g.balancerHandler(), ReadHeaderTimeout: intake.DefaultLimits.HeadTime}
+	go g.listen(callerServer, listener)
 	go g.listen(balancerServer, readyListener)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -257,7 +256,7 @@
 	go g.sweep(background)
 	relayListener := g.listenRelay()
 	<-ctx.Done()
-	g.stop(callerListener, relayListener)
+	g.stop(callerServer, listener, relayListener)
 	g.endAllowances(background)
 	return balancerServer.Close()
 }
@@ -268,7 +267,10 @@
 	return g.ready.Load() && !g.vaults.cutOff() && !g.isolated(time.Now())
 }
 
-func (g *Gate) listen(s *http.Server, l net.Listener) {
+// server serves what a listener accepts.
+type server interface{ Serve(l net.Listener) error }
+
+func (g *Gate) listen(s server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		g.log.Error().Err(err).Msg("listener failed")
 	}
@@ -291,7 +293,7 @@
 // stop drains the gate: it reports not ready, then closes the listener and idle
 // connections, then waits for the requests in progress until most of the grace
 // period is over, and ends them.
-func (g *Gate) stop(listener *drain.Listener, relayListener net.Listener) {
+func (g *Gate) stop(callers *intake.Server, listener, relayListener net.Listener) {
 	started := time.Now()
 	plan := halt.New(started, g.site.Grace)
 	g.log.Info().Int64("active", g.active.Load()).Time("until", plan.CutAt()).Msg("stopping, draining requests")
@@ -308,7 +310,7 @@
 	// A connection accepted before the listener closed may be read only now, so
 	// two checks in a row must find nothing in progress.
 	for quiet := 0; quiet < 2 && time.Now().Before(plan.CutAt()); time.Sleep(drainCheckEvery) {
-		if listener.CloseIdle() == 0 && g.active.Load() == 0 && g.relay.Active() <= g.vaultRelays.Load() {
+		if callers.CloseIdle() == 0 && g.active.Load() == 0 && g.relay.Active() <= g.vaultRelays.Load() {
 			quiet++
 		} else {
 			quiet = 0
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/keys"
 	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 )
 
@@ -238,10 +239,7 @@
 		h.Set("Connection", "close")
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		wait := retryAfterMin + time.Duration(g.randomFloat()*float64(retryAfterSpread))
-		if !g.acceptsCallers() || q.limitWait >= quota.Never {
-			wait = retryElsewhereMin + time.Duration(g.randomFloat()*float64(retryElsewhereSpread))
-		}
+		wait := g.retryWait(!g.acceptsCallers() || q.limitWait >= quota.Never)
 		if q.limitWait < quota.Never {
 			wait = max(wait, q.limitWait)
 		}
@@ -251,7 +249,7 @@
 		if q.blockLeft > 0 {
 			wait = q.blockLeft
 		}
-		h.Set(g.dialect.RetryHeader(), strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		h.Set(g.dialect.RetryHeader(), formatSeconds(wait))
 	}
 	h.Set("Content-Type", "text/plain")
 	q.writer.WriteHeader(status)
@@ -260,6 +258,41 @@
 	}
 }
 
+// retryWait returns after how long a refused caller may retry, soon if another gate can serve it.
+func (g *Gate) retryWait(elsewhere bool) time.Duration {
+	if elsewhere {
+		return retryElsewhereMin + time.Duration(g.randomFloat()*float64(retryElsewhereSpread))
+	}
+	return retryAfterMin + time.Duration(g.randomFloat()*float64(retryAfterSpread))
+}
+
+// retryAfter returns the header for a caller that is refused since this gate has no room for it.
+func (g *Gate) retryAfter() (name, value string) {
+	return g.dialect.RetryHeader(), formatSeconds(g.retryWait(true))
+}
+
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// callerLimits returns the operators' bounds on callers, or the default ones where they set none.
+func (g *Gate) callerLimits() intake.Limits {
+	l := intake.DefaultLimits
+	t := g.table.Load()
+	if t == nil {
+		return l
+	}
+	set := t.Limits()
+	if set.Header > 0 {
+		l.HeadBytes = set.Header
+	}
+	if set.HeaderTime > 0 {
+		l.HeadTime = set.HeaderTime
+	}
+	if set.IdleTime > 0 {
+		l.IdleTime = set.IdleTime
+	}
+	return l
+}
+
 // hopHeaders are the headers of an answer that concern one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade"}
 
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cowslipstage/cowslipstage/state/bound"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
 )
@@ -45,8 +47,46 @@
 	Revocation time.Duration
 	// Quota is how far all gates together may exceed a customer's quota.
 	Quota bound.Bound
+	// Clients bounds what the process holds for its clients.
+	Clients Clients
 	// HedgeShare is the most copies of slow requests per request; 0 allows none.
 	HedgeShare float64
 	// Off holds the mechanisms that are switched off.
 	Off toggle.Set
 }
+
+// Clients bounds what a process holds for its clients.
+type Clients struct {
+	// Share is the part of the memory that connections, requests and what follows from them may
+	// take.
+	Share float64
+}
+
+// minShare and maxShare bound Clients.Share. The rest is for what the process holds itself.
+const (
+	minShare = 0.05
+	maxShare = 0.5
+)
+
+// ErrClients means that bounds on clients cannot be used.
+var ErrClients = errors.New("site: unusable bounds on clients")
+
+// Check returns an error that names the first bound that cannot be used.
+func (c Clients) Check() error {
+	if c.Share < minShare || c.Share > maxShare || c.Share != c.Share {
+		return errors.Wrapf(ErrClients, "the share of the memory must be from %g to %g", minShare, maxShare)
+	}
+	return nil
+}
+
+// DefaultClients is in force unless a flag says otherwise.
+var DefaultClients = Clients{Share: 0.25}
+
+// ClientBytes returns how much memory is for clients, 0 for any.
+func (s *Site) ClientBytes() int64 {
+	share := s.Clients.Share
+	if share <= 0 {
+		share = DefaultClients.Share
+	}
+	return int64(share * float64(s.Memory))
+}
