--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -71,6 +71,7 @@
 	}
 	o.register(c)
 	c.Flags().StringVar(&without, "without", "", fmt.Sprintf("mechanisms to switch off, separated by commas: %v", toggle.All()))
+	c.Flags().IntVar(&o.clients.Conns, "client-connections", 0, "connections that callers may have at once; 0 for nearly half of the descriptors")
 	c.Flags().Float64Var(&hedgeShare, "hedges", 0, "most copies of slow requests per request, such as 0.05; 0 sends none")
 	return c
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -238,7 +238,7 @@
 		return errors.Wrap(err, "gate: listening for the balancer")
 	}
 	callerServer := intake.New(http.HandlerFunc(g.serve), intake.Options{
-		Name: "callers", Budget: g.memory, Limits: g.callerLimits, RetryAfter: g.retryAfter, Set: g.set, Log: g.log,
+		Name: "callers", Budget: g.memory, Conns: g.site.CallerConns(), Limits: g.callerLimits, RetryAfter: g.retryAfter, Set: g.set, Log: g.log,
 	})
 	balancerServer := &http.Server{Handler: g.balancerHandler(), ReadHeaderTimeout: intake.DefaultLimits.HeadTime}
 	go g.listen(callerServer, listener)
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -31,9 +31,10 @@
 	FirstPort int
 	// Data is the folder for bulk data; "" if there is no disk.
 	Data string
-	// Disk and Memory are bounds in bytes.
+	// Disk and Memory are bounds in bytes, Files is the bound on open descriptors; 0 if there is none.
 	Disk   int64
 	Memory int64
+	Files  int
 	// FirstStart is true only when the whole system starts for the first time.
 	FirstStart bool
 	// MaxLostHosts is how many hosts with disks may be lost at once.
@@ -60,6 +61,8 @@
 	// Share is the part of the memory that connections, requests and what follows from them may
 	// take.
 	Share float64
+	// Conns is how many connections callers may have, 0 for as many as the descriptors allow.
+	Conns int
 }
 
 // minShare and maxShare bound Clients.Share. The rest is for what the process holds itself.
@@ -73,8 +76,11 @@
 
 // Check returns an error that names the first bound that cannot be used.
 func (c Clients) Check() error {
-	if c.Share < minShare || c.Share > maxShare || c.Share != c.Share {
+	switch {
+	case c.Share < minShare || c.Share > maxShare || c.Share != c.Share:
 		return errors.Wrapf(ErrClients, "the share of the memory must be from %g to %g", minShare, maxShare)
+	case c.Conns < 0:
+		return errors.Wrap(ErrClients, "the connections must not be negative")
 	}
 	return nil
 }
@@ -82,6 +88,16 @@
 // DefaultClients is in force unless a flag says otherwise.
 var DefaultClients = Clients{Share: 0.25}
 
+const (
+	// reservedFiles is how many descriptors are for other files than sockets.
+	reservedFiles = 200
+	// callerFiles is the part of the sockets that callers' connections may take. The requests on
+	// them take about as many to endpoints.
+	callerFiles = 0.45
+	// defaultFiles is how many descriptors a process without a bound counts on.
+	defaultFiles = 4096
+)
+
 // ClientBytes returns how much memory is for clients, 0 for any.
 func (s *Site) ClientBytes() int64 {
 	share := s.Clients.Share
@@ -90,3 +106,20 @@
 	}
 	return int64(share * float64(s.Memory))
 }
+
+// Sockets returns how many sockets the process may have open.
+func (s *Site) Sockets() int {
+	files := s.Files
+	if files <= 0 {
+		files = defaultFiles
+	}
+	return max(files-reservedFiles, files/2)
+}
+
+// CallerConns returns how many connections callers may have.
+func (s *Site) CallerConns() int {
+	if s.Clients.Conns > 0 {
+		return s.Clients.Conns
+	}
+	return int(callerFiles * float64(s.Sockets()))
+}
