--- a/gate/gate.go
+++ b/gate/gate.go
@@ -67,6 +67,8 @@
 	// writes some 300 a second.
 	routineLines   = 400
 	routineSampleN = 20
+	// unreadLines is how many log lines a second report requests that were not read to their end.
+	unreadLines = 20
 )
 
 // RosterSource reads the roster of the vaults and its revision, or, at a fraction of
@@ -84,6 +86,8 @@
 	// routine logs requests that end well: all of them up to a rate, then a
 	// sample. Failures are always logged, by log.
 	routine zerolog.Logger
+	// unread logs some of the requests that were refused before they were read to their end.
+	unread zerolog.Logger
 	meters  *meters
 	set     *metrics.Set
 	pool    *pool.Pool
@@ -186,6 +190,7 @@
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
 	})
+	g.unread = log.Sample(&zerolog.BurstSampler{Burst: unreadLines, Period: time.Second})
 	g.vaults = newVaultClient(s, r, set, log)
 	g.vaults.clients.SetDials(wsrpc.Dial, g.dialVault)
 	g.vaults.exchange.fleet = g.fleet
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/coordination/quota"
 	"github.com/cowslipstage/cowslipstage/protocol/meta"
 	"github.com/cowslipstage/cowslipstage/state/bulk"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/keys"
+	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/state/table"
 	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
@@ -33,8 +35,6 @@
 	retryElsewhereSpread = 40 * time.Millisecond
 	// defaultTimeout bounds requests whose route and caller say nothing.
 	defaultTimeout = time.Minute
-	// defaultBodyBytes bounds a request body if the operators set no limit.
-	defaultBodyBytes = 4 << 20
 	// replyMargin is subtracted from the time that an endpoint gets, so that
 	// the answer can still reach the caller.
 	replyMargin = 5 * time.Millisecond
@@ -45,6 +45,10 @@
 	meta.Request
 	httpRequest *http.Request
 	writer      http.ResponseWriter
+	// log is where a refusal is logged, nil for the gate's log.
+	log *zerolog.Logger
+	// holder is where what is held for the request is booked.
+	holder *memory.Holder
 	route       *table.Route
 	// customer is nil if the configuration has no customers, or if the route is public and
 	// the request has no known key.
@@ -92,7 +96,7 @@
 	if !g.acceptsCallers() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{httpRequest: r, writer: w, started: time.Now(), tried: map[string]bool{}}
+	q := &request{httpRequest: r, writer: w, holder: intake.Holder(r.Context()), started: time.Now(), tried: map[string]bool{}}
 	t := g.table.Load()
 	if t == nil {
 		g.refuse(q, http.StatusServiceUnavailable, "no configuration yet")
@@ -111,14 +115,14 @@
 	if !g.authenticate(q, t) {
 		return
 	}
-	if !g.readBody(q, t.Limits()) || g.refuseBlocked(q.started, q) {
-		return
-	}
 	timeout := timeLimit(q.route)
 	if q.TimeLeft > 0 && (q.route.Timeout <= 0 || q.TimeLeft < timeout) {
 		timeout = q.TimeLeft
 	}
 	q.deadline = q.started.Add(timeout)
+	if !g.readBody(q, t.Limits()) || g.refuseBlocked(q.started, q) {
+		return
+	}
 	q.admission, q.importance = g.controlsAdmission(q.route), t.Importance(q.customer, q.route)
 	q.service, _ = t.Service(q.route.PickService(g.randomFloat()))
 	if g.refuseStopping(q) {
@@ -186,28 +190,6 @@
 	return g.random.Float64()
 }
 
-// readBody reads the whole body, because it may be sent to several endpoints
-// and kept by the vaults. It reports whether it succeeded; if not, the caller
-// has been refused.
-func (g *Gate) readBody(q *request, limits table.Limits) bool {
-	limit := limits.Body
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.httpRequest.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		g.refuse(q, http.StatusRequestEntityTooLarge, "body over the limit")
-		return false
-	case err != nil:
-		g.refuse(q, http.StatusBadRequest, "body not read: "+err.Error())
-		return false
-	}
-	q.body = body
-	return true
-}
-
 // endpointRequest builds the request that is sent to an endpoint.
 func (g *Gate) endpointRequest(q *request, addr, endpoint string, body []byte) pool.Request {
 	header := q.httpRequest.Header.Clone()
@@ -228,7 +210,11 @@
 // refuse answers a request with a status of this gate's own.
 func (g *Gate) refuse(q *request, status int, reason string) {
 	g.meters.countAnswer(strconv.Itoa(status))
-	e := q.addCustomer(g.log.Warn()).Str("request", q.ID).Str("program", q.Program).Int("status", status).Str("reason", reason).
+	log := &g.log
+	if q.log != nil {
+		log = q.log
+	}
+	e := q.addCustomer(log.Warn()).Str("request", q.ID).Str("program", q.Program).Int("status", status).Str("reason", reason).
 		Uint64("version", q.version).Dur("after", time.Since(q.started))
 	if q.route != nil {
 		e = e.Str("route", q.route.Name)
