--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -30,8 +30,12 @@
 	// logPollInterval is how often the log writer checks for queued lines.
 	logPollInterval = 50 * time.Millisecond
 	// memoryLimitShare is the share of a process's memory that is set as the garbage
-	// collector's limit. The rest is for stacks, socket buffers and bursts.
+	// collector's limit. The rest is for socket buffers and bursts.
 	memoryLimitShare = 0.6
+	// programBytes is what the program's own text takes of the memory. On small machines the limit is
+	// burstShare of the rest, since the collector exceeds it for moments.
+	programBytes = 21 << 20
+	burstShare   = 0.75
 )
 
 func gateCommand() *cobra.Command {
@@ -136,7 +140,7 @@
 	}
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("node", s.Node).Logger()
 	if s.Memory > 0 && s.Memory < math.MaxInt64/2 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
+		debug.SetMemoryLimit(memoryLimit(s.Memory))
 	}
 	if err := o.clients.Check(); err != nil {
 		return err
@@ -155,6 +159,11 @@
 	return err
 }
 
+// memoryLimit returns the garbage collector's limit for a process with so much memory.
+func memoryLimit(memory int64) int64 {
+	return int64(min(memoryLimitShare*float64(memory), burstShare*float64(max(memory-programBytes, memory/4))))
+}
+
 // reloadLoop reads the settings again at each request and logs whether they changed.
 // Changes take effect only when the process starts again.
 func (o *roleOptions) reloadLoop(requests <-chan os.Signal, old *site.Site, log zerolog.Logger) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -88,9 +88,9 @@
 	routine zerolog.Logger
 	// unread logs some of the requests that were refused before they were read to their end.
 	unread zerolog.Logger
-	meters  *meters
-	set     *metrics.Set
-	pool    *pool.Pool
+	meters *meters
+	set    *metrics.Set
+	pool   *pool.Pool
 	// connect opens connections to endpoints and relays.
 	connect relay.DialFunc
 	// relay connects to endpoints for other gates.
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -1,9 +1,7 @@
 package gate
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -200,7 +198,7 @@
 type fullAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bulk.Pages
 }
 
 // callEndpoint sends a request to one endpoint and reads the whole answer.
@@ -225,6 +223,9 @@
 	defer a.Close()
 	answer := g.parseAnswer(q, e, a)
 	body, err := readAnswer(q, a)
+	if answer.NotRun || err != nil {
+		body.Release()
+	}
 	if answer.NotRun {
 		g.recordProgress(time.Now(), e.ID)
 		return nil, g.recordDecline(q, e, a.Status, answer)
@@ -245,27 +246,14 @@
 }
 
 // readAnswer reads the whole body of an answer that is not a stream.
-func readAnswer(q *request, a *pool.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(countedReader{a.Body, q.answer}, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+func readAnswer(q *request, a *pool.Answer) (*bulk.Pages, error) {
+	body, err := q.answer.ReadAll(a.Body, maxBufferedBytes)
+	if err == nil && body.Len() > maxBufferedBytes {
 		err = errors.Mark(errors.Newf("the answer is longer than %d bytes", maxBufferedBytes), pool.ErrMayHaveRun)
 	}
 	return body, err
 }
 
-// countedReader counts what is read as held for an answer.
-type countedReader struct {
-	io.Reader
-	answer *bulk.Answer
-}
-
-// Read reads from the answer.
-func (r countedReader) Read(data []byte) (int, error) {
-	n, err := r.Reader.Read(data)
-	r.answer.Grow(n)
-	return n, err
-}
-
 // parseAnswer reads the headers of an endpoint's answer, and gives the endpoint no new
 // work if it is leaving.
 func (g *Gate) parseAnswer(q *request, e fleet.Entry, a *pool.Answer) meta.Answer {
@@ -312,14 +300,19 @@
 
 // writeAnswer sends a whole answer to the caller.
 func (g *Gate) writeAnswer(q *request, e fleet.Entry, a *fullAnswer) {
+	defer a.body.Release()
+	if !q.beginAnswer() {
+		g.refuse(q, http.StatusBadGateway, "it may have run: "+bulk.ErrEnded.Error())
+		return
+	}
 	g.meters.countAnswer("done")
 	q.addCustomer(g.routine.Info()).Str("request", q.ID).Str("program", q.Program).Str("endpoint", e.ID).Int("status", a.status).
 		Dur("after", time.Since(q.started)).Msg("answered")
 	h := q.writer.Header()
 	copyHeader(h, a.header)
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	h.Set("Content-Length", strconv.Itoa(a.body.Len()))
 	q.writer.WriteHeader(a.status)
-	if _, err := io.Copy(q.writer, bytes.NewReader(a.body)); err != nil {
+	if _, err := a.body.WriteTo(q.writer); err != nil {
 		g.log.Info().Err(err).Str("request", q.ID).Msg("caller left during its answer")
 	}
 }
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +50,7 @@
 	log *zerolog.Logger
 	// holder is where what is held for the request is booked.
 	holder *memory.Holder
-	route       *table.Route
+	route  *table.Route
 	// customer is nil if the configuration has no customers, or if the route is public and
 	// the request has no known key.
 	customer *keys.Customer
@@ -58,9 +59,11 @@
 	// service is the service that the route chose for this request.
 	service table.Service
 	body    []byte
-	// answer counts what is held of the endpoints' answers.
-	answer  *bulk.Answer
-	started time.Time
+	// answer counts what is held of the endpoints' answers. answering is set once the caller's has
+	// begun.
+	answer    *bulk.Answer
+	answering atomic.Bool
+	started   time.Time
 	// deadline is the caller's or the route's, whichever is earlier.
 	deadline time.Time
 	// version is the version of the routes, for the log.
@@ -140,11 +143,8 @@
 	}
 }
 
-// The reasons for which this gate ends requests in progress.
-var (
-	errStopped  = errors.New("gate: its time to stop is over")
-	errTooLarge = errors.New("gate: the answers in progress take too much memory, this one the most")
-)
+// errStopped and bulk.ErrEnded are the reasons for which this gate ends requests in progress.
+var errStopped = errors.New("gate: its time to stop is over")
 
 // requestContext returns the context in which a request is served. The request must not be
 // served beyond its end.
@@ -152,7 +152,12 @@
 	ended, end := context.WithCancelCause(q.httpRequest.Context())
 	ctx, cancel := context.WithDeadline(ended, q.deadline)
 	detach := context.AfterFunc(g.ended, func() { end(errStopped) })
-	q.answer = g.bulk.Open(func() { end(errTooLarge) })
+	q.answer = g.bulk.Open(func() {
+		end(bulk.ErrEnded)
+		if q.answering.Load() {
+			intake.CutAnswer(q.httpRequest.Context())
+		}
+	})
 	return ctx, func() {
 		q.answer.Close()
 		detach()
@@ -161,6 +166,13 @@
 	}
 }
 
+// beginAnswer notes that the caller's answer begins, and reports whether it may: what is held of the
+// endpoint's may have been given up.
+func (q *request) beginAnswer() bool {
+	q.answering.Store(true)
+	return !q.answer.Ended()
+}
+
 // mayBegin reports whether a request may be sent to an endpoint: not if it could be cut there
 // because this gate is being stopped.
 func (g *Gate) mayBegin(q *request) bool { return g.halt.Load().MayBegin(q.deadline) }
@@ -303,7 +315,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		g.refuse(q, http.StatusGatewayTimeout, "not answered in time; it may have run: "+err.Error())
 	default:
-		if cause := context.Cause(ctx); errors.IsAny(cause, errStopped, errTooLarge) {
+		if cause := context.Cause(ctx); errors.IsAny(cause, errStopped, bulk.ErrEnded) {
 			err = cause
 		}
 		g.refuse(q, http.StatusBadGateway, "it may have run: "+err.Error())
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipstage/cowslipstage/protocol/events"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
+	"github.com/cowslipstage/cowslipstage/state/bulk"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/state/homes"
@@ -236,9 +237,13 @@
 	if err != nil {
 		return err
 	}
+	defer body.Release()
+	if !t.beginAnswer() {
+		return errors.Mark(bulk.ErrEnded, pool.ErrMayHaveRun)
+	}
 	copyHeader(t.writer.Header(), a.Header)
 	t.writer.WriteHeader(a.Status)
-	if _, err := t.writer.Write(body); err != nil {
+	if _, err := body.WriteTo(t.writer); err != nil {
 		g.log.Info().Err(err).Str("request", t.ID).Msg("caller left during its answer")
 	}
 	return errors.Wrapf(errPassed, "status %d", a.Status)
@@ -249,6 +254,7 @@
 	if t.begun {
 		return
 	}
+	t.beginAnswer() // an answer that has been given up ends with the next read
 	copyHeader(t.writer.Header(), a.Header)
 	t.writer.WriteHeader(a.Status)
 	t.begun = true
--- a/state/bulk/bulk.go
+++ b/state/bulk/bulk.go
@@ -20,8 +20,9 @@
 type Answer struct {
 	bulk *Bulk
 	end  func()
-	// size is guarded by the mutex of bulk.
-	size int64
+	// size and ended are guarded by the mutex of bulk. An answer that has ended counts no more.
+	size  int64
+	ended bool
 }
 
 // New returns a Bulk that holds at most so many bytes, 0 for any number.
@@ -31,17 +32,29 @@
 // be given up; it must not wait.
 func (b *Bulk) Open(end func()) *Answer { return &Answer{bulk: b, end: end} }
 
-// Grow notes that the answer takes some more bytes.
-func (a *Answer) Grow(n int) {
+// Grow notes that the answer takes some more bytes, or fewer if n is negative. It reports whether
+// the answer has not ended.
+func (a *Answer) Grow(n int) bool {
 	b := a.bulk
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.ended {
+		return false
+	}
 	a.size += int64(n)
 	b.total += int64(n)
 	b.held[a] = struct{}{}
 	for b.max > 0 && b.total > b.max {
 		b.endLargest()
 	}
+	return !a.ended
+}
+
+// Ended reports whether the answer has ended.
+func (a *Answer) Ended() bool {
+	a.bulk.mu.Lock()
+	defer a.bulk.mu.Unlock()
+	return a.ended
 }
 
 // endLargest ends the largest answer. The caller holds the mutex, and some answer is held.
@@ -66,7 +79,7 @@
 // drop stops counting an answer. The caller holds the mutex.
 func (b *Bulk) drop(a *Answer) {
 	b.total -= a.size
-	a.size = 0
+	a.size, a.ended = 0, true
 	delete(b.held, a)
 }
 
--- a/state/bulk/bulk_test.go
+++ b/state/bulk/bulk_test.go
@@ -1,7 +1,10 @@
 package bulk_test
 
 import (
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/onsi/gomega"
 
@@ -32,3 +35,29 @@
 	further.Grow(101)
 	g.Expect(b.Total()).To(gomega.BeZero(), "one answer beyond the bound ends, too")
 }
+
+// An answer is written as it was read, whatever its length, and counts as held meanwhile. One that is
+// longer than it may be is not read to its end.
+func TestPagesHoldAnAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := bulk.New(0)
+	for _, size := range []int{0, 1, 4 << 10, 4<<10 + 1, 36 << 10, 100_000} {
+		text := strings.Repeat("0123456789", size/10+1)[:size]
+		a := b.Open(func() {})
+		p, err := a.ReadAll(iotest.OneByteReader(strings.NewReader(text)), 100_000)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(b.Total()).To(gomega.BeNumerically(">=", size))
+		var written strings.Builder
+		g.Expect(p.WriteTo(&written)).To(gomega.Equal(int64(size)))
+		g.Expect(written.String() == text).To(gomega.BeTrue())
+		g.Expect(p.Len()).To(gomega.Equal(size))
+		p.Release()
+		a.Close()
+		g.Expect(b.Total()).To(gomega.BeZero())
+	}
+	p, err := b.Open(func() {}).ReadAll(strings.NewReader(strings.Repeat("x", 200_000)), 1000)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Len()).To(gomega.BeNumerically(">", 1000))
+	_, err = b.Open(func() {}).ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 1000)
+	g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
+}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -10,11 +10,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cowslipstage/cowslipstage/protocol/scan"
 	"github.com/cowslipstage/cowslipstage/state/memory"
 )
 
 const (
+	// writeBytes is how much of an answer is written at once.
+	writeBytes = 64 << 10
 	// readBytes is how much of a head is read at once.
 	readBytes = 4 << 10
 	// earlyBytes is how much is held of what a client sends before it has its answer. ConnBytes
@@ -35,8 +39,9 @@
 	net.Conn
 	server *Server
 	holder *memory.Holder
-	// over is set once the connection is to end, without a further request.
-	over atomic.Bool
+	// over is set once the connection is to end, without a further request, and cut once nothing
+	// more is to be written.
+	over, cut atomic.Bool
 	// deadline is that of reads in Unix nanoseconds, 0 for none. wake is signalled when it changes.
 	deadline atomic.Int64
 	wake     chan struct{}
@@ -125,6 +130,32 @@
 	return ErrEnded
 }
 
+// Write writes to the client, which may leave each part unread for the idle time.
+func (c *conn) Write(data []byte) (int, error) {
+	idle := c.server.options.Limits().IdleTime
+	written := 0
+	for first := true; first || written < len(data); first = false {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(idle)) // a closed connection needs none
+		if c.cut.Load() {
+			return written, os.ErrDeadlineExceeded
+		}
+		n, err := c.Conn.Write(data[written:min(len(data), written+writeBytes)])
+		if written += n; err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.cut.Swap(true) {
+				c.server.note(slowReader, c.RemoteAddr().String())
+			}
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// cutWrite ends the pending write and all further ones.
+func (c *conn) cutWrite() {
+	c.cut.Store(true)
+	_ = c.Conn.SetWriteDeadline(past) // a closed connection needs none
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.over.Store(true)
@@ -452,7 +483,7 @@
 		name, value := c.server.options.RetryAfter()
 		retry = name + ": " + value + "\r\n"
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(refuseTime)) // what fails here is noticed below
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:staticcheck // not that of c, which sets its own; what fails is noticed below
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		status, http.StatusText(status), len(text), retry, text)
 	closer, ok := c.Conn.(interface{ CloseWrite() error })
--- a/transport/intake/intake_test.go
+++ b/transport/intake/intake_test.go
@@ -303,3 +303,33 @@
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
 	f.g.Expect(io.ReadAll(r)).To(gomega.Equal([]byte("kraw\r\n\r\nno")))
 }
+
+// A client that does not read its answer is ended after the idle time; one that reads slowly is not.
+func TestSlowReadersAreEnded(t *testing.T) {
+	const size = 8 << 20
+	ended := make(chan error, 2)
+	f := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, size))
+		ended <- err
+	}, func(o *intake.Options) {
+		o.Limits = func() intake.Limits {
+			return intake.Limits{HeadBytes: 16 << 10, HeadTime: time.Minute, IdleTime: time.Second}
+		}
+	})
+	c, _ := f.dial()
+	defer func() { _ = c.Close() }()
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	f.g.Eventually(ended).WithTimeout(5 * time.Second).Should(gomega.Receive(gomega.HaveOccurred()))
+	f.g.Expect(f.refused("slow reader")).To(gomega.Equal("1"))
+	slow, r := f.dial()
+	defer func() { _ = slow.Close() }()
+	_, err = fmt.Fprint(slow, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for left := int64(size); left > 0; left -= size / 4 {
+		time.Sleep(600 * time.Millisecond)
+		_, err := io.CopyN(io.Discard, r, min(left, size/4))
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	f.g.Eventually(ended).Should(gomega.Receive(gomega.BeNil()))
+}
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -46,7 +46,7 @@
 	// HeadBytes bounds a request's header lines, and its first line as well.
 	HeadBytes int
 	// HeadTime is how long a head may take from its first byte, IdleTime how long a client may do
-	// nothing, between requests or in a body.
+	// nothing, between requests, in a body or while it is answered.
 	HeadTime, IdleTime time.Duration
 }
 
@@ -80,6 +80,7 @@
 	malformed       reason = "malformed"
 	slowHead        reason = "slow head"
 	slowBody        reason = "slow body"
+	slowReader      reason = "slow reader"
 	// ended: another client needed the room.
 	ended reason = "ended"
 )
@@ -109,7 +110,7 @@
 		o.Limits = func() Limits { return DefaultLimits }
 	}
 	s := &Server{options: o, group: o.Budget.Group(o.Conns), conns: map[*conn]struct{}{}, refused: map[reason]*metrics.Counter{}}
-	for _, r := range []reason{connectionsFull, memoryFull, longHead, malformed, slowHead, slowBody, ended} {
+	for _, r := range []reason{connectionsFull, memoryFull, longHead, malformed, slowHead, slowBody, slowReader, ended} {
 		s.refused[r] = o.Set.GetOrCreateCounter(fmt.Sprintf("cowslipstage_clients_refused_total{listener=%q,reason=%q}", o.Name, r))
 	}
 	s.log = o.Log.With().Str("listener", o.Name).Logger().Sample(&zerolog.BurstSampler{Burst: loggedMost, Period: loggedEvery})
@@ -129,6 +130,13 @@
 	return nil
 }
 
+// CutAnswer ends the answer to the request of a context, also while it is being written.
+func CutAnswer(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.cutWrite()
+	}
+}
+
 // handler prepares requests for the next handler.
 type handler struct{ next http.Handler }
 
