--- a/state/memory/memory.go
+++ b/state/memory/memory.go
@@ -19,6 +19,11 @@
 	// progressBytes is how much must arrive to count as progress. Less of it is what a client
 	// sends that only keeps its request open.
 	progressBytes = 32 << 10
+	// stallTime is how long a request that is being read may make no progress before it can be ended.
+	stallTime = 300 * time.Millisecond
+	// goingShare is the part of a budget that holders which have been ended may still hold. Until they
+	// are closed, no more are ended.
+	goingShare = 1.0 / 8
 	// spareShare is the part of a budget that is freed in addition when holders are ended, so
 	// that not each booking looks for one.
 	spareShare = 1.0 / 64
@@ -46,6 +51,9 @@
 	taken, large int64
 	// holders holds all that have not ended.
 	holders map[*Holder]struct{}
+	// going is the size of those that have been ended and are not closed yet, which may still hold
+	// it.
+	going int64
 	// ended counts the holders that were ended for others.
 	ended int
 }
@@ -77,6 +85,8 @@
 	since   time.Time
 	arrived int64
 	ended   bool
+	// going is what it held when it was ended, until it is closed.
+	going int64
 }
 
 // New returns a budget of so many bytes, 0 for any number.
@@ -198,6 +208,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.drop(h)
+	b.going -= h.going
+	h.going = 0
 }
 
 // add changes the size of a holder. The caller holds the mutex.
@@ -242,18 +254,24 @@
 			grown = size
 		}
 		if excess := b.large + grown - b.largeMax(); excess > 0 {
-			b.endFirst(now, excess, spare, func(o *Holder) bool { return o != h && o.size >= LargeBytes && o.weight(now) > own }, (*Holder).bytes)
+			b.endFirst(now, excess, spare, func(o *Holder) bool { return o != h && o.size >= LargeBytes && o.stalled(now) && o.weight(now) > own }, (*Holder).bytes)
 		}
 		if b.large+grown > b.largeMax() {
 			return false
 		}
 	}
 	if excess := b.taken + n - b.max; excess > 0 {
-		b.endFirst(now, excess, spare, func(o *Holder) bool { return o != h && o.weight(now) > own }, (*Holder).bytes)
+		b.endFirst(now, excess, spare, func(o *Holder) bool { return o != h && o.stalled(now) && o.weight(now) > own }, (*Holder).bytes)
 	}
 	return b.taken+n <= b.max
 }
 
+// stalled reports whether a holder has made no progress for some time. One that makes progress is not
+// ended for another, which is refused instead: else many that come together end each other.
+func (h *Holder) stalled(now time.Time) bool {
+	return h.phase == Idle || now.Sub(h.since) >= stallTime
+}
+
 func (h *Holder) bytes() int64 { return h.size }
 
 // weight is what a holder takes from others: its bytes, for how long it has made no progress, and
@@ -273,13 +291,15 @@
 			total += value(h)
 		}
 	}
-	if total < needed {
+	if total < needed || b.max > 0 && b.going > int64(goingShare*float64(b.max)) {
 		return
 	}
 	slices.SortFunc(found, func(x, y *Holder) int { return cmp.Compare(y.weight(now), x.weight(now)) })
 	for wanted := needed + more; wanted > 0 && len(found) > 0; found = found[1:] {
 		h := found[0]
 		wanted -= value(h)
+		h.going = h.size
+		b.going += h.going
 		b.drop(h)
 		b.ended++
 		h.end()
--- a/state/memory/memory_test.go
+++ b/state/memory/memory_test.go
@@ -15,12 +15,21 @@
 
 const kb = 1 << 10
 
-// client is a holder that notes that it was ended.
+// client is a holder that notes that it was ended. Who ended it closes it once the test goes on.
 type client struct {
 	*memory.Holder
 	ended bool
 }
 
+// settle closes the clients that were ended.
+func settle(clients ...*client) {
+	for _, c := range clients {
+		if c.ended {
+			c.Close()
+		}
+	}
+}
+
 // open opens a holder and has it read so many bytes more.
 func open(g *gomega.WithT, group *memory.Group, at time.Duration, addr string, bytes int64) *client {
 	c := &client{}
@@ -143,6 +152,9 @@
 					took := c.Take(now, random.Int64N(600*kb))
 					g.Expect(took && c.ended).To(gomega.BeFalse())
 				}
+				if random.IntN(20) == 0 {
+					settle(clients...)
+				}
 				g.Expect(b.Taken()).To(gomega.And(gomega.BeNumerically("<=", most), gomega.BeNumerically(">=", 0)))
 			}
 			for _, c := range clients {
@@ -152,3 +164,23 @@
 		})
 	}
 }
+
+// What has been ended may still be held until it is closed, so that not much more is ended before that.
+func TestWhatIsGoingIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := memory.New(800 * kb)
+	group := b.Group(0)
+	var clients []*client
+	for range 8 {
+		clients = append(clients, open(g, group, 0, "a", 98*kb))
+	}
+	newcomer, ok := group.Open(epoch.Add(time.Second), "b", kb, func() {})
+	g.Expect(ok).To(gomega.BeTrue())
+	taken := 0
+	for newcomer.Take(epoch.Add(time.Second), 98*kb) {
+		taken++
+	}
+	g.Expect(taken).To(gomega.BeNumerically("<=", 2), "ended and not closed")
+	settle(clients...)
+	g.Expect(newcomer.Take(epoch.Add(time.Second), 98*kb)).To(gomega.BeTrue())
+}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -42,6 +42,8 @@
 	// over is set once the connection is to end, without a further request, and cut once nothing
 	// more is to be written.
 	over, cut atomic.Bool
+	// gone is set once the connection is closed for another one.
+	gone atomic.Bool
 	// deadline is that of reads in Unix nanoseconds, 0 for none. wake is signalled when it changes.
 	deadline atomic.Int64
 	wake     chan struct{}
@@ -70,6 +72,7 @@
 // held.
 func (c *conn) end() {
 	c.over.Store(true)
+	c.gone.Store(true)
 	c.signal()
 	_ = c.Conn.Close() // net/http closes it once more
 	c.server.note(ended, c.RemoteAddr().String())
@@ -156,15 +159,39 @@
 	_ = c.Conn.SetWriteDeadline(past) // a closed connection needs none
 }
 
-// Close closes the connection.
+// Close closes the connection, a little later if the client may not have got its answer yet.
 func (c *conn) Close() error {
 	c.over.Store(true)
 	c.signal()
+	if c.unread() && c.closeWrite() == nil {
+		time.AfterFunc(lingerTime, func() { _ = c.closeNow() }) // nobody waits for it
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *conn) closeNow() error {
 	c.server.forget(c)
 	c.holder.Close()
 	return c.Conn.Close()
 }
 
+// unread reports whether the client may still be sending a body. A connection that is closed with
+// unread bytes is reset, and an answer on its way to the client lost.
+func (c *conn) unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.gone.Load() && !c.raw && c.serving && !c.scanner.Between()
+}
+
+// closeWrite tells the client that nothing more follows.
+func (c *conn) closeWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return errors.New("intake: cannot be closed in one direction")
+}
+
 // isLast reports whether the connection ends with the current request.
 func (c *conn) isLast() bool {
 	c.mu.Lock()
@@ -172,12 +199,13 @@
 	return c.last
 }
 
-// hijack passes on all that comes from now on.
+// hijack passes on all that comes from now on. The connection gives way like one without a request, by
+// when it was last used.
 func (c *conn) hijack() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.raw, c.ready, c.unseen = true, len(c.held), 0
-	c.holder.Enter(time.Now(), memory.Serving)
+	c.holder.Enter(time.Now(), memory.Idle)
 }
 
 // endRequest notes that a request has been answered.
@@ -340,6 +368,7 @@
 		_ = c.Conn.SetReadDeadline(time.Time{}) // a closed connection needs none
 	}
 	if c.raw {
+		c.holder.Enter(now, memory.Idle)
 		return n, 0
 	}
 	got := into[:n]
@@ -486,8 +515,7 @@
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:staticcheck // not that of c, which sets its own; what fails is noticed below
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		status, http.StatusText(status), len(text), retry, text)
-	closer, ok := c.Conn.(interface{ CloseWrite() error })
-	if err != nil || !ok || closer.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if err != nil || c.closeWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
--- a/transport/intake/intake_test.go
+++ b/transport/intake/intake_test.go
@@ -197,6 +197,25 @@
 	}
 }
 
+// A client that is refused while it sends its body gets its refusal, also if it wants its connection
+// closed.
+func TestARefusalArrivesWhileABodyIsSent(t *testing.T) {
+	f := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	for _, more := range []string{"", "Connection: close\r\n"} {
+		c, r := f.dial()
+		sent := make(chan error, 1)
+		go func() {
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n%s", more, 16<<20, strings.Repeat("x", 16<<20))
+			sent <- err
+		}()
+		time.Sleep(50 * time.Millisecond) // the refusal is there, and would be lost
+		f.expectStatus(r, http.StatusServiceUnavailable)
+		f.g.Expect(c.Close()).To(gomega.Succeed())
+		<-sent
+	}
+	f.g.Eventually(f.budget.Taken).WithTimeout(2 * time.Second).Should(gomega.BeZero())
+}
+
 // A head is refused before it is parsed if what it takes does not fit beside the requests that are
 // served, and such a refusal says when to come back.
 func TestAHeadWithoutRoomIsRefused(t *testing.T) {
