--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"reflect"
@@ -20,6 +21,7 @@
 	"github.com/cowslipstage/cowslipstage/platform"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/vault"
 )
 
@@ -183,6 +185,9 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
-	log.Warn().Err(server.ListenAndServe()).Msg("metrics server ended")
+	listener, err := net.Listen("tcp", addr)
+	if err == nil {
+		err = intake.NewBrief(mux, "metrics", set, log).Serve(listener)
+	}
+	log.Warn().Err(err).Msg("metrics server ended")
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -245,7 +245,7 @@
 	callerServer := intake.New(http.HandlerFunc(g.serve), intake.Options{
 		Name: "callers", Budget: g.memory, Conns: g.site.CallerConns(), Limits: g.callerLimits, RetryAfter: g.retryAfter, Set: g.set, Log: g.log,
 	})
-	balancerServer := &http.Server{Handler: g.balancerHandler(), ReadHeaderTimeout: intake.DefaultLimits.HeadTime}
+	balancerServer := intake.NewBrief(g.balancerHandler(), "ready", g.set, g.log)
 	go g.listen(callerServer, listener)
 	go g.listen(balancerServer, readyListener)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -189,7 +189,28 @@
 	s.checkAnswers(when)
 	for _, h := range append(append([]*host{}, s.gates...), s.vaults...) {
 		h.check(s.t)
+		if counts := h.refusals(); len(counts) > 0 {
+			s.t.Logf("%s: %s", h.Name, strings.Join(counts, ", "))
+		}
+	}
+}
+
+// refusals returns the counts of clients that were refused or ended, as far as the process has any.
+func (h *host) refusals() []string {
+	const name = "cowslipstage_clients_refused_total"
+	a, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + h.metrics() + "/metrics")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, _ := io.ReadAll(a.Body) // what is missing is not reported
+	var counts []string
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, name); ok && !strings.HasSuffix(rest, " 0\n") {
+			counts = append(counts, strings.TrimSpace(rest))
+		}
 	}
+	return counts
 }
 
 // ordinaryInput is the body of an ordinary request.
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -53,6 +53,23 @@
 // DefaultLimits are in force where no others are. No client within the users' limits meets them.
 var DefaultLimits = Limits{HeadBytes: 64 << 10, HeadTime: 5 * time.Second, IdleTime: time.Minute}
 
+const (
+	// briefBytes and briefConns bound a listener for brief requests.
+	briefBytes = 2 << 20
+	briefConns = 32
+)
+
+// briefLimits are the limits of a listener for brief requests.
+var briefLimits = Limits{HeadBytes: 8 << 10, HeadTime: DefaultLimits.HeadTime, IdleTime: DefaultLimits.IdleTime}
+
+// NewBrief returns a server of a listener for brief requests, such as those of a load balancer, that
+// are answered whatever comes at other listeners.
+func NewBrief(next http.Handler, name string, set *metrics.Set, log zerolog.Logger) *Server {
+	return New(next, Options{
+		Name: name, Budget: memory.New(briefBytes), Conns: briefConns, Limits: func() Limits { return briefLimits }, Set: set, Log: log,
+	})
+}
+
 // Options configures a Server.
 type Options struct {
 	// Name names the listener in the log and in metrics.
