--- a/gate/body.go
+++ b/gate/body.go
@@ -70,7 +70,8 @@
 }
 
 // readBooked reads to the end of a body of some length, -1 if it is not known, and at most limit
-// bytes. Each buffer is booked before it is made.
+// bytes. Each buffer is booked before it is made. A large body gets the room for all of it or is
+// refused: of many that come at once, some are then read to their ends.
 func readBooked(r io.Reader, length, limit int64, h *memory.Holder) ([]byte, error) {
 	most := limit + 1 // so that a longer body is noticed
 	if length >= 0 {
@@ -80,7 +81,11 @@
 	for {
 		if len(body) == cap(body) {
 			grown := min(max(firstBodyBytes, 2*int64(cap(body))), most)
+			if length >= 0 && grown > memory.LargeBytes {
+				grown = length
+			}
 			if !take(h, grown) {
+				give(h, int64(cap(body)))
 				return nil, errNoRoom
 			}
 			larger := append(make([]byte, 0, grown), body...)
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -216,7 +216,7 @@
 			reports.Add(int64(len(l.Crashes)))
 			answer(&vaults.LoadReply{})
 		}
-	}, zerolog.Nop()))
+	}, wsrpc.Messages{}, zerolog.Nop()))
 	t.Cleanup(earlier.CloseClientConnections)
 	s := &site.Site{
 		Node: "gate", Centre: "centre-0", MaxLostHosts: 1, Memory: 64 << 20, Grace: time.Second,
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -192,6 +192,7 @@
 	})
 	g.unread = log.Sample(&zerolog.BurstSampler{Burst: unreadLines, Period: time.Second})
 	g.vaults = newVaultClient(s, r, set, log)
+	g.vaults.clients.SetMessages(wsrpc.NewMessages(g.memory))
 	g.vaults.clients.SetDials(wsrpc.Dial, g.dialVault)
 	g.vaults.exchange.fleet = g.fleet
 	g.vaults.exchange.runningCalls, g.vaults.exchange.recentOutcomes = g.runningCalls, g.recentOutcomes
--- a/gate/slowvaults_test.go
+++ b/gate/slowvaults_test.go
@@ -48,7 +48,7 @@
 				return
 			}
 			time.AfterFunc(takes, func() { answer(reply) })
-		}, zerolog.Nop())
+		}, wsrpc.Messages{}, zerolog.Nop())
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 		go func() { _ = server.Serve(l) }()
 		t.Cleanup(func() { _ = server.Close() })
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -127,6 +127,10 @@
 // may spend. It reports whether the turn may run; if not, the caller has been
 // refused.
 func (g *Gate) prepareTurn(ctx context.Context, t *turn) bool {
+	if t.route.KeepsTurns && !take(t.holder, int64(len(t.body))) { // for the message to the vaults
+		g.refuseUnread(t.request, http.StatusServiceUnavailable, errNoRoom.Error()+"; it has not run")
+		return false
+	}
 	wanted := opening{
 		hold:   &chains.Hold{Program: t.account(), Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
 		budget: -1, owner: t.customerName(), margin: t.retentionMargin(),
--- a/gate/vaultclient.go
+++ b/gate/vaultclient.go
@@ -358,8 +358,7 @@
 	started := time.Now()
 	defer c.endSeconds.UpdateDuration(started)
 	err := c.sendEnd(ctx, t.Program, func(version uint64) *vaults.End {
-		copied := *t
-		return &vaults.End{Version: version, Turn: &copied}
+		return &vaults.End{Version: version, Turn: t}
 	})
 	if err == nil {
 		kept := *t
@@ -373,8 +372,7 @@
 // nil.
 func (c *vaultClient) settle(ctx context.Context, s *chains.Spent, home *vaults.Home) error {
 	return c.sendEnd(ctx, s.Program, func(version uint64) *vaults.End {
-		copied := *s
-		return &vaults.End{Version: version, Spent: &copied, Home: home}
+		return &vaults.End{Version: version, Spent: s, Home: home}
 	})
 }
 
@@ -396,18 +394,27 @@
 }
 
 // sendEnd sends the end of a turn to a quorum of vaults, until settleTime has passed.
-// Vaults that have recorded it are not sent it again.
-func (c *vaultClient) sendEnd(ctx context.Context, key string, message func(version uint64) *vaults.End) error {
+// Vaults that have recorded it are not sent it again. It is encoded once for all.
+func (c *vaultClient) sendEnd(ctx context.Context, key string, end func(version uint64) *vaults.End) error {
 	receipts := receipts{}
 	until := time.Now().Add(settleTime)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	var message *vaults.Prepared
+	prepared := uint64(0)
 	return c.retryUncertain(ctx, func(now time.Time) bool { return now.Before(until) }, func() error {
 		return c.withRoster(ctx, func(roster *seats.Roster) error {
 			order := receipts.remaining(time.Now(), roster.Version, c.orderSeats(roster, key))
 			needed := roster.Quorum() - (len(roster.Seats) - len(order))
+			if message == nil || prepared != roster.Version {
+				var err error
+				if message, err = vaults.Prepare(end(roster.Version)); err != nil {
+					return err
+				}
+				prepared = roster.Version
+			}
 			return c.gather(ctx, order, needed, func(int, seats.Seat) vaults.Message {
-				return message(roster.Version)
+				return message
 			}, func(s seats.Seat, m vaults.Message) bool {
 				a, ok := m.(*vaults.EndReply)
 				if !ok || !c.acceptStatus(s, a.Status, a.Roster) {
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -3,6 +3,7 @@
 package vaults
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -394,13 +395,81 @@
 // ErrMalformed means that bytes do not decode to a message.
 var ErrMalformed = errors.New("vaults: malformed message")
 
+// Prepared is a message that has been encoded, to be sent several times.
+type Prepared struct {
+	Message
+	data []byte
+}
+
+// Prepare encodes a message.
+func Prepare(m Message) (*Prepared, error) {
+	data, err := Encode(m)
+	return &Prepared{m, data}, err
+}
+
+// encoding appends to a buffer, so that long texts are copied once.
+var encoding = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the default options are valid
+	}
+	return mode
+}()
+
+// fieldBytes is about how much a message takes beside its texts.
+const fieldBytes = 512
+
 // Encode returns the message's kind byte followed by its CBOR encoding.
 func Encode(m Message) ([]byte, error) {
-	data, err := cbor.Marshal(m)
-	if err != nil {
+	if p, ok := m.(*Prepared); ok {
+		return p.data, nil
+	}
+	var buffer bytes.Buffer
+	if n := textBytes(m); n > 0 {
+		buffer.Grow(n + fieldBytes)
+	}
+	buffer.WriteByte(m.kind())
+	if err := encoding.MarshalToBuffer(m, &buffer); err != nil {
 		return nil, errors.Wrap(err, "vaults: encoding")
 	}
-	return append([]byte{m.kind()}, data...), nil
+	return buffer.Bytes(), nil
+}
+
+// textBytes returns the length of the texts in a message.
+func textBytes(m Message) int {
+	var turns []*chains.Turn
+	switch m := m.(type) {
+	case *End:
+		turns = append(turns, m.Turn)
+	case *BeginReply:
+		turns = m.Turns
+	case *FetchReply:
+		turns = m.Turns
+	case *GetReply:
+		turns = m.Turns
+	}
+	n := 0
+	for _, t := range turns {
+		if t != nil {
+			n += len(t.Input) + len(t.Output) + len(t.ID) + len(t.Previous)
+		}
+	}
+	return n
+}
+
+// Kind returns the kind of a message, the first byte of its encoding.
+func Kind(m Message) uint8 { return m.kind() }
+
+// Decline returns the answer to a message of a kind of which nothing was done, so that its sender asks
+// another vault at once. It is nil for messages whose senders notice by their timeouts.
+func Decline(kind uint8) Message {
+	switch newMessage(kind).(type) {
+	case *Begin:
+		return &BeginReply{Status: Failed}
+	case *End:
+		return &EndReply{Status: Failed}
+	}
+	return nil
 }
 
 // Decode undoes Encode; errors are marked with ErrMalformed.
--- a/state/chains/record.go
+++ b/state/chains/record.go
@@ -3,6 +3,7 @@
 package chains
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,21 +77,34 @@
 	kindSpent
 )
 
+// encoding appends to a buffer, so that long texts are copied once.
+var encoding = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the default options are valid
+	}
+	return mode
+}()
+
+// fieldBytes is about how much an encoded record takes beside its texts.
+const fieldBytes = 256
+
 // Encode appends a record's encoded form.
 func Encode(buffer []byte, r Record) ([]byte, error) {
-	switch r.(type) {
+	out := bytes.NewBuffer(buffer)
+	switch r := r.(type) {
 	case *Turn:
-		buffer = append(buffer, kindTurn)
+		out.Grow(len(r.Input) + len(r.Output) + fieldBytes)
+		out.WriteByte(kindTurn)
 	case *Hold:
-		buffer = append(buffer, kindHold)
+		out.WriteByte(kindHold)
 	case *Spent:
-		buffer = append(buffer, kindSpent)
+		out.WriteByte(kindSpent)
 	}
-	data, err := cbor.Marshal(r)
-	if err != nil {
+	if err := encoding.MarshalToBuffer(r, out); err != nil {
 		return nil, errors.Wrap(err, "chains: encoding")
 	}
-	return append(buffer, data...), nil
+	return out.Bytes(), nil
 }
 
 // turnFacts are the fields of an encoded Turn other than its texts.
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -123,3 +123,21 @@
 	}
 	return int(callerFiles * float64(s.Sockets()))
 }
+
+const (
+	// peerFiles and peerBytes are the parts of the sockets and of the memory for clients that
+	// connections of other processes may take. Each process has one.
+	peerFiles = 0.5
+	peerBytes = 0.25
+	// minPeers is how many other processes can always connect.
+	minPeers = 64
+)
+
+// PeerConns returns how many connections other processes may have, each of which takes some memory.
+func (s *Site) PeerConns(connBytes int) int {
+	most := int(peerFiles * float64(s.Sockets()))
+	if bytes := s.ClientBytes(); bytes > 0 {
+		most = min(most, int(peerBytes*float64(bytes))/connBytes)
+	}
+	return max(most, minPeers)
+}
--- a/transport/wsrpc/client.go
+++ b/transport/wsrpc/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,8 @@
 	replacedTime = time.Second
 	// maxQueuedMessages bounds the unwritten messages of one connection.
 	maxQueuedMessages = 1024
+	// maxQueuedBytes bounds their size, unless there is only one.
+	maxQueuedBytes = 8 << 20
 	// numberBytes is the size of the call number that precedes each message.
 	numberBytes = 8
 )
@@ -69,6 +72,8 @@
 	addr string
 	// direct connects to the vault, detour where that fails; detour may be nil.
 	direct, detour DialFunc
+	// messages bounds what is received.
+	messages Messages
 
 	mu sync.Mutex
 	// conn is the current connection, or nil. It may be closed.
@@ -92,7 +97,12 @@
 type connection struct {
 	socket   *websocket.Conn
 	cancel   context.CancelFunc
-	outgoing chan []byte
+	outgoing chan outgoing
+	// queued is the size of the messages that wait to be sent.
+	queued atomic.Int64
+	// peer and messages say where what is received is booked.
+	peer     string
+	messages Messages
 
 	mu         sync.Mutex
 	lastNumber uint64
@@ -283,7 +293,7 @@
 	socket.SetReadLimit(maxMessageBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	cn := &connection{
-		socket: socket, cancel: cancel, outgoing: make(chan []byte, maxQueuedMessages),
+		socket: socket, cancel: cancel, outgoing: make(chan outgoing, maxQueuedMessages), peer: c.addr, messages: c.messages,
 		pending: map[uint64]chan vaults.Message{}, lastReceived: time.Now(), detour: detour,
 	}
 	c.conn = cn
@@ -352,9 +362,7 @@
 	cn.pending[number] = result
 	cn.mu.Unlock()
 	defer cn.removePending(number)
-	select {
-	case cn.outgoing <- prependNumber(number, data):
-	default:
+	if !cn.queue(outgoing{number, data}) {
 		return nil, errors.Wrap(ErrNoAnswer, "too many queued messages")
 	}
 	probe := time.NewTicker(probeEvery)
@@ -406,18 +414,56 @@
 	delete(cn.pending, number)
 }
 
-func prependNumber(number uint64, data []byte) []byte {
-	m := make([]byte, numberBytes, numberBytes+len(data))
-	binary.LittleEndian.PutUint64(m, number)
-	return append(m, data...)
+// outgoing is a message that waits to be sent.
+type outgoing struct {
+	number uint64
+	data   []byte
+}
+
+// writeTo sends the message, a long one without copying it once more.
+func (o outgoing) writeTo(ctx context.Context, socket *websocket.Conn) error {
+	number := make([]byte, numberBytes, numberBytes+min(len(o.data), smallBytes))
+	binary.LittleEndian.PutUint64(number, o.number)
+	if len(o.data) <= smallBytes {
+		return socket.Write(ctx, websocket.MessageBinary, append(number, o.data...))
+	}
+	w, err := socket.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(number); err != nil {
+		return err
+	}
+	if _, err := w.Write(o.data); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+// queue has a message sent, unless too many wait or too much.
+func (cn *connection) queue(o outgoing) bool {
+	size := int64(len(o.data))
+	if queued := cn.queued.Add(size); queued > maxQueuedBytes && queued > size {
+		cn.queued.Add(-size)
+		return false
+	}
+	select {
+	case cn.outgoing <- o:
+		return true
+	default:
+		cn.queued.Add(-size)
+		return false
+	}
 }
 
 func (cn *connection) write(ctx context.Context) {
 	defer cn.close()
 	for {
 		select {
-		case data := <-cn.outgoing:
-			if cn.socket.Write(ctx, websocket.MessageBinary, data) != nil {
+		case o := <-cn.outgoing:
+			err := o.writeTo(ctx, cn.socket)
+			cn.queued.Add(-int64(len(o.data)))
+			if err != nil {
 				return // close fails all pending calls
 			}
 		case <-ctx.Done():
@@ -429,20 +475,28 @@
 func (cn *connection) read(ctx context.Context) {
 	defer cn.close()
 	for {
-		_, data, err := cn.socket.Read(ctx)
-		if err != nil || len(data) < numberBytes {
+		i, err := cn.messages.receive(ctx, cn.socket, cn.peer)
+		noRoom := errors.Is(err, errNoRoom)
+		if err != nil && !noRoom || len(i.data) < numberBytes {
 			return // close fails all pending calls
 		}
-		m, err := vaults.Decode(data[numberBytes:])
-		if err != nil {
+		number := binary.LittleEndian.Uint64(i.data)
+		var m vaults.Message
+		if !noRoom && i.take(len(i.data)) {
+			m, err = vaults.Decode(i.data[numberBytes:])
+		}
+		i.release() // the caller books what it keeps
+		if m == nil && err != nil && !noRoom {
 			return
 		}
-		number := binary.LittleEndian.Uint64(data)
 		cn.mu.Lock()
 		cn.lastReceived = time.Now()
 		if result, ok := cn.pending[number]; ok {
-			result <- m
-			delete(cn.pending, number)
+			if delete(cn.pending, number); m != nil {
+				result <- m
+			} else {
+				close(result)
+			}
 		}
 		cn.mu.Unlock()
 	}
--- a/transport/wsrpc/group.go
+++ b/transport/wsrpc/group.go
@@ -9,6 +9,15 @@
 	direct  DialFunc
 	detour  DialFunc
 	clients map[string]*Client
+	// messages bounds what the clients receive.
+	messages Messages
+}
+
+// SetMessages sets where clients that are created from now on book what they receive.
+func (g *Group) SetMessages(m Messages) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.messages = m
 }
 
 // SetDials sets how clients that are created from now on connect to a vault: directly, and by a
@@ -29,6 +38,7 @@
 			g.clients = map[string]*Client{}
 		}
 		c = NewClient(addr)
+		c.messages = g.messages
 		if c.detour = g.detour; g.direct != nil {
 			c.direct = g.direct
 		}
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -52,6 +52,8 @@
 			return
 		}
 		v.answerGet(m, r.answer)
+	default:
+		r.answer(nil)
 	}
 }
 
@@ -291,6 +293,7 @@
 			t, err := k.Load()
 			if err != nil {
 				v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; the request for it fails")
+				answer(nil)
 				return
 			}
 			// The turns with one ID are sent together, because the receiver goes on with
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -27,11 +27,13 @@
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/homes"
 	"github.com/cowslipstage/cowslipstage/state/leave"
+	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/tally"
 	"github.com/cowslipstage/cowslipstage/state/usage"
 	"github.com/cowslipstage/cowslipstage/transport/files"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/wallog"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
@@ -102,12 +104,7 @@
 // decline says that nothing was done, so that the sender asks another vault at once. Senders of
 // other messages notice by their timeouts.
 func (r request) decline() {
-	switch r.message.(type) {
-	case *vaults.Begin:
-		r.answer(&vaults.BeginReply{Status: vaults.Failed})
-	case *vaults.End:
-		r.answer(&vaults.EndReply{Status: vaults.Failed})
-	}
+	r.answer(vaults.Decline(vaults.Kind(r.message)))
 }
 
 // copied holds records from another vault that are already on this disk.
@@ -161,6 +158,8 @@
 	verdicts, uses *saver
 
 	peers wsrpc.Group
+	// memory bounds what is held of messages.
+	memory *memory.Budget
 
 	mu sync.Mutex
 	// roster is the newest one known. Its version never decreases.
@@ -201,7 +200,10 @@
 		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), homes: homes.New(int(s.Memory / homeBytes)), usage: usage.New(s.Quota.Window()),
 		verdicts: newSaver(s.Data, verdictsFile, log), uses: newSaver(s.Data, usesFile, log),
 		roster: &seats.Roster{}, views: map[string]*viewState{}, growth: growth.New(keptBytes(s.Memory)),
+		memory: memory.New(s.ClientBytes()),
 	}
+	v.peers.SetMessages(wsrpc.NewMessages(v.memory))
+	set.NewGauge("cowslipstage_client_bytes", func() float64 { return float64(v.memory.Taken()) })
 	v.meters = meters{
 		begins: set.NewCounter("cowslipstage_vault_begins_total"), ends: set.NewCounter("cowslipstage_vault_ends_total"),
 		fetches: set.NewCounter("cowslipstage_vault_fetches_total"), refused: set.NewCounter("cowslipstage_vault_refused_total"),
@@ -287,7 +289,9 @@
 	if err != nil {
 		return errors.Wrap(err, "vault: listening")
 	}
-	server := &http.Server{Handler: wsrpc.NewHandler(ctx, v.handle, v.log), ReadHeaderTimeout: time.Second}
+	server := intake.New(wsrpc.NewHandler(ctx, v.handle, wsrpc.NewMessages(v.memory), v.log), intake.Options{
+		Name: "control", Budget: v.memory, Conns: v.site.PeerConns(intake.ConnBytes), Set: v.set, Log: v.log,
+	})
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			v.log.Error().Err(err).Msg("listener failed")
@@ -310,12 +314,12 @@
 	switch m := m.(type) {
 	case *vaults.Adopt:
 		go func() {
-			defer v.recoverPanic(m)
+			defer v.recoverPanic(request{message: m, answer: answer})
 			v.answerAdopt(m, answer)
 		}()
 	case *vaults.AwaitView:
 		go func() {
-			defer v.recoverPanic(m)
+			defer v.recoverPanic(request{message: m, answer: answer})
 			answer(v.answerAwaitView(m))
 		}()
 	default:
@@ -384,7 +388,14 @@
 func (v *Vault) recoverPanic(handled any) {
 	if p := recover(); p != nil {
 		v.meters.panics.Inc()
+		r, isRequest := handled.(request)
+		if isRequest {
+			handled = r.message
+		}
 		v.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Type("handled", handled).Msg("panic; only this message is dropped")
+		if isRequest {
+			r.answer(nil)
+		}
 	}
 }
 
