--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -164,7 +164,7 @@
 	c.over.Store(true)
 	c.signal()
 	if c.unread() && c.closeWrite() == nil {
-		c.holder.Enter(time.Now(), memory.Idle) // nothing of the request is held any more
+		c.holder.Enter(time.Now(), memory.Idle)                 // nothing of the request is held any more
 		time.AfterFunc(lingerTime, func() { _ = c.closeNow() }) // nobody waits for it
 		return nil
 	}
