--- a/gate/chain.go
+++ b/gate/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,38 +38,54 @@
 	}
 }
 
-// fetchChain fetches an owner's chain from the vaults. The turns of one chain may lie on
-// different vaults, so it continues with the turns before the ones received.
-// The newest turn is known not to exist only if every seat counts as a copy and
-// lacks it.
-func (c *vaultClient) fetchChain(ctx context.Context, previous, owner string) ([]*chains.Turn, error) {
-	var chain []*chains.Turn
+// maxChainLength bounds the walk along a chain, as at the vaults.
+const maxChainLength = 4096
+
+// fetchChain fetches an owner's chain from the vaults, oldest turn first. The turns of one chain may
+// lie on different vaults, and an answer holds a page of them, so it continues with the turns before the
+// ones received. room books the texts of each. The newest turn is known not to exist only if every seat
+// counts as a copy and lacks it.
+func (c *vaultClient) fetchChain(ctx context.Context, previous, owner string, room func(bytes int) bool) ([]*chains.Turn, error) {
+	var chain []*chains.Turn // newest first
+	next := previous
 	err := c.withRoster(ctx, func(roster *seats.Roster) error {
-		for {
-			missing := c.missingTurn(previous, owner)
-			if missing == "" {
-				chain, _ = c.cachedChain(previous, owner)
-				return nil
+		for next != "" && len(chain) < maxChainLength {
+			turns := c.cachedTurns(next, owner)
+			lacking := 0
+			if len(turns) == 0 {
+				turns, lacking = c.fetchTurns(ctx, roster, next, owner)
+			}
+			missing := next
+			for _, t := range turns {
+				if t.ID != next || t.Owner != owner && t.Owner != "" {
+					break
+				}
+				if room != nil && !room(len(t.Input)+len(t.Output)) {
+					return errors.Wrapf(errNoRoom, "%d turns of the chain", len(chain))
+				}
+				chain, next = append(chain, t), t.Previous
 			}
-			lacking := c.fetchTurns(ctx, roster, missing, owner)
 			switch {
-			case c.missingTurn(previous, owner) != missing:
+			case next != missing:
 			case missing == previous && lacking == len(roster.Seats) && lacking >= seats.TargetCount(c.site.MaxLostHosts):
 				return errors.Wrapf(errUnknown, "%s at %s", previous, roster)
 			default:
 				return errors.Wrapf(errUncertain, "%d of %d vaults lack the turn %s", lacking, len(roster.Seats), missing)
 			}
 		}
+		return nil
 	})
+	slices.Reverse(chain)
 	return chain, err
 }
 
 // fetchTurns asks vaults, nearest first and one at a time, for the chain up to
-// a turn until one returns turns. Asking one at a time lets the text cross
-// between data centres only once. It returns 0 if turns arrived, else how many
+// a turn until one returns turns, newest first. Asking one at a time lets the text cross
+// between data centres only once. If none arrived, it returns how many
 // vaults that count as copies lack the turn.
-func (c *vaultClient) fetchTurns(ctx context.Context, roster *seats.Roster, id, owner string) int {
+func (c *vaultClient) fetchTurns(ctx context.Context, roster *seats.Roster, id, owner string) ([]*chains.Turn, int) {
 	lacking := 0
+	var turns []*chains.Turn
 	ctx, cancel := context.WithTimeout(ctx, openTime)
 	defer cancel()
 	err := c.gather(ctx, c.orderSeats(roster, id), 1, func(int, seats.Seat) vaults.Message {
@@ -81,6 +98,7 @@
 		if len(f.Turns) > 0 {
 			c.chainAnswers.Inc()
 			c.cacheTurns(f.Turns...)
+			turns = f.Turns
 		}
 		if len(f.Turns) == 0 && f.Authoritative && f.Version == roster.Version {
 			lacking++
@@ -88,23 +106,25 @@
 		return len(f.Turns) > 0
 	})
 	if err == nil {
-		return 0
+		return turns, 0
 	}
-	return lacking
+	return nil, lacking
 }
 
-// missingTurn returns the newest turn of an owner's chain that is not cached, or "".
-func (c *vaultClient) missingTurn(id, owner string) string {
+// cachedTurns returns the cached turns of an owner's chain from a turn on, newest first, up to the
+// first that is not cached.
+func (c *vaultClient) cachedTurns(id, owner string) []*chains.Turn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id != "" {
+	var turns []*chains.Turn
+	for id != "" && len(turns) < maxChainLength {
 		t, ok := c.cachedTurn(id, owner)
 		if !ok {
-			return id
+			break
 		}
-		id = t.Previous
+		turns, id = append(turns, t), t.Previous
 	}
-	return ""
+	return turns
 }
 
 // cachedChain returns an owner's chain up to a turn, oldest first, and whether all of
@@ -113,23 +133,18 @@
 	if id == "" {
 		return nil, true
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var chain []*chains.Turn
-	for id != "" {
-		t, ok := c.cachedTurn(id, owner)
-		if !ok {
-			return nil, false
-		}
-		chain = append(chain, t)
-		id = t.Previous
-	}
-	for i, j := 0, len(chain)-1; i < j; i, j = i+1, j-1 {
-		chain[i], chain[j] = chain[j], chain[i]
+	chain := c.cachedTurns(id, owner)
+	if n := len(chain); n == 0 || chain[n-1].Previous != "" {
+		return nil, false
 	}
+	slices.Reverse(chain)
 	return chain, true
 }
 
+// longTurnShare is the part of the cache from which on a turn is not cached. Few of them would take
+// the place of all others.
+const longTurnShare = 1.0 / 16
+
 // cacheTurns adds turns to the cache and evicts the least recently used ones
 // beyond the cache's share of the memory.
 func (c *vaultClient) cacheTurns(turns ...*chains.Turn) {
@@ -137,7 +152,7 @@
 	defer c.mu.Unlock()
 	for _, t := range turns {
 		key := cacheKey{t.ID, t.Owner}
-		if c.cache.Contains(key) {
+		if c.cache.Contains(key) || turnBytes(t) > int64(longTurnShare*cacheShare*float64(c.site.Memory)) {
 			continue
 		}
 		c.cache.Add(key, t)
--- a/gate/open.go
+++ b/gate/open.go
@@ -24,6 +24,9 @@
 	owner string
 	// margin is how much longer turns are kept than they may be continued.
 	margin time.Duration
+	// room books bytes of the chain that are fetched, and reports whether there is room. There always
+	// is if it is nil.
+	room func(bytes int) bool
 	// session is the session whose home is wanted, "" if none is.
 	session string
 }
@@ -83,7 +86,7 @@
 	if result.chain, cached = c.cachedChain(previous, wanted.owner); cached {
 		return result, nil
 	}
-	result.chain, err = c.fetchChain(ctx, previous, wanted.owner)
+	result.chain, err = c.fetchChain(ctx, previous, wanted.owner, wanted.room)
 	return result, err
 }
 
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -135,6 +135,15 @@
 		hold:   &chains.Hold{Program: t.account(), Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
 		budget: -1, owner: t.customerName(), margin: t.retentionMargin(),
 	}
+	fetched := 0
+	wanted.room = func(bytes int) bool {
+		if !take(t.holder, int64(bytes)) {
+			return false
+		}
+		fetched += bytes
+		return true
+	}
+	defer func() { give(t.holder, int64(fetched)) }() // the prompt is a copy
 	if t.hasBudget() && t.MaxOutputTokens > t.Budget {
 		g.refuse(t.request, http.StatusPaymentRequired, errSpent.Error())
 		return false
@@ -157,6 +166,10 @@
 		g.settleTurn(t, nil)
 		g.refuse(t.request, http.StatusNotFound, err.Error())
 		return false
+	case errors.Is(err, errNoRoom):
+		g.settleTurn(t, nil)
+		g.refuseUnread(t.request, http.StatusServiceUnavailable, err.Error()+"; it has not run")
+		return false
 	case errors.Is(err, errFull):
 		t.hasHold = t.hasHold && result.held
 		g.settleTurn(t, nil)
@@ -168,6 +181,11 @@
 		return false
 	}
 	if chain := result.chain; len(chain) > 0 {
+		if !take(t.holder, int64(chains.InputBytes(chain, t.body))) {
+			g.settleTurn(t, nil)
+			g.refuseUnread(t.request, http.StatusServiceUnavailable, errNoRoom.Error()+"; it has not run")
+			return false
+		}
 		t.previousEndpoint, t.root = chain[len(chain)-1].Endpoint, chain[0].ID
 		t.promptText = chains.BuildInput(chain, t.body)
 	}
--- a/gate/vaultclient_test.go
+++ b/gate/vaultclient_test.go
@@ -486,7 +486,9 @@
 func TestAChainIsFetchedOnce(t *testing.T) {
 	r := newVaultCluster(t, 1)
 	r.recordAt(newTurn("a", ""), 0, 1, 2)
-	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "a", "")).To(gomega.Equal(0))
+	turns, _ := r.client.fetchTurns(context.Background(), r.client.currentRoster(), "a", "")
+	r.g.Expect(turns).NotTo(gomega.BeEmpty())
 	r.g.Expect(r.client.chainAnswers.Get()).To(gomega.Equal(uint64(1)))
-	r.g.Expect(r.client.fetchTurns(context.Background(), r.client.currentRoster(), "none", "")).To(gomega.Equal(3))
+	_, lacking := r.client.fetchTurns(context.Background(), r.client.currentRoster(), "none", "")
+	r.g.Expect(lacking).To(gomega.Equal(3))
 }
--- a/state/chains/chains.go
+++ b/state/chains/chains.go
@@ -15,8 +15,9 @@
 
 // Source is where a record is stored. It is safe for concurrent use.
 type Source interface {
-	// Read returns the encoded record.
+	// Read returns the encoded record, and Size its length.
 	Read() ([]byte, error)
+	Size() int
 	// Pin keeps the record stored until Release is called once more.
 	Pin()
 	Release()
@@ -53,6 +54,14 @@
 	return t, nil
 }
 
+// LoadBytes returns about how long the texts are that Load returns.
+func (k Kept) LoadBytes() int {
+	if k.source == nil {
+		return len(k.Input) + len(k.Output)
+	}
+	return k.source.Size()
+}
+
 // withoutTexts returns a copy of a turn without its texts.
 func (t *Turn) withoutTexts() *Turn {
 	short := *t
@@ -299,13 +308,18 @@
 // BuildInput returns the full input of a turn: the input and output of each earlier turn
 // of the chain, oldest first, followed by the new input.
 func BuildInput(turns []*Turn, input []byte) []byte {
-	size := len(input)
-	for _, t := range turns {
-		size += len(t.Input) + len(t.Output)
-	}
-	text := make([]byte, 0, size)
+	text := make([]byte, 0, InputBytes(turns, input))
 	for _, t := range turns {
 		text = append(append(text, t.Input...), t.Output...)
 	}
 	return append(text, input...)
 }
+
+// InputBytes returns the length of what BuildInput returns.
+func InputBytes(turns []*Turn, input []byte) int {
+	size := len(input)
+	for _, t := range turns {
+		size += len(t.Input) + len(t.Output)
+	}
+	return size
+}
--- a/state/chains/chains_test.go
+++ b/state/chains/chains_test.go
@@ -55,6 +55,8 @@
 
 func (s *source) Read() ([]byte, error) { return s.data, nil }
 
+func (s *source) Size() int { return len(s.data) }
+
 func (s *source) Pin()     { s.pins++ }
 func (s *source) Release() { s.pins-- }
 
--- a/transport/wallog/segment.go
+++ b/transport/wallog/segment.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// Size returns the length of the record.
+func (l *Location) Size() int { return int(l.bytes - headerBytes) }
+
 // Read returns the record.
 func (l *Location) Read() ([]byte, error) {
 	at := l.position()
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cowslipstage/cowslipstage/coordination/eject"
 	"github.com/cowslipstage/cowslipstage/coordination/growth"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/homes"
+	"github.com/cowslipstage/cowslipstage/state/memory"
 )
 
 const (
@@ -17,8 +20,10 @@
 	// leavingNewsAge is how long all gates are told of a newly leaving endpoint, since a later
 	// lifetime of a known one does not change the count that they send.
 	leavingNewsAge = time.Second
-	// chainBytes bounds the texts of turns in one answer.
-	chainBytes = 8 << 20
+	// pageBytes bounds the texts of turns in one answer, unless there is only one turn.
+	pageBytes = 1 << 20
+	// loadCopies is how often a text is held while it is read: as it is on disk, and decoded.
+	loadCopies = 2
 )
 
 // answerRequest answers a message. It runs on the control goroutine.
@@ -35,8 +40,9 @@
 		roster, caughtUp := v.seatState()
 		kept, complete := v.chains.Chain(m.Chain, m.Owner)
 		go func() {
-			turns, err := v.loadTurns(kept)
-			r.answer(&vaults.FetchReply{Turns: turns, ChainComplete: complete && err == nil, Authoritative: caughtUp && err == nil, Version: roster.Version})
+			l := v.loadTurns(kept)
+			defer l.release()
+			r.answer(&vaults.FetchReply{Turns: l.turns, ChainComplete: complete && l.whole, Authoritative: caughtUp && l.err == nil, Version: roster.Version})
 		}()
 	case *vaults.List:
 		v.answerList(m, r.answer)
@@ -89,7 +95,7 @@
 		kept, b.ChainComplete = v.chains.Chain(m.Chain, m.Owner)
 	}
 	if m.Hold == nil {
-		go func() { answer(v.withTurns(b, kept)) }()
+		go v.answerWithTurns(b, kept, answer)
 		return
 	}
 	wanted := growth.Want{Program: m.Hold.Program, Retention: m.Hold.Retention}
@@ -114,7 +120,7 @@
 		case err != nil:
 			answer(&vaults.BeginReply{Status: vaults.Failed})
 		case len(kept) > 0:
-			go func() { answer(v.withTurns(b, kept)) }() // the writer must not wait for reads
+			go v.answerWithTurns(b, kept, answer) // the writer must not wait for reads
 		default:
 			answer(b)
 		}
@@ -130,26 +136,59 @@
 	return &vaults.Home{Endpoint: h.Endpoint, StartedAt: h.StartedAt, Tokens: h.Tokens}
 }
 
-// withTurns adds a chain's turns to an answer.
-func (v *Vault) withTurns(b *vaults.BeginReply, kept []chains.Kept) *vaults.BeginReply {
-	turns, err := v.loadTurns(kept)
-	b.Turns, b.ChainComplete = turns, b.ChainComplete && err == nil
-	return b
+// answerWithTurns answers with the newest turns of a chain.
+func (v *Vault) answerWithTurns(b *vaults.BeginReply, kept []chains.Kept, answer func(vaults.Message)) {
+	l := v.loadTurns(kept)
+	defer l.release()
+	b.Turns, b.ChainComplete = l.turns, b.ChainComplete && l.whole
+	answer(b)
+}
+
+// loaded is a page of turns with their texts.
+type loaded struct {
+	turns []*chains.Turn
+	// whole says that the page holds all turns that were asked for. err is why it holds fewer than a
+	// page, if it does.
+	whole bool
+	err   error
+	// holder is where the texts are booked.
+	holder *memory.Holder
 }
 
-// loadTurns returns turns with their texts, up to the first that cannot be read. It
-// may wait for the disk.
-func (v *Vault) loadTurns(kept []chains.Kept) ([]*chains.Turn, error) {
-	turns := make([]*chains.Turn, 0, len(kept))
+// release gives back what is booked for the texts.
+func (l *loaded) release() { l.holder.Close() }
+
+// errNoRoom means that there is no memory for the texts of turns now.
+var errNoRoom = errors.New("vault: no memory for the texts now")
+
+// loadTurns returns the first of some turns with their texts, up to a page of them or to the first that
+// cannot be read. It may wait for the disk.
+func (v *Vault) loadTurns(kept []chains.Kept) *loaded {
+	now := time.Now()
+	holder, _ := v.loads.Open(now, "", 0, func() {}) // it needs no room
+	holder.Enter(now, memory.Serving)
+	l := &loaded{holder: holder}
+	size := 0
 	for _, k := range kept {
+		n := k.LoadBytes()
+		// Turns with one ID are sent together, because who asks for turns goes on with the next ID.
+		if size += n; size > pageBytes && len(l.turns) > 0 && l.turns[len(l.turns)-1].ID != k.ID {
+			return l
+		}
+		if !holder.Take(now, int64(loadCopies*n)) {
+			l.err = errNoRoom
+			return l
+		}
 		t, err := k.Load()
 		if err != nil {
 			v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; others are asked for it")
-			return turns, err
+			l.err = err
+			return l
 		}
-		turns = append(turns, t)
+		l.turns = append(l.turns, t)
 	}
-	return turns, nil
+	l.whole = true
+	return l
 }
 
 // exchangeLoad stores a gate's load and returns that of all other gates, if
@@ -279,7 +318,7 @@
 	}()
 }
 
-// answerGet returns the requested turns, up to chainBytes. If one cannot be read it
+// answerGet returns the first of the requested turns, up to a page of them. If one cannot be read it
 // does not answer, because a missing turn would count as expired.
 func (v *Vault) answerGet(m *vaults.Get, answer func(vaults.Message)) {
 	var kept []chains.Kept
@@ -287,24 +326,13 @@
 		kept = append(kept, v.chains.Turn(id)...)
 	}
 	go func() {
-		reply := &vaults.GetReply{}
-		size := 0
-		for _, k := range kept {
-			t, err := k.Load()
-			if err != nil {
-				v.log.Warn().Err(err).Str("turn", k.ID).Msg("reading a turn from disk failed; the request for it fails")
-				answer(nil)
-				return
-			}
-			// The turns with one ID are sent together, because the receiver goes on with
-			// the next ID.
-			n := len(reply.Turns)
-			if size += len(t.Input) + len(t.Output); size > chainBytes && (n == 0 || reply.Turns[n-1].ID != t.ID) {
-				break
-			}
-			reply.Turns = append(reply.Turns, t)
+		l := v.loadTurns(kept)
+		defer l.release()
+		if l.err != nil {
+			answer(nil)
+			return
 		}
-		answer(reply)
+		answer(&vaults.GetReply{Turns: l.turns})
 	}()
 }
 
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -158,8 +158,9 @@
 	verdicts, uses *saver
 
 	peers wsrpc.Group
-	// memory bounds what is held of messages.
+	// memory bounds what is held of messages, and of texts that are read for answers as one of loads.
 	memory *memory.Budget
+	loads  *memory.Group
 
 	mu sync.Mutex
 	// roster is the newest one known. Its version never decreases.
@@ -202,6 +203,7 @@
 		roster: &seats.Roster{}, views: map[string]*viewState{}, growth: growth.New(keptBytes(s.Memory)),
 		memory: memory.New(s.ClientBytes()),
 	}
+	v.loads = v.memory.Group(0)
 	v.peers.SetMessages(wsrpc.NewMessages(v.memory))
 	set.NewGauge("cowslipstage_client_bytes", func() float64 { return float64(v.memory.Taken()) })
 	v.meters = meters{
