--- a/gate/open.go
+++ b/gate/open.go
@@ -27,6 +27,8 @@
 	// room books bytes of the chain that are fetched, and reports whether there is room. There always
 	// is if it is nil.
 	room func(bytes int) bool
+	// size is the length of the turn's texts, if it is kept and they are long.
+	size int
 	// session is the session whose home is wanted, "" if none is.
 	session string
 }
@@ -120,7 +122,7 @@
 		m := &vaults.Begin{Version: roster.Version, Budget: budget}
 		if budget >= 0 {
 			copied := *hold
-			m.Hold, m.Session = &copied, wanted.session
+			m.Hold, m.Session, m.Size = &copied, wanted.session, wanted.size
 		}
 		if i == 0 {
 			m.Chain, m.Owner = wanted.previous, wanted.owner
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -28,6 +28,8 @@
 	settleTime = 3 * time.Second
 	// defaultRetention is how long a turn's program may pause if the route does not say.
 	defaultRetention = time.Minute
+	// longTurn is the size from which the vaults are told of a turn's input before it runs.
+	longTurn = 64 << 10
 	// clockMargin is how much longer a turn is kept than its route says: a vault's time of day may
 	// differ from that of the vault that wrote the turn, or be set meanwhile, and the turn counts
 	// from the end of its answer, after it was written.
@@ -153,6 +155,9 @@
 	}
 	if t.route.KeepsTurns {
 		wanted.previous = t.Previous
+		if len(t.body) >= longTurn {
+			wanted.size = len(t.body)
+		}
 	} else {
 		wanted.session = t.Session
 	}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -56,6 +56,8 @@
 	Owner string `cbor:"6,keyasint,omitempty"`
 	// Session requests the home of a session of the hold's program, "" if none is wanted.
 	Session string `cbor:"7,keyasint,omitempty"`
+	// Size is about how long the texts are that the turn's end will have, if it is long.
+	Size int `cbor:"8,keyasint,omitempty"`
 }
 
 // Home is the endpoint that ran a session's last turn, as in homes.Home.
--- a/transport/wallog/wallog.go
+++ b/transport/wallog/wallog.go
@@ -51,7 +51,7 @@
 	open *segment
 	// buffer holds the records added or moved since the last successful Sync, and pending
 	// their locations.
-	buffer  []byte
+	buffer  buffer
 	pending []pendingRecord
 }
 
@@ -178,7 +178,7 @@
 	return nil
 }
 
-// Add buffers a record, and returns where it will lie.
+// Add buffers a record, and returns where it will lie. The data must not change until it is on disk.
 func (l *Log) Add(data []byte) *Location {
 	at := newLocation(len(data))
 	l.write(data, at)
@@ -187,17 +187,18 @@
 
 // write buffers a record that will lie at a location.
 func (l *Log) write(data []byte, at *Location) {
-	l.pending = append(l.pending, pendingRecord{at, int64(len(l.buffer))})
+	l.pending = append(l.pending, pendingRecord{at, l.buffer.size})
 	var header [headerBytes]byte
 	binary.LittleEndian.PutUint32(header[:4], uint32(len(data)))
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(data, castagnoli))
-	l.buffer = append(append(l.buffer, header[:]...), data...)
+	l.buffer.add(header[:])
+	l.buffer.add(data)
 }
 
 // Sync writes the added records and syncs them to disk. After a failed write, the
 // next Sync writes the same records again, to another file.
 func (l *Log) Sync() error {
-	if l.Size()+int64(len(l.buffer)) > l.maxBytes {
+	if l.Size()+l.buffer.size > l.maxBytes {
 		return errors.Mark(errors.Newf("wallog: full at %d bytes", l.Size()), ErrDisk)
 	}
 	if l.file == nil || l.open.bytes >= segmentBytes {
@@ -205,7 +206,7 @@
 			return err
 		}
 	}
-	_, err := l.file.Write(l.buffer)
+	err := l.buffer.writeTo(l.file)
 	if err == nil {
 		err = l.file.Sync()
 	}
@@ -217,11 +218,8 @@
 		p.at.place(l.open, l.open.bytes+p.offset)
 	}
 	l.pending = l.pending[:0]
-	l.open.bytes += int64(len(l.buffer))
-	if cap(l.buffer) > segmentBytes {
-		l.buffer = nil
-	}
-	l.buffer = l.buffer[:0]
+	l.open.bytes += l.buffer.size
+	l.buffer.clear()
 	return nil
 }
 
@@ -245,6 +243,12 @@
 	return l.openSegment()
 }
 
+// MaxBytes returns how many bytes the log may take on disk.
+func (l *Log) MaxBytes() int64 { return l.maxBytes }
+
+// Buffered returns how many bytes wait for a Sync that succeeds.
+func (l *Log) Buffered() int64 { return l.buffer.size }
+
 // Size returns the number of bytes on disk.
 func (l *Log) Size() int64 {
 	total := l.open.bytes
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -22,6 +22,8 @@
 	leavingNewsAge = time.Second
 	// pageBytes bounds the texts of turns in one answer, unless there is only one turn.
 	pageBytes = 1 << 20
+	// recordBytes is about how much a record takes on disk beside its texts.
+	recordBytes = 512
 	// loadCopies is how often a text is held while it is read: as it is on disk, and decoded.
 	loadCopies = 2
 )
@@ -99,7 +101,8 @@
 		return
 	}
 	wanted := growth.Want{Program: m.Hold.Program, Retention: m.Hold.Retention}
-	if wanted.Bytes, wanted.UnderWay = v.chains.NewBytes(m.Hold); !v.growth.Admit(now, v.chains.Bytes(), wanted) {
+	wanted.Bytes, wanted.UnderWay = v.chains.NewBytes(m.Hold)
+	if !v.writer.hasRoom(m.Size+recordBytes) || !v.growth.Admit(now, v.chains.Bytes(), wanted) {
 		v.meters.full.Inc()
 		answer(&vaults.BeginReply{Status: vaults.Full})
 		return
@@ -238,7 +241,7 @@
 		answer(&vaults.EndReply{Status: status, Roster: newer})
 		return
 	}
-	if m.Turn != nil && v.growth.Full(v.chains.Bytes()) {
+	if m.Turn != nil && (v.growth.Full(v.chains.Bytes()) || !v.writer.hasRoom(len(m.Turn.Input)+len(m.Turn.Output)+recordBytes)) {
 		v.meters.full.Inc()
 		answer(&vaults.EndReply{Status: vaults.Full})
 		return
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -242,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	v.writer = newWriter(l, v.noteStored, v.meters.sync, v.log)
+	v.writer = newWriter(l, v.site.Memory, v.noteStored, v.meters.sync, v.log)
 	if data, err := os.ReadFile(filepath.Join(v.site.Data, rosterFile)); err == nil {
 		if err := json.Unmarshal(data, v.roster); err != nil {
 			v.log.Warn().Err(err).Msg("roster file unreadable; using the registry's")
--- a/vault/write.go
+++ b/vault/write.go
@@ -12,9 +12,17 @@
 	"github.com/cowslipstage/cowslipstage/transport/wallog"
 )
 
-// maxQueued bounds the records that wait for a hanging disk: what the busiest
-// vault gets in some seconds.
-const maxQueued = 8192
+const (
+	// maxQueued bounds the records that wait for a hanging disk: what the busiest
+	// vault gets in some seconds.
+	maxQueued = 8192
+	// longBytes is the size from which a record leaves a part of the disk to the others.
+	longBytes = 64 << 10
+	// longShare is the part of the disk that may be taken when a long record is written, waitingShare
+	// the part of the memory for records that wait for the disk.
+	longShare    = 0.5
+	waitingShare = 1.0 / 16
+)
 
 var errClosed = errors.New("vault: stopping")
 
@@ -42,9 +50,15 @@
 	// has noted them.
 	onStored func([]storedRecord) bool
 
+	// maxWaiting bounds the bytes that wait for the disk, 0 for any number. One record may always wait.
+	maxWaiting int64
+
 	mu     sync.Mutex
 	wakeup *sync.Cond
 	queue  []entry
+	// queued is the size of the queue. written is the size of the log, and buffered that of what it
+	// could not write yet, as of the last batch.
+	queued, written, buffered int64
 	// cleaning asks run to remove what has been released.
 	cleaning bool
 	stopped  bool
@@ -55,12 +69,26 @@
 	unnoted []storedRecord
 }
 
-func newWriter(l *wallog.Log, onStored func([]storedRecord) bool, latency *metrics.Histogram, log zerolog.Logger) *writer {
+func newWriter(l *wallog.Log, memory int64, onStored func([]storedRecord) bool, latency *metrics.Histogram, log zerolog.Logger) *writer {
 	w := &writer{wal: l, onStored: onStored, syncSeconds: latency, log: log, finished: make(chan struct{})}
+	w.maxWaiting, w.written = int64(waitingShare*float64(memory)), l.Size()
 	w.wakeup = sync.NewCond(&w.mu)
 	return w
 }
 
+// hasRoom reports whether there is room for a record of so many bytes, on the disk and in what waits
+// for it. A full disk would refuse each further record, and records that wait are not given up.
+func (w *writer) hasRoom(bytes int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, waiting := int64(bytes), w.queued+w.buffered
+	most := float64(w.wal.MaxBytes())
+	if n >= longBytes {
+		most *= longShare
+	}
+	return float64(w.written+waiting+n) <= most && (waiting == 0 || w.maxWaiting <= 0 || waiting+n <= w.maxWaiting)
+}
+
 // add queues records. done is called once, possibly before add returns and else
 // from the writer's goroutine.
 func (w *writer) add(done func(error), records ...chains.Record) {
@@ -85,6 +113,9 @@
 		return
 	}
 	w.queue = append(w.queue, entries...)
+	for _, e := range entries {
+		w.queued += int64(len(e.data))
+	}
 	w.mu.Unlock()
 	w.wakeup.Signal()
 }
@@ -108,6 +139,7 @@
 		}
 		batch, cleaning, stopped := w.queue, w.cleaning, w.stopped
 		w.queue, w.cleaning = nil, false
+		w.buffered, w.queued = w.buffered+w.queued, 0
 		w.mu.Unlock()
 		if cleaning {
 			w.cleanLog()
@@ -117,6 +149,9 @@
 		} else if stopped {
 			return
 		}
+		w.mu.Lock()
+		w.written, w.buffered = w.wal.Size(), w.wal.Buffered()
+		w.mu.Unlock()
 	}
 }
 
@@ -145,6 +180,9 @@
 	if failed := err != nil; failed != failing {
 		w.log.Warn().Err(err).Bool("failing", failed).Msg("disk began or stopped failing")
 	}
+	w.mu.Lock()
+	w.written, w.buffered = w.wal.Size(), w.wal.Buffered()
+	w.mu.Unlock()
 	for _, e := range batch {
 		if e.done != nil {
 			e.done(err)
