--- a/gate/gate.go
+++ b/gate/gate.go
@@ -186,7 +186,7 @@
 	set.NewGauge("cowslipstage_gate_quota_view_age_seconds", g.viewAge)
 	set.NewGauge("cowslipstage_client_bytes", func() float64 { return float64(g.memory.Taken()) })
 	g.pool = pool.New(set, g.dialEndpoint)
-	g.relay = relay.New(g.dialForPeer, log)
+	g.relay = relay.New(g.dialForPeer, g.memory.Group(s.RelayConns()), log)
 	g.routine = log.Sample(&zerolog.BurstSampler{
 		Burst: routineLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: routineSampleN},
 	})
--- a/gate/relaykill_test.go
+++ b/gate/relaykill_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cowslipstage/cowslipstage/standin/coord"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
@@ -89,7 +90,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 			neighbour := &mortalListener{Listener: listener, text: "data: broken\n\n"}
-			go func() { _ = relay.New(pool.Dial, zerolog.Nop()).Serve(neighbour) }()
+			go func() { _ = relay.New(pool.Dial, memory.New(0).Group(0), zerolog.Nop()).Serve(neighbour) }()
 			t.Cleanup(neighbour.kill)
 			cut := &partition{addrs: []string{e.Addr}}
 			cut.cut.Store(true)
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -141,3 +141,10 @@
 	}
 	return max(most, minPeers)
 }
+
+// relayFiles is the part of the sockets that connections relayed for other processes may take, two
+// each.
+const relayFiles = 0.1
+
+// RelayConns returns how many connections may be relayed for other processes.
+func (s *Site) RelayConns() int { return max(1, int(relayFiles*float64(s.Sockets())/2)) }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -22,6 +22,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/cowslipstage/cowslipstage/state/memory"
 )
 
 // The errors of Dial.
@@ -58,6 +60,11 @@
 	closeTimeout = time.Second
 	// copyBytes is the most that is passed on at once.
 	copyBytes = 16 << 10
+	// connBytes is what a relayed connection takes: its buffers and goroutines.
+	connBytes = 2*copyBytes + 16<<10
+	// minAcceptPause and maxAcceptPause bound the pause after accepting failed.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // DialFunc connects a relay to an endpoint that it knows. ErrRelay marks the errors of a
@@ -68,33 +75,52 @@
 type Server struct {
 	dial DialFunc
 	log  zerolog.Logger
+	// group holds the connections. One that has carried nothing for longest gives way to others.
+	group *memory.Group
 	// active counts the connections being relayed.
 	active atomic.Int64
 }
 
-// New returns a server that connects with dial.
-func New(dial DialFunc, log zerolog.Logger) *Server { return &Server{dial: dial, log: log} }
+// New returns a server that connects with dial and books its connections in a group.
+func New(dial DialFunc, group *memory.Group, log zerolog.Logger) *Server {
+	return &Server{dial: dial, group: group, log: log}
+}
 
 // Active returns how many connections are being relayed.
 func (s *Server) Active() int64 { return s.active.Load() }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	pause := minAcceptPause
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "relay: accepting")
 		}
+		if err != nil {
+			s.log.Warn().Err(err).Msg("accepting a connection to relay failed; trying again") // no descriptor is free
+			time.Sleep(pause)
+			pause = min(maxAcceptPause, 2*pause)
+			continue
+		}
+		pause = minAcceptPause
+		addr, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // "" is as good
+		holder, ok := s.group.Open(time.Now(), addr, connBytes, func() { _ = c.Close() })
+		if !ok {
+			_ = c.Close() // the gate tries another relay
+			continue
+		}
 		s.active.Add(1)
 		go func() {
 			defer s.active.Add(-1)
-			s.relay(c)
+			defer holder.Close()
+			s.relay(c, holder)
 		}()
 	}
 }
 
 // relay serves one connection of another gate.
-func (s *Server) relay(from net.Conn) {
+func (s *Server) relay(from net.Conn, holder *memory.Holder) {
 	defer func() { _ = from.Close() }() // both directions have ended
 	_ = from.SetDeadline(time.Now().Add(openTimeout))
 	reader := bufio.NewReaderSize(io.LimitReader(from, maxAddress), maxAddress)
@@ -121,24 +147,37 @@
 		return
 	}
 	_ = from.SetDeadline(time.Time{})
+	back := copyBuffered
 	if word == framedWord {
-		pass(from, to, copyFramed)
-	} else {
-		pass(from, to, copyBuffered)
+		back = copyFramed
 	}
+	pass(from, to, back, func() { holder.Enter(time.Now(), memory.Idle) })
+}
+
+// noted reads and calls note for what comes.
+type noted struct {
+	io.Reader
+	note func()
+}
+
+// Read reads.
+func (n noted) Read(data []byte) (int, error) {
+	count, err := n.Reader.Read(data)
+	n.note()
+	return count, err
 }
 
 // pass copies bytes between a gate and an endpoint until one of them ends. A gate that
 // closes has given up its request, so the endpoint sees that at once. back copies the
-// endpoint's bytes.
-func pass(gate, endpoint net.Conn, back func(to io.Writer, from io.Reader) error) {
+// endpoint's bytes. note is called whenever bytes come.
+func pass(gate, endpoint net.Conn, back func(to io.Writer, from io.Reader) error, note func()) {
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
-		_ = copyBuffered(endpoint, gate) // either end has gone, which the other copy notices
+		_ = copyBuffered(endpoint, noted{gate, note}) // either end has gone, which the other copy notices
 		_ = endpoint.Close()
 	}()
-	err := back(gate, endpoint)
+	err := back(gate, noted{endpoint, note})
 	closer, isTCP := gate.(*net.TCPConn)
 	switch {
 	case !isTCP:
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 	"github.com/cowslipstage/cowslipstage/transport/relay"
 )
@@ -39,7 +40,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
-	s := relay.New(dial, zerolog.Nop())
+	s := relay.New(dial, memory.New(0).Group(0), zerolog.Nop())
 	go func() { _ = s.Serve(l) }()
 	return s, l.Addr().String()
 }
@@ -185,3 +186,34 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(io.ReadAll(c)).To(gomega.Equal([]byte("ctext")))
 }
+
+// Beyond their number, a relayed connection that has carried nothing for longest gives way to a new one.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	endpoint := listen(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	s := relay.New(func(ctx context.Context, addr string) (net.Conn, error) { return pool.Dial(ctx, addr) }, memory.New(0).Group(3), zerolog.Nop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(l) }()
+	dial := func() net.Conn {
+		c, err := relay.Dial(t.Context(), pool.Dial, l.Addr().String(), endpoint, true)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	say := func(c net.Conn) error {
+		if _, err := io.WriteString(c, "x"); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	used := dial()
+	for range 10 {
+		g.Expect(say(used)).To(gomega.Succeed())
+		dial()
+	}
+	g.Expect(say(used)).To(gomega.Succeed())
+	g.Eventually(s.Active).Should(gomega.Equal(int64(3)))
+}
