--- a/state/prog/prog.go
+++ b/state/prog/prog.go
@@ -21,7 +21,7 @@
 	service  string
 	// agents holds one conversation per agent path; "" is the root's.
 	agents map[string]*agent
-	// settled holds the final answer of every call, by key.
+	// settled holds the final answer of every call, by key, without what the call said.
 	settled map[string]*record.Turn
 	// intents holds the non-idempotent calls that have no answer yet, by key.
 	intents map[string]*record.Intent
@@ -95,7 +95,7 @@
 	if t.Retryable {
 		return
 	}
-	p.settled[c.Key] = t
+	p.settled[c.Key] = withoutTexts(t)
 	a := p.agent(c.Agent)
 	a.lastSeq = max(a.lastSeq, c.Seq)
 	p.turns++
@@ -112,10 +112,19 @@
 // resolveUnknown replaces an unknown outcome by the one that the endpoint reported later.
 func (p *Program) resolveUnknown(old, t *record.Turn) {
 	if old.Answer.Outcome == answer.Unknown && t.Answer.Outcome == answer.Done {
-		p.settled[t.Call.Key] = t
+		p.settled[t.Call.Key] = withoutTexts(t)
 	}
 }
 
+// withoutTexts returns a copy of a turn without what its call said. The messages are in the
+// conversation, and a repeated call is compared by its digest.
+func withoutTexts(t *record.Turn) *record.Turn {
+	kept, c := *t, *t.Call
+	c.Messages, c.Body = nil, nil
+	kept.Call = &c
+	return &kept
+}
+
 // Strip drops what an ended program no longer needs: its conversations and its answers to
 // calls that may be repeated. The keys of the other calls are kept.
 func (p *Program) Strip(repeatable func(*call.Call) bool) {
