--- a/cmd/cowslipstage/cmds/serve.go
+++ b/cmd/cowslipstage/cmds/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -21,6 +22,7 @@
 			if err != nil {
 				return err
 			}
+			debug.SetMemoryLimit(memoryLimit(s.Node.Memory))
 			log := newLogger(level)
 			go func() {
 				for range signals.reload {
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	"github.com/cowslipstage/cowslipstage/coordination/claim"
@@ -27,9 +29,12 @@
 	"github.com/cowslipstage/cowslipstage/protocol/frame"
 	"github.com/cowslipstage/cowslipstage/setup"
 	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/state/memory"
+	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/transport/dialer"
 	"github.com/cowslipstage/cowslipstage/transport/edge"
 	"github.com/cowslipstage/cowslipstage/transport/holder"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/jrnl"
 	"github.com/cowslipstage/cowslipstage/transport/keys"
 	"github.com/cowslipstage/cowslipstage/transport/links"
@@ -50,7 +55,7 @@
 	core     *core.Core
 	metrics  *metrics.Set
 	router   *message.Router
-	servers  []*http.Server
+	servers  []*intake.Server
 	// writeLimiter bounds the write rate of all journals of the node together.
 	writeLimiter *rate.Limiter
 	// abandon is closed when the operator ends a planned stop early.
@@ -145,8 +150,11 @@
 	// flushTimeout bounds how long a stopping node waits for its last answers
 	// to be written.
 	flushTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the headers of a caller's request.
-	maxHeaderBytes = 64 << 10
+	// clientShare is the part of the memory that is for callers.
+	clientShare = 0.25
+	// peerBytes and peerConns bound what is held for the connections of other nodes.
+	peerBytes = 24 << 20
+	peerConns = 1024
 )
 
 // mailboxLength bounds the events that wait for the control goroutine.
@@ -279,10 +287,24 @@
 	public.Mount("/", n.edge)
 	private := chi.NewRouter()
 	private.Handle("/link", n.links)
-	if err := n.serve(n.settings.Node.Listen, public, nil); err != nil {
+	callers := memory.New(int64(clientShare * float64(n.settings.Node.Memory)))
+	n.metrics.NewGauge("cowslipstage_client_bytes", func() float64 { return float64(callers.Taken()) })
+	site := site.Site{Clients: site.Clients{Conns: n.settings.Node.MaxConns}, Files: maxFiles()}
+	options := intake.Options{Name: "callers", Budget: callers, Conns: site.CallerConns(), Set: n.metrics, Log: n.log}
+	if err := n.serve(n.settings.Node.Listen, public, nil, options); err != nil {
 		return err
 	}
-	return n.serve(n.settings.Node.Link, private, n.keys.ServerTLS())
+	options = intake.Options{Name: "link", Budget: memory.New(peerBytes), Conns: peerConns, Set: n.metrics, Log: n.log}
+	return n.serve(n.settings.Node.Link, private, n.keys.ServerTLS(), options)
+}
+
+// maxFiles returns how many descriptors the process may have, 0 if that is not known.
+func maxFiles() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 // UseListener hands the node a listener that is already open. Run uses it for
@@ -290,7 +312,7 @@
 func (n *Node) UseListener(l net.Listener) { n.listeners[l.Addr().String()] = l }
 
 // serve listens on addr, with TLS unless tlsConfig is nil.
-func (n *Node) serve(addr string, h http.Handler, tlsConfig *tls.Config) error {
+func (n *Node) serve(addr string, h http.Handler, tlsConfig *tls.Config, options intake.Options) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -304,7 +326,7 @@
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes}
+	s := intake.New(h, options)
 	n.servers = append(n.servers, s)
 	n.wait.Go(func() { _ = s.Serve(l) })
 	return nil
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -37,6 +37,10 @@
 	Data string `ini:"data"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `ini:"body"`
+	// Memory is what the process may take, in bytes. A quarter of it is for callers.
+	Memory int64 `ini:"memory"`
+	// MaxConns bounds the connections of callers, 0 for nearly half of the descriptors.
+	MaxConns int `ini:"connections"`
 	// DrainNotice is how long a stopping node still accepts callers, until the load
 	// balancer has seen that it is not ready.
 	DrainNotice time.Duration `ini:"notice"`
@@ -138,7 +142,7 @@
 // Default returns the default settings.
 func Default() Settings {
 	return Settings{
-		Node: Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", MaxBodyBytes: 8 << 20, DrainNotice: 2 * time.Second, StopTimeout: time.Minute},
+		Node: Node{Listen: "127.0.0.1:7070", Link: "127.0.0.1:7071", MaxBodyBytes: 8 << 20, Memory: 256 << 20, DrainNotice: 2 * time.Second, StopTimeout: time.Minute},
 		Store: Store{
 			Timeout: 2 * time.Second, Lease: 3 * time.Second,
 			StandbyDelay: 50 * time.Millisecond, WriteLimit: 300, MaxPendingBytes: 32 << 20, StandbyTimeout: 10 * time.Second,
--- a/setup/table.go
+++ b/setup/table.go
@@ -45,6 +45,8 @@
 		{Name: "advertise", Type: schema.Address{}, Doc: "Where other nodes are told to connect, if not at link."},
 		{Name: "data", Type: schema.Text{Max: maxPath}, Doc: "Folder for bulk data; without it the node keeps nothing."},
 		{Name: "body", Type: schema.Int{Min: 1 << 10, Max: maxBody}, Doc: "Bound of a request's body, in bytes."},
+		{Name: "memory", Type: schema.Int{Min: 64 << 20, Max: 1 << 40}, Doc: "Memory that the process may take, in bytes. A quarter of it is for what is held for callers; a body takes up to five times its size."},
+		{Name: "connections", Type: schema.Int{Max: 1 << 20}, Doc: "Connections that callers may have at once; 0 means nearly half of the descriptors."},
 		{Name: "notice", Type: duration, Doc: "How long a stopping node still takes callers, while the balancer learns that it is not ready."},
 		{Name: "grace", Type: duration, Doc: "How long a planned stop waits for what is in flight."},
 	}}
--- a/transport/edge/edge.go
+++ b/transport/edge/edge.go
@@ -2,7 +2,6 @@
 package edge
 
 import (
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"github.com/cowslipstage/cowslipstage/state/burn"
 	"github.com/cowslipstage/cowslipstage/state/call"
 	"github.com/cowslipstage/cowslipstage/state/config"
+	"github.com/cowslipstage/cowslipstage/transport/intake"
 )
 
 // Owner is a node that owns a shard in one epoch. The zero Owner means no owner.
@@ -177,18 +177,30 @@
 		return nil, refusal
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.options.DefaultTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody))
+	holder := intake.Holder(r.Context())
+	body, err := intake.ReadBody(http.MaxBytesReader(w, r.Body, e.options.MaxBody), r.ContentLength, e.options.MaxBody, holder)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err == nil && holder != nil && !holder.Take(time.Now(), bodyCopies*int64(len(body))) {
+		err = intake.ErrNoRoom
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, notRun("size", "the body is larger than "+formatBytes(tooLarge.Limit))
+	case errors.Is(err, intake.ErrNoRoom):
+		refusal := notRun("overload", "the node has no memory for the body now")
+		refusal.RetryAfter = time.Second
+		return nil, refusal
 	case err != nil:
 		return nil, notRun("bad", "the body did not arrive whole")
 	}
 	return body, nil
 }
 
+// bodyCopies is how often a body is held in addition until its call is answered: in the frame to the
+// call's owner, in what its journal keeps, and in the request to the endpoint.
+const bodyCopies = 4
+
 // serveCall submits a call and writes its answer.
 func (e *Edge) serveCall(w http.ResponseWriter, r *http.Request, k *call.Call, stream bool) {
 	if k.Key == "" {
