--- a/transport/wsrpc/server.go
+++ b/transport/wsrpc/server.go
@@ -35,14 +35,14 @@
 			return
 		}
 		socket.SetReadLimit(maxMessageBytes)
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
 		peer, _, _ := net.SplitHostPort(r.RemoteAddr) // "" is as good
 		s := &session{socket: socket, peer: peer, messages: messages, log: log, out: make(chan outgoing, maxQueuedMessages)}
 		if s.sending = messages.open(peer, func() {}); s.sending != nil {
 			s.sending.Enter(time.Now(), memory.Serving)
 			defer s.sending.Close()
 		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
 		s.serve(ctx, handle)
 	})
 	return r
@@ -98,7 +98,7 @@
 
 // send queues an answer.
 func (s *session) send(ctx context.Context, number uint64, answer vaults.Message) {
-	if answer == nil {
+	if answer == nil || ctx.Err() != nil {
 		return
 	}
 	data, err := vaults.Encode(answer)
@@ -107,6 +107,9 @@
 		return
 	}
 	if s.sending != nil && !s.sending.Take(time.Now(), int64(len(data))) {
+		if ctx.Err() != nil {
+			return // the connection has ended meanwhile
+		}
 		s.log.Warn().Msg("answer dropped: no room for it")
 		return
 	}
