--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -68,6 +68,9 @@
 
 // playedFaults returns the faults of a run. In one of planned work these are operators' doings only.
 func (dp *deployment) playedFaults() []fault {
+	if dp.options.Crowds {
+		return append(slices.Clone(faults), crowdFault, crowdFault, crowdFault, crowdFault, crowdFault)
+	}
 	if !dp.options.Planned {
 		return faults
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -71,6 +71,8 @@
 	// Planned leaves only what operators do themselves, which no caller may notice. Requests
 	// take up to seconds, and some programs pause for nearly as long as a turn is kept.
 	Planned bool
+	// Crowds adds clients that don't behave to the faults.
+	Crowds bool
 	// Pauses lets all programs pause like that, in any run.
 	Pauses bool
 }
@@ -177,7 +179,7 @@
 	callers.Wait()
 	customers.Wait()
 	maps.Copy(report.Faults, eventCounts)
-	if err := dp.checkEnd(results); err != nil {
+	if err := errors.CombineErrors(dp.checkEnd(results), dp.checkMemory()); err != nil {
 		return nil, err
 	}
 	dp.ledger.mu.Lock()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -58,6 +58,27 @@
 	}
 }
 
+// crowdEnv is the variable without which runs with crowds are skipped: they run alone.
+const crowdEnv = "COWSLIPSTAGE_CROWD"
+
+// Real gates and vaults keep all promises and stay within their memory while clients that don't behave
+// press against them, beside the other faults.
+func TestPromisesHoldInACrowd(t *testing.T) {
+	if os.Getenv(crowdEnv) == "" {
+		t.Skip(crowdEnv + " is not set; CI runs this test apart")
+	}
+	g := gomega.NewWithT(t)
+	o := soak.Options{Seed: 5900, For: 30 * time.Second, Callers: 8, Crowds: true, Folder: t.TempDir()}
+	o.Binary = filepath.Join(o.Folder, "cowslipstage")
+	out, err := exec.Command("go", "build", "-o", o.Binary, "../../cmd/cowslipstage").CombinedOutput()
+	g.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
+	r, err := soak.Run(o)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Log(r, strings.Join(r.Violations, "\n"))
+	g.Expect(r.Violations).To(gomega.BeEmpty())
+	g.Expect(r.Served).To(gomega.BeNumerically(">", 100), "callers are served meanwhile")
+}
+
 // Hosts are replaced one after the other by the build in production and by this one, and
 // all promises hold.
 func TestPromisesHoldWhileBuildsAreReplaced(t *testing.T) {
