--- a/gate/stream.go
+++ b/gate/stream.go
@@ -133,11 +133,12 @@
 		g.refuseUnread(t.request, http.StatusServiceUnavailable, errNoRoom.Error()+"; it has not run")
 		return false
 	}
-	wanted := opening{
-		hold:   &chains.Hold{Program: t.account(), Turn: t.ID, MaxTokens: t.MaxOutputTokens, Retention: t.accountRetention()},
-		budget: -1, owner: t.customerName(), margin: t.retentionMargin(),
+	if t.hasBudget() && t.MaxOutputTokens > t.Budget {
+		g.refuse(t.request, http.StatusPaymentRequired, errSpent.Error())
+		return false
 	}
-	fetched := 0
+	t.hasHold = t.hasBudget()
+	wanted, fetched := t.wantedOpening(), 0
 	wanted.room = func(bytes int) bool {
 		if !take(t.holder, int64(bytes)) {
 			return false
@@ -146,43 +147,12 @@
 		return true
 	}
 	defer func() { give(t.holder, int64(fetched)) }() // the prompt is a copy
-	if t.hasBudget() && t.MaxOutputTokens > t.Budget {
-		g.refuse(t.request, http.StatusPaymentRequired, errSpent.Error())
-		return false
-	}
-	if t.hasHold = t.hasBudget(); t.hasHold {
-		wanted.budget = t.Budget
-	}
-	if t.route.KeepsTurns {
-		wanted.previous = t.Previous
-		if len(t.body) >= longTurn {
-			wanted.size = len(t.body)
-		}
-	} else {
-		wanted.session = t.Session
-	}
 	result, err := g.vaults.openTurn(ctx, wanted)
-	switch {
-	case errors.Is(err, errSpent):
-		g.settleTurn(t, nil)
-		g.refuse(t.request, http.StatusPaymentRequired, err.Error())
-		return false
-	case errors.Is(err, errUnknown):
-		g.settleTurn(t, nil)
-		g.refuse(t.request, http.StatusNotFound, err.Error())
-		return false
-	case errors.Is(err, errNoRoom):
-		g.settleTurn(t, nil)
-		g.refuseUnread(t.request, http.StatusServiceUnavailable, err.Error()+"; it has not run")
-		return false
-	case errors.Is(err, errFull):
-		t.hasHold = t.hasHold && result.held
-		g.settleTurn(t, nil)
-		g.refuse(t.request, http.StatusServiceUnavailable, err.Error()+"; it has not run")
-		return false
-	case err != nil:
+	if err != nil {
+		// A vault that is full has kept nothing, so only what others hold is settled.
+		t.hasHold = t.hasHold && (result.held || !errors.Is(err, errFull))
 		g.settleTurn(t, nil)
-		g.refuse(t.request, http.StatusServiceUnavailable, "its chain or budget is not certain; it has not run: "+err.Error())
+		g.refuseOpening(t.request, err)
 		return false
 	}
 	if chain := result.chain; len(chain) > 0 {
@@ -201,6 +171,42 @@
 	return true
 }
 
+// wantedOpening returns what the vaults are asked before the turn runs.
+func (q *request) wantedOpening() opening {
+	wanted := opening{
+		hold:   &chains.Hold{Program: q.account(), Turn: q.ID, MaxTokens: q.MaxOutputTokens, Retention: q.accountRetention()},
+		budget: -1, owner: q.customerName(), margin: q.retentionMargin(),
+	}
+	if q.hasBudget() {
+		wanted.budget = q.Budget
+	}
+	if !q.route.KeepsTurns {
+		wanted.session = q.Session
+		return wanted
+	}
+	wanted.previous = q.Previous
+	if len(q.body) >= longTurn {
+		wanted.size = len(q.body)
+	}
+	return wanted
+}
+
+// refuseOpening refuses a turn whose chain or budget is missing, spent or not certain.
+func (g *Gate) refuseOpening(q *request, err error) {
+	switch {
+	case errors.Is(err, errSpent):
+		g.refuse(q, http.StatusPaymentRequired, err.Error())
+	case errors.Is(err, errUnknown):
+		g.refuse(q, http.StatusNotFound, err.Error())
+	case errors.Is(err, errNoRoom):
+		g.refuseUnread(q, http.StatusServiceUnavailable, err.Error()+"; it has not run")
+	case errors.Is(err, errFull):
+		g.refuse(q, http.StatusServiceUnavailable, err.Error()+"; it has not run")
+	default:
+		g.refuse(q, http.StatusServiceUnavailable, "its chain or budget is not certain; it has not run: "+err.Error())
+	}
+}
+
 // recallHome takes the home of the turn's session from this gate's own turns, if no vault
 // named one. The vaults are asked only for turns that have a budget.
 func (g *Gate) recallHome(now time.Time, t *turn) {
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -138,7 +138,7 @@
 	idle := c.server.options.Limits().IdleTime
 	written := 0
 	for first := true; first || written < len(data); first = false {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(idle)) // a closed connection needs none
+		_ = c.SetWriteDeadline(time.Now().Add(idle)) // a closed connection needs none
 		if c.cut.Load() {
 			return written, os.ErrDeadlineExceeded
 		}
@@ -156,7 +156,7 @@
 // cutWrite ends the pending write and all further ones.
 func (c *conn) cutWrite() {
 	c.cut.Store(true)
-	_ = c.Conn.SetWriteDeadline(past) // a closed connection needs none
+	_ = c.SetWriteDeadline(past) // a closed connection needs none
 }
 
 // Close closes the connection, a little later if the client may not have got its answer yet.
@@ -513,7 +513,7 @@
 		name, value := c.server.options.RetryAfter()
 		retry = name + ": " + value + "\r\n"
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:staticcheck // not that of c, which sets its own; what fails is noticed below
+	_ = c.SetWriteDeadline(time.Now().Add(refuseTime)) //nolint:staticcheck // not that of c, which sets its own; what fails is noticed below
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		status, http.StatusText(status), len(text), retry, text)
 	if err != nil || c.closeWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
