--- a/proof/crowd/callers_test.go
+++ b/proof/crowd/callers_test.go
@@ -41,6 +41,11 @@
 	return s.head(http.MethodPost, fake.OrderPath+"a", fake.Request{}, more...)
 }
 
+// unread returns a request for an answer that is not read, with so many bytes of short header lines.
+func (s *system) unread(lineBytes int) string {
+	return s.head(http.MethodGet, fake.LookupPath+unreadPath, fake.Request{}) + lines(lineBytes) + "\r\n"
+}
+
 // The crowds that have ended gates, or took more descriptors than a gate has.
 var callersCases = []callersCase{
 	{"heads of short lines, a byte of the body missing", 300, 0, func(s *system, c net.Conn) error {
@@ -187,3 +192,23 @@
 	}
 	s.check("in calm")
 }
+
+// Callers that leave an answer unread hold their connections, or with heads of some lines the memory, for
+// as long as the operators' limit on idle clients. Others are answered meanwhile.
+func TestUnreadAnswersLeaveRoom(t *testing.T) {
+	patient := limits
+	patient.IdleTime = 2 * maxWait
+	for _, k := range []struct {
+		name  string
+		fds   int
+		lines int
+	}{{"connections", gateFDs, 0}, {"memory", 0, 3400}} {
+		t.Run(k.name, func(t *testing.T) {
+			s := startSystem(t, options{gateMB: gateMB, vaultMB: vaultMB, gateFDs: k.fds, limits: patient})
+			cr := gatherBy(t, narrow, s.gates[0].Frontend, 200, func(c net.Conn, _ int) error { return write(c, s.unread(k.lines)) })
+			s.check("beside the crowd")
+			cr.leave()
+			s.check("after the crowd")
+		})
+	}
+}
--- a/proof/crowd/clients_test.go
+++ b/proof/crowd/clients_test.go
@@ -1,15 +1,19 @@
 package crowd
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
 
@@ -31,13 +35,31 @@
 // gather opens n connections to an address and has each send what send writes. It returns once
 // all have been sent, refused or left unread.
 func gather(t *testing.T, addr string, n int, send func(c net.Conn, i int) error) *crowd {
+	return gatherBy(t, net.Dialer{}, addr, n, send)
+}
+
+// narrow opens connections with segments and a window so small that few bytes are on their way to a client
+// that reads nothing.
+var narrow = net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	const segment, window = 536, 4 << 10
+	var maxErr, windowErr error
+	err := raw.Control(func(fd uintptr) {
+		maxErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segment)
+		windowErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window)
+	})
+	return errors.Join(err, maxErr, windowErr)
+}}
+
+// gatherBy is gather with a dialer.
+func gatherBy(t *testing.T, d net.Dialer, addr string, n int, send func(c net.Conn, i int) error) *crowd {
+	d.Timeout = connectTime
 	cr := &crowd{}
 	t.Cleanup(cr.leave)
 	var sending sync.WaitGroup
 	slots := make(chan struct{}, width)
 	refused := 0
 	for i := range n {
-		c, err := net.DialTimeout("tcp", addr, connectTime)
+		c, err := d.Dial("tcp", addr)
 		if err != nil {
 			refused++
 			continue
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -308,12 +308,22 @@
 // longPath ends the path of requests that want a long answer.
 const longPath = "long"
 
+// unreadPath ends the path of requests that want an answer of unreadAnswer, more than is on its way to a
+// caller that reads nothing over a narrow connection.
+const (
+	unreadPath   = "unread"
+	unreadAnswer = 120 << 10
+)
+
 func servePlain(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(workTime)
 	text := "done\n"
 	if strings.HasSuffix(r.URL.Path, longPath) {
 		text = strings.Repeat("x", longAnswer)
 	}
+	if strings.HasSuffix(r.URL.Path, unreadPath) {
+		text = strings.Repeat("x", unreadAnswer)
+	}
 	_, _ = io.WriteString(w, text) // the caller may have left
 }
 
--- a/state/memory/memory.go
+++ b/state/memory/memory.go
@@ -40,6 +40,8 @@
 	Reading
 	// Serving: a request is being served. The holder is not ended.
 	Serving
+	// Unread: a request is being served, but its client does not take the answer.
+	Unread
 )
 
 // Budget is a number of bytes. It is safe for concurrent use, like what it hands out.
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -28,6 +28,9 @@
 	// closed with unread bytes is reset, and the refusal lost.
 	lingerTime  = 300 * time.Millisecond
 	lingerBytes = 256 << 10
+	// unreadTime is how long a client may leave a part of its answer unread until it can be ended for
+	// others.
+	unreadTime = 2 * time.Second
 	// refuseTime bounds the writing of a refusal.
 	refuseTime = 100 * time.Millisecond
 )
@@ -60,6 +63,10 @@
 	last bool
 	// raw is set once the connection is not HTTP any more.
 	raw bool
+	// writing is when the pending write began, zero if there is none. unreadNoted says that the holder
+	// has been told that its client does not take the answer.
+	writing     time.Time
+	unreadNoted bool
 	// closing is set once the pending read has a deadline in the past, so that it fails unless it
 	// returns bytes.
 	closing bool
@@ -142,7 +149,9 @@
 		if c.cut.Load() {
 			return written, os.ErrDeadlineExceeded
 		}
+		c.beginWrite(time.Now())
 		n, err := c.Conn.Write(data[written:min(len(data), written+writeBytes)])
+		c.endWrite(time.Now())
 		if written += n; err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) && !c.cut.Swap(true) {
 				c.server.note(slowReader, c.RemoteAddr().String())
@@ -153,6 +162,34 @@
 	return written, nil
 }
 
+func (c *conn) beginWrite(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = now
+}
+
+// endWrite notes that the client has taken some of its answer, or that it will not.
+func (c *conn) endWrite(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = time.Time{}
+	if c.unreadNoted {
+		c.unreadNoted = false
+		c.holder.Enter(now, memory.Serving)
+	}
+}
+
+// noteUnread lets the connection give way to others if its client has not taken a part of its answer
+// for some time.
+func (c *conn) noteUnread(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serving && !c.raw && !c.unreadNoted && !c.writing.IsZero() && now.Sub(c.writing) >= unreadTime {
+		c.unreadNoted = true
+		c.holder.Enter(now, memory.Unread)
+	}
+}
+
 // cutWrite ends the pending write and all further ones.
 func (c *conn) cutWrite() {
 	c.cut.Store(true)
@@ -238,6 +275,7 @@
 	c.mu.Lock()
 	inHead := c.scanner.InHead()
 	c.mu.Unlock()
+	c.noteUnread(now)
 	switch {
 	case phase == memory.Idle && waited > l.IdleTime:
 		c.closeIfIdle()
--- a/transport/intake/intake_test.go
+++ b/transport/intake/intake_test.go
@@ -353,3 +353,35 @@
 	}
 	f.g.Eventually(ended).Should(gomega.Receive(gomega.BeNil()))
 }
+
+// Connections whose clients leave their answers unread give way to others, long before the idle time.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	const most = 2
+	began := make(chan bool, most)
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			began <- true
+			_, _ = w.Write(make([]byte, 16<<20)) // it is cut
+		}
+	}, func(o *intake.Options) { o.Conns = most })
+	for range most {
+		c, _ := f.dial()
+		defer func() { _ = c.Close() }()
+		_, err := fmt.Fprint(c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+		<-began
+	}
+	f.g.Eventually(func() error {
+		c, r := f.dial()
+		defer func() { _ = c.Close() }()
+		if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+		a, err := http.ReadResponse(r, nil)
+		if err == nil {
+			err = a.Body.Close()
+		}
+		return err
+	}).WithTimeout(20 * time.Second).Should(gomega.Succeed())
+	f.g.Expect(f.refused("ended")).To(gomega.Equal("1"))
+}
