--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"net"
 	"net/http"
 	"os"
 	"reflect"
@@ -185,7 +184,7 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	listener, err := net.Listen("tcp", addr)
+	listener, err := intake.Listen(addr)
 	if err == nil {
 		err = intake.NewBrief(mux, "metrics", set, log).Serve(listener)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -235,11 +235,11 @@
 
 // Run serves until ctx ends, then drains the requests in progress.
 func (g *Gate) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.site.Frontend)
+	listener, err := intake.Listen(g.site.Frontend)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for callers")
 	}
-	readyListener, err := net.Listen("tcp", g.site.Ready)
+	readyListener, err := intake.Listen(g.site.Ready)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for the balancer")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	"github.com/cowslipstage/cowslipstage/transport/keys"
 	"github.com/cowslipstage/cowslipstage/transport/links"
 	"github.com/cowslipstage/cowslipstage/transport/store"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 )
 
 // Node is one running entry host.
@@ -316,6 +317,9 @@
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
+	if tlsConfig == nil { // links are read at once
+		config.Control = window.Control
+	}
 	l, ok := n.listeners[addr]
 	if !ok {
 		var err error
--- a/proof/crowd/callers_test.go
+++ b/proof/crowd/callers_test.go
@@ -24,6 +24,8 @@
 	longHead  = 60 << 10
 	// gateFDs are the descriptors of the gates where connections are many.
 	gateFDs = 300
+	// behindBytes is how much a client sends behind a request that has not been answered.
+	behindBytes = 1 << 20
 	// bodyClients is how many clients send bodies as long as the limit.
 	bodyClients = 60
 )
@@ -106,6 +108,33 @@
 	}
 }
 
+// Bytes that have arrived take memory of the machine before the gate reads them, and also if it never does.
+func TestUnreadBytes(t *testing.T) {
+	const clients = 300
+	for _, k := range []struct {
+		name string
+		send func(s *system, c net.Conn) error
+	}{
+		{"of bodies, a byte missing", func(s *system, c net.Conn) error {
+			return write(c, s.post(bodyOf(limits.BodyBytes))+"\r\n"+strings.Repeat("x", limits.BodyBytes-1))
+		}},
+		{"of bodies over the limit", func(s *system, c net.Conn) error {
+			return write(c, s.post(bodyOf(2*limits.BodyBytes))+"\r\n"+strings.Repeat("x", 2*limits.BodyBytes))
+		}},
+		{"behind requests in progress", func(s *system, c net.Conn) error {
+			return write(c, s.unread(0), strings.Repeat("x", behindBytes))
+		}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			s := startSystem(t, options{gateMB: gateMB, vaultMB: vaultMB})
+			cr := gatherBy(t, narrow, s.gates[0].Frontend, clients, func(c net.Conn, _ int) error { return k.send(s, c) })
+			s.check("beside the crowd")
+			cr.leave()
+			s.check("after the crowd")
+		})
+	}
+}
+
 // A gate without a configuration bounds its callers as well. It cannot answer any.
 func TestCallersOfAGateWithoutConfiguration(t *testing.T) {
 	s := startSystem(t, options{gateMB: gateMB, vaultMB: vaultMB, noConfig: true})
--- a/proof/crowd/process_test.go
+++ b/proof/crowd/process_test.go
@@ -23,8 +23,10 @@
 	memoryDir = "/dev/shm"
 	// maxWait bounds the wait for any event.
 	maxWait = 30 * time.Second
-	// sampleEvery is the pause between two counts of a process's descriptors.
+	// sampleEvery is the pause between two counts of a process's descriptors, unreadEvery between two
+	// looks at the bytes that have arrived on them.
 	sampleEvery = 20 * time.Millisecond
+	unreadEvery = 100 * time.Millisecond
 	// logBytes is how much of a process's log a failed test prints.
 	logBytes = 4 << 10
 )
@@ -77,8 +79,10 @@
 
 	mu  sync.Mutex
 	log bytes.Buffer
-	// peakFDs is the highest number of descriptors that was seen.
-	peakFDs int
+	// peakFDs is the highest number of descriptors that was seen, and peakWithUnread the most memory with
+	// the bytes that have arrived and are not yet read, in bytes: the platform counts them too.
+	peakFDs        int
+	peakWithUnread int64
 	// held is held while the log is not read.
 	held sync.Mutex
 }
@@ -125,13 +129,20 @@
 	return p
 }
 
-// sample counts the process's descriptors until it ends.
+// sample counts the process's descriptors and the bytes that it has not read until it ends.
 func (p *process) sample() {
 	defer close(p.sampled)
+	var looked time.Time
 	for {
-		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
+		folder := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+		if entries, err := os.ReadDir(folder); err == nil {
+			taken := int64(0)
+			if time.Since(looked) >= unreadEvery {
+				looked = time.Now()
+				taken = p.statusKB("VmRSS")<<10 + unreadBytes(folder, entries)
+			}
 			p.mu.Lock()
-			p.peakFDs = max(p.peakFDs, len(entries))
+			p.peakFDs, p.peakWithUnread = max(p.peakFDs, len(entries)), max(p.peakWithUnread, taken)
 			p.mu.Unlock()
 		}
 		select {
@@ -142,32 +153,74 @@
 	}
 }
 
-// peakMB returns the most memory that the process has had resident, in MB.
-func (p *process) peakMB(g *gomega.WithT) int {
+// unreadBytes returns how many bytes have arrived on the sockets among a process's descriptors and are
+// not yet read.
+func unreadBytes(folder string, descriptors []os.DirEntry) int64 {
+	own := map[string]bool{}
+	for _, d := range descriptors {
+		target, err := os.Readlink(filepath.Join(folder, d.Name())) // it may be closed by now
+		if inode, ok := strings.CutPrefix(target, "socket:["); err == nil && ok {
+			own[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const state, queues, inode, listening = 3, 4, 9, "0A"
+	total := int64(0)
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) <= inode || fields[state] == listening || !own[fields[inode]] {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		n, err := strconv.ParseInt(received, 16, 64)
+		if err == nil {
+			total += n
+		}
+	}
+	return total
+}
+
+// statusKB returns a figure of the process's status in KB, 0 if it has ended.
+func (p *process) statusKB(name string) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	if err != nil {
+		return 0
+	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			n, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			return n >> 10
+		if rest, ok := strings.CutPrefix(line, name+":"); ok {
+			n, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			if err == nil {
+				return n
+			}
 		}
 	}
-	g.Expect(string(text)).To(gomega.ContainSubstring("VmHWM:"))
 	return 0
 }
 
+// peakMB returns the most memory that the process has had resident, and the most with the bytes that it
+// had not read, in MB.
+func (p *process) peakMB(g *gomega.WithT) (resident, withUnread int) {
+	resident = int(p.statusKB("VmHWM") >> 10)
+	g.Expect(resident).To(gomega.BeNumerically(">", 0))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return resident, int(p.peakWithUnread >> 20)
+}
+
 // check expects that the process lives and has kept its bounds.
 func (p *process) check(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(p.ended).NotTo(gomega.BeClosed(), "%s has ended", p.name)
-	peak := p.peakMB(g)
+	peak, withUnread := p.peakMB(g)
 	p.mu.Lock()
 	fds := p.peakFDs
 	p.mu.Unlock()
-	t.Logf("%s: %d of %d MB, %d of %d descriptors at the peak", p.name, peak, p.memoryMB, fds, p.maxFDs)
-	if peak > p.memoryMB {
-		t.Errorf("%s took %d MB, its machine has %d", p.name, peak, p.memoryMB)
+	t.Logf("%s: %d of %d MB, %d with unread bytes, %d of %d descriptors at the peak", p.name, peak, p.memoryMB, withUnread, fds, p.maxFDs)
+	if max(peak, withUnread) > p.memoryMB {
+		t.Errorf("%s took %d MB, %d with unread bytes, its machine has %d", p.name, peak, withUnread, p.memoryMB)
 	}
 	if p.maxFDs > 0 && fds > p.maxFDs {
 		t.Errorf("%s had %d descriptors, %d are allowed", p.name, fds, p.maxFDs)
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -23,13 +23,15 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/state/memory"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 )
 
 const (
 	// ConnBytes is what an open connection takes without a request: its goroutine and buffers.
 	ConnBytes = 20 << 10
-	// servingBytes is what a request takes in addition while it is served.
-	servingBytes = 16 << 10
+	// servingBytes is what a request takes in addition while it is served. Meanwhile its client may send
+	// more, and an endpoint's answer may arrive faster than it is passed on.
+	servingBytes = 16<<10 + 2*window.Bytes
 	// lineBytes is what each header line takes, parsed and copied once.
 	lineBytes = 256
 	// MaxHeadBytes is the highest bound on heads.
@@ -55,7 +57,7 @@
 
 const (
 	// briefBytes and briefConns bound a listener for brief requests.
-	briefBytes = 2 << 20
+	briefBytes = 4 << 20
 	briefConns = 32
 )
 
@@ -171,6 +173,12 @@
 	h.next.ServeHTTP(w, r)
 }
 
+// Listen listens for clients whose bytes are not all read at once.
+func Listen(addr string) (net.Listener, error) {
+	config := net.ListenConfig{Control: window.Control}
+	return config.Listen(context.Background(), "tcp", addr)
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l, s}) }
 
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -19,6 +19,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/cowslipstage/cowslipstage/transport/window"
 )
 
 // The errors of a failed request.
@@ -240,18 +242,22 @@
 
 // Dial connects to a host, with the time-outs that notice one that is lost.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive, Control: setAckTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive, Control: setOptions}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
 // Listen accepts connections with the same time-outs.
 func Listen(addr string) (net.Listener, error) {
-	l := net.ListenConfig{KeepAliveConfig: keepalive, Control: setAckTimeout}
+	l := net.ListenConfig{KeepAliveConfig: keepalive, Control: setOptions}
 	return l.Listen(context.Background(), "tcp", addr)
 }
 
-// setAckTimeout limits the time that sent bytes may stay unacknowledged.
-func setAckTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions limits the time that sent bytes may stay unacknowledged, and the bytes that arrive and are
+// not read.
+func setOptions(network, addr string, raw syscall.RawConn) error {
+	if err := window.Control(network, addr, raw); err != nil {
+		return err
+	}
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/state/memory"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 )
 
 // The errors of Dial.
@@ -60,8 +61,9 @@
 	closeTimeout = time.Second
 	// copyBytes is the most that is passed on at once.
 	copyBytes = 16 << 10
-	// connBytes is what a relayed connection takes: its buffers and goroutines.
-	connBytes = 2*copyBytes + 16<<10
+	// connBytes is what a relayed connection takes: its buffers and goroutines, and what has arrived from
+	// both sides.
+	connBytes = 2*copyBytes + 16<<10 + 2*window.Bytes
 	// minAcceptPause and maxAcceptPause bound the pause after accepting failed.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
