--- a/coordination/core/admit.go
+++ b/coordination/core/admit.go
@@ -30,7 +30,11 @@
 		return nil, a
 	}
 	if p == nil {
+		if !c.hasRoom() {
+			return nil, refuse("overload", "the node has no memory for a further program now", fullRetry)
+		}
 		p = c.openProgram(now, s, k, v)
+		c.kept += p.Bytes()
 	}
 	r.program = p
 	return r, c.admitProgram(r)
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -39,6 +39,9 @@
 	// remembered. 0 selects the default.
 	AnswerRetention time.Duration
 	KeyRetention    time.Duration
+	// KeptBytes is about the memory that all programs may take; 0 for any. Beyond it the answers of those
+	// that ended first expire early, and if that does not suffice new programs are refused.
+	KeptBytes int64
 	// Seed initializes the random choices.
 	Seed uint64
 }
@@ -96,6 +99,10 @@
 	leavingEndpoints map[string]bool
 	lastID           uint64
 	draining         bool
+	// kept is about the memory that the programs take, as of the last cleanup and with those opened since.
+	kept int64
+	// madeRoom is set once room has been made since the last cleanup.
+	madeRoom bool
 	// lastCleanup is when cleanUp last ran.
 	lastCleanup time.Time
 	actions     []Action
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -385,6 +385,65 @@
 		Expect(r.dispatches).To(HaveLen(1))
 	})
 
+	Describe("with a bound on the memory of programs", func() {
+		const bound = 120_000
+		call := func(operation, key string) call.Call {
+			return call.Call{Key: key, Program: key, End: true, Kind: call.Plain, Service: "desk", Operation: operation}
+		}
+		// run submits a call and answers it, if it is dispatched.
+		run := func(operation, key string) {
+			before := len(r.dispatches)
+			r.submit(call(operation, key))
+			if len(r.dispatches) > before {
+				r.step(core.AttemptFinished{Attempt: r.dispatches[before].Attempt, Body: []byte(key), Status: 200})
+				r.commitAll()
+			}
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.step(core.Ticked{})
+			r.commitAll()
+		}
+		fetch := func(key string) *answer.Answer {
+			r.step(core.AnswerRequested{Customer: "c", Program: key, Key: key})
+			return r.lastAnswer()
+		}
+		BeforeEach(func() {
+			r = &harness{now: time.Unix(1000, 0)}
+			r.core = core.New(core.Options{Shards: 1, Queue: queue.Attained, Route: route.EarliestFinish, Seed: 1, KeptBytes: bound})
+			r.step(core.Configured{Config: testConfig()})
+			r.step(core.ShardAcquired{Shard: 0, Epoch: 1})
+		})
+
+		It("lets the answers of programs that ended first expire early, and takes all calls", func() {
+			for i := range 500 {
+				run("look", fmt.Sprint("k", i))
+				Expect(r.lastAnswer().Outcome).To(Equal(answer.Done), "call %d: %s", i, r.lastAnswer().Reason)
+			}
+			Expect(string(fetch("k499").Body)).To(Equal("k499"))
+			Expect(fetch("k0").Reason).To(Equal("key"))
+		})
+
+		It("keeps the keys of calls that may not be repeated, and refuses new programs as not run", func() {
+			taken := 0
+			for i := range 45 {
+				before := len(r.dispatches)
+				run("book", fmt.Sprint("k", i))
+				if len(r.dispatches) > before {
+					taken++
+					continue
+				}
+				Expect(r.lastAnswer().Outcome).To(Equal(answer.NotRun))
+				Expect(r.lastAnswer().Reason).To(Equal("overload"))
+			}
+			Expect(taken).To(And(BeNumerically(">", 10), BeNumerically("<", 40)))
+			dispatched := len(r.dispatches)
+			for i := range taken {
+				run("book", fmt.Sprint("k", i))
+				Expect(string(r.lastAnswer().Body)).To(Equal(fmt.Sprint("k", i)))
+			}
+			Expect(r.dispatches).To(HaveLen(dispatched), "no booking runs twice")
+		})
+	})
+
 	It("counts failed attempts against the budget although no endpoint reports their cost", func() {
 		const attemptTokens = 10 + 50
 		for i := range 200 {
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -123,6 +123,8 @@
 		}
 		c.retrySweeps(now, s)
 	}
+	c.makeRoom()
+	c.madeRoom = false
 }
 
 // defaultIdle ends programs of services that declare no idle time.
--- a/node/node.go
+++ b/node/node.go
@@ -153,6 +153,9 @@
 	flushTimeout = 5 * time.Second
 	// clientShare is the part of the memory that is for callers.
 	clientShare = 0.25
+	// keptShare is the part of the memory, without what the node takes itself, that programs may take.
+	keptShare = 0.3
+	ownBytes  = 32 << 20
 	// peerBytes and peerConns bound what is held for the connections of other nodes.
 	peerBytes = 24 << 20
 	peerConns = 1024
@@ -214,6 +217,7 @@
 		Route: route.Policy(s.Policy.Route), Seed: s.Policy.Seed,
 		Hedge: s.Policy.Hedge, CopyCache: s.Policy.CopyCache, KeepMemory: !s.Policy.Release,
 		AnswerRetention: s.Shards.AnswerRetention, KeyRetention: s.Shards.KeyRetention, CacheWeight: s.Policy.CacheWeight,
+		KeptBytes: keptBytes(s.Node.Memory),
 	})
 	n.view = member.New(member.Options{
 		Self: s.Node.Name, LinkTimeout: s.Links.SilenceTimeout, LeaseTimeout: s.Store.Lease,
@@ -299,6 +303,9 @@
 	return n.serve(n.settings.Node.Link, private, n.keys.ServerTLS(), options)
 }
 
+// keptBytes returns how much of a node's memory is for programs.
+func keptBytes(memory int64) int64 { return int64(keptShare * float64(max(memory-ownBytes, memory/4))) }
+
 // maxFiles returns how many descriptors the process may have, 0 if that is not known.
 func maxFiles() int {
 	var limit unix.Rlimit
--- a/proof/crowd/serve_test.go
+++ b/proof/crowd/serve_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -16,6 +18,8 @@
 const (
 	// serveMB is the memory that a node may take.
 	serveMB = 256
+	// serveProgramsMB is that of a node that many programs use, the least that the settings allow.
+	serveProgramsMB = 64
 	// serveBody is the most that a body may have at the node.
 	serveBody = 4 << 20
 	operation = "/v1/services/yard/space"
@@ -27,6 +31,7 @@
 listen = %s
 link = %s
 body = %d
+memory = %d
 [store]
 addr = %s
 [links]
@@ -62,8 +67,8 @@
 	listen, link string
 }
 
-// startNode starts a node and waits until it answers.
-func startNode(t *testing.T) *node {
+// startNode starts a node that may take so many MB, and waits until it answers.
+func startNode(t *testing.T, memoryMB int) *node {
 	needsCrowd(t)
 	g := gomega.NewWithT(t)
 	folder := t.TempDir()
@@ -88,7 +93,7 @@
 	apply := startProcess(t, "ticket", 0, 0, "ticket", "apply", write("ticket.ini", fmt.Sprintf(ticket, desk)), "--store", store)
 	g.Eventually(apply.ended).WithTimeout(maxWait).Should(gomega.BeClosed())
 	g.Expect(apply.cmd.ProcessState.Success()).To(gomega.BeTrue(), apply.log.String())
-	n.process = startProcess(t, "node", serveMB, 0, "serve", "--config", write("node.ini", fmt.Sprintf(nodeSettings, n.listen, n.link, serveBody, store)))
+	n.process = startProcess(t, "node", memoryMB, 0, "serve", "--config", write("node.ini", fmt.Sprintf(nodeSettings, n.listen, n.link, serveBody, memoryMB<<20, store)))
 	n.checkAnswers("before the crowd")
 	return n
 }
@@ -110,25 +115,30 @@
 // checkAnswers expects an ordinary call to be answered.
 func (n *node) checkAnswers(when string) {
 	var last string
+	client := &http.Client{Timeout: routeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	gomega.NewWithT(n.t).Eventually(func() int {
-		r, err := http.NewRequest(http.MethodPost, "http://"+n.listen+operation, strings.NewReader(`{"yard":"north"}`))
-		if err != nil {
-			return 0
-		}
-		r.Header.Set("X-Customer", "c")
-		client := http.Client{Timeout: routeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-		a, err := client.Do(r)
-		if err != nil {
-			last = err.Error()
-			return 0
-		}
-		defer func() { _ = a.Body.Close() }()
-		text, _ := io.ReadAll(a.Body)
-		last = string(text)
-		return a.StatusCode
+		code, text := n.call(client, operation)
+		last = text
+		return code
 	}).WithTimeout(maxWait).Should(gomega.Equal(http.StatusOK), func() string { return when + ": " + last })
 }
 
+// call sends an ordinary call and returns its status and answer, 0 and the error if there is none.
+func (n *node) call(client *http.Client, path string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.listen+path, strings.NewReader(`{"yard":"north"}`))
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Header.Set("X-Customer", "c")
+	a, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(text)
+}
+
 // Whatever a crowd of callers sends to a node of serve, the node lives, stays within its memory
 // and answers an ordinary call.
 func TestCallersOfANode(t *testing.T) {
@@ -152,7 +162,7 @@
 		}},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			n := startNode(t)
+			n := startNode(t, serveMB)
 			cr := gather(t, k.addr(n), k.clients, func(c net.Conn, _ int) error { return k.send(c) })
 			n.check("beside the crowd")
 			cr.leave()
@@ -161,5 +171,44 @@
 	}
 }
 
+// The answers of calls can be fetched for an hour. A crowd of calls, each a program of its own, must not take
+// the node's memory by them.
+func TestProgramsAtANode(t *testing.T) {
+	for _, k := range []struct {
+		name      string
+		programs  int
+		operation string
+	}{{"that run", 12000, operation}} {
+		t.Run(k.name, func(t *testing.T) {
+			n := startNode(t, serveProgramsMB)
+			n.calls(k.programs, k.operation)
+			n.check("after the crowd")
+		})
+	}
+}
+
+// calls has a crowd send calls and counts their answers by status.
+func (n *node) calls(count int, path string) {
+	const atOnce = 64
+	client := &http.Client{Timeout: routeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: atOnce}}
+	var counts [600]atomic.Int64
+	var calling sync.WaitGroup
+	slots := make(chan struct{}, atOnce)
+	for range count {
+		slots <- struct{}{}
+		calling.Go(func() {
+			defer func() { <-slots }()
+			code, _ := n.call(client, path)
+			counts[code].Add(1)
+		})
+	}
+	calling.Wait()
+	for code := range counts {
+		if c := counts[code].Load(); c > 0 {
+			n.t.Logf("%d calls ended with %d", c, code)
+		}
+	}
+}
+
 func (n *node) callers() string { return n.listen }
 func (n *node) peers() string   { return n.link }
--- a/state/prog/prog.go
+++ b/state/prog/prog.go
@@ -35,8 +35,20 @@
 	swept      bool
 	// stripped is set by Strip.
 	stripped bool
+	// single says that the program's only call has the program's name as its key: the caller named none.
+	single bool
+	// bytes is about the memory that the program takes.
+	bytes int64
 }
 
+// programBytes, turnBytes and messageBytes are about what a program, a settled call and a message take
+// beside their texts.
+const (
+	programBytes = 2500
+	turnBytes    = 1500
+	messageBytes = 40
+)
+
 // agent is one conversation.
 type agent struct {
 	history []call.Message
@@ -57,6 +69,7 @@
 		intents:  map[string]*record.Intent{},
 		holders:  map[string]bool{},
 		budget:   budget.New(tokens, money),
+		bytes:    programBytes + 2*int64(len(customer)+len(id)),
 	}
 }
 
@@ -96,6 +109,8 @@
 		return
 	}
 	p.settled[c.Key] = withoutTexts(t)
+	p.bytes += settledBytes(t)
+	p.single = len(p.settled) == 1 && c.Key == p.id
 	a := p.agent(c.Agent)
 	a.lastSeq = max(a.lastSeq, c.Seq)
 	p.turns++
@@ -103,6 +118,10 @@
 		p.holders[t.Answer.Endpoint] = true
 	}
 	if t.Answer.Outcome == answer.Done && c.Kind == call.Chat {
+		for _, m := range c.Messages {
+			p.bytes += messageBytes + int64(len(m.Role)+len(m.Content))
+		}
+		p.bytes += messageBytes // the answer's text is that of the turn
 		a.history = append(a.history, c.Messages...)
 		a.history = append(a.history, call.Message{Role: "assistant", Content: t.Answer.Text})
 		a.tokens = t.Answer.Usage.Prompt + t.Answer.Usage.Output
@@ -113,9 +132,15 @@
 func (p *Program) resolveUnknown(old, t *record.Turn) {
 	if old.Answer.Outcome == answer.Unknown && t.Answer.Outcome == answer.Done {
 		p.settled[t.Call.Key] = withoutTexts(t)
+		p.bytes += settledBytes(t) - settledBytes(old)
 	}
 }
 
+// settledBytes returns about the memory that a settled call takes.
+func settledBytes(t *record.Turn) int64 {
+	return turnBytes + int64(len(t.Call.Key)+len(t.Answer.Text)+len(t.Answer.Body)+len(t.Answer.Detail))
+}
+
 // withoutTexts returns a copy of a turn without what its call said. The messages are in the
 // conversation, and a repeated call is compared by its digest.
 func withoutTexts(t *record.Turn) *record.Turn {
@@ -130,13 +155,25 @@
 func (p *Program) Strip(repeatable func(*call.Call) bool) {
 	p.stripped = true
 	p.agents = map[string]*agent{}
+	p.bytes = programBytes + 2*int64(len(p.customer)+len(p.id))
 	for k, t := range p.settled {
 		if repeatable(t.Call) {
 			delete(p.settled, k)
+		} else {
+			p.bytes += settledBytes(t)
 		}
 	}
 }
 
+// Bytes returns about the memory that the program takes.
+func (p *Program) Bytes() int64 { return p.bytes }
+
+// Forgettable reports whether nothing is lost with the program: its only call may be repeated and had no
+// program named by its caller, and all endpoints have released its memory.
+func (p *Program) Forgettable() bool {
+	return p.stripped && p.swept && p.single && len(p.settled) == 0
+}
+
 // AddHolder records that an endpoint may hold memory for the program.
 func (p *Program) AddHolder(endpoint string) { p.holders[endpoint] = true }
 
