--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -69,6 +69,8 @@
 	// refusals holds the recent refusals by caller. A delayed duplicate of a
 	// refused call must not run.
 	refusals map[Route]refusal
+	// refusalOrder holds the callers of refusals, oldest first.
+	refusalOrder []Route
 	// attempts holds every attempt that was sent and has not ended, by id.
 	attempts map[uint64]*attempt
 	// pendingAppends holds the journal appends that are not confirmed, by reference.
--- a/coordination/core/core_test.go
+++ b/coordination/core/core_test.go
@@ -442,6 +442,24 @@
 			}
 			Expect(r.dispatches).To(HaveLen(dispatched), "no booking runs twice")
 		})
+
+		It("says that a call has not run only as long as it can remember that", func() {
+			refused := map[answer.Outcome]int{}
+			for i := range 100 {
+				r.submit(call("none", fmt.Sprint("k", i)))
+				refused[r.lastAnswer().Outcome]++
+			}
+			remembered := refused[answer.NotRun]
+			Expect(remembered).To(And(BeNumerically(">", 10), BeNumerically("<", 60)))
+			Expect(refused[answer.Unknown]).To(Equal(100 - remembered))
+			duplicate := call("look", "k0")
+			duplicate.Digest = 1
+			r.submit(duplicate)
+			Expect(r.dispatches).To(BeEmpty(), "a delayed duplicate of a refused call")
+			r.now = r.now.Add(31 * time.Second)
+			r.submit(call("none", "later"))
+			Expect(r.lastAnswer().Outcome).To(Equal(answer.NotRun))
+		})
 	})
 
 	It("counts failed attempts against the budget although no endpoint reports their cost", func() {
--- a/coordination/core/request.go
+++ b/coordination/core/request.go
@@ -76,12 +76,19 @@
 // refusal is the answer to a call that did not run.
 type refusal struct {
 	answer *answer.Answer
-	until  time.Time
+	at     time.Time
 }
 
-// refusalRetention is how long delayed duplicates of a refused call get the same
-// refusal.
-const refusalRetention = 10 * time.Minute
+const (
+	// refusalRetention is how long delayed duplicates of a refused call get the same
+	// refusal, and minRefusalRetention how long if there are very many.
+	refusalRetention    = 10 * time.Minute
+	minRefusalRetention = 30 * time.Second
+	// refusalBytes is about what a remembered refusal takes, refusalShare the part of the memory for programs
+	// that all of them may take.
+	refusalBytes = 600
+	refusalShare = 0.25
+)
 
 // submit admits a call, or attaches its caller to the same call that is under way.
 func (c *Core) submit(now time.Time, e Submitted) {
@@ -125,12 +132,31 @@
 	c.addRequest(now, r)
 }
 
-// refuseCaller tells a caller that the call did not run, and stores the refusal.
+// refuseCaller tells a caller that the call did not run, and stores the refusal. If it cannot be
+// remembered, a delayed duplicate of the call may still run, so its outcome is not known.
 func (c *Core) refuseCaller(now time.Time, to Route, a *answer.Answer) {
-	c.refusals[to] = refusal{answer: a, until: now.Add(refusalRetention)}
+	if most := int(refusalShare * float64(c.options.KeptBytes) / refusalBytes); c.options.KeptBytes > 0 && len(c.refusals) >= most {
+		c.dropRefusals(now, minRefusalRetention, most-1)
+		if len(c.refusals) >= most {
+			b := *a
+			b.Outcome, b.Detail = answer.Unknown, a.Detail+"; too many calls were refused to remember that this one was"
+			c.emit(Reply{To: to, Final: &b})
+			return
+		}
+	}
+	c.refusals[to] = refusal{answer: a, at: now}
+	c.refusalOrder = append(c.refusalOrder, to)
 	c.emit(Reply{To: to, Final: a})
 }
 
+// dropRefusals forgets the oldest refusals until so many are left, but none that is younger than an age.
+func (c *Core) dropRefusals(now time.Time, age time.Duration, most int) {
+	for len(c.refusals) > most && now.Sub(c.refusals[c.refusalOrder[0]].at) >= age {
+		delete(c.refusals, c.refusalOrder[0])
+		c.refusalOrder = c.refusalOrder[1:]
+	}
+}
+
 func mismatchAnswer() *answer.Answer {
 	return refuse("mismatch", "the key was used for another request", 0)
 }
--- a/coordination/core/tick.go
+++ b/coordination/core/tick.go
@@ -108,11 +108,7 @@
 // cleanUp expires refusals and programs, decays the demand, reconciles the engines
 // and retries releases.
 func (c *Core) cleanUp(now time.Time) {
-	for to, f := range c.refusals {
-		if !now.Before(f.until) {
-			delete(c.refusals, to)
-		}
-	}
+	c.dropRefusals(now, refusalRetention, 0)
 	for n := range c.modelDemand {
 		c.modelDemand[n] *= demandDecay
 	}
--- a/proof/crowd/serve_test.go
+++ b/proof/crowd/serve_test.go
@@ -171,14 +171,14 @@
 	}
 }
 
-// The answers of calls can be fetched for an hour. A crowd of calls, each a program of its own, must not take
-// the node's memory by them.
+// The answers of calls can be fetched for an hour, and refusals are remembered for delayed duplicates. A
+// crowd of calls, each a program of its own, must not take the node's memory by them.
 func TestProgramsAtANode(t *testing.T) {
 	for _, k := range []struct {
 		name      string
 		programs  int
 		operation string
-	}{{"that run", 12000, operation}} {
+	}{{"that run", 12000, operation}, {"that are refused", 120000, "/v1/services/yard/none"}} {
 		t.Run(k.name, func(t *testing.T) {
 			n := startNode(t, serveProgramsMB)
 			n.calls(k.programs, k.operation)
