--- a/proof/crowd/serve_test.go
+++ b/proof/crowd/serve_test.go
@@ -143,26 +143,36 @@
 // and answers an ordinary call.
 func TestCallersOfANode(t *testing.T) {
 	head := "POST " + operation + " HTTP/1.1\r\nHost: h\r\nX-Customer: c\r\n"
+	chatHead := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-Customer: c\r\n"
 	for _, k := range []struct {
-		name    string
-		clients int
-		addr    func(n *node) string
-		send    func(c net.Conn) error
+		name     string
+		clients  int
+		memoryMB int
+		addr     func(n *node) string
+		send     func(c net.Conn) error
 	}{
-		{"heads of short lines, a byte of the body missing", 400, (*node).callers, func(c net.Conn) error {
+		{"heads of short lines, a byte of the body missing", 400, serveMB, (*node).callers, func(c net.Conn) error {
 			return write(c, head+bodyOf(10)+"\r\n"+lines(longHead)+"\r\n", "123456789")
 		}},
-		{"header lines without end", 400, (*node).callers, func(c net.Conn) error { return write(c, head+lines(longHead)) }},
-		{"heads at the link", 400, (*node).peers, func(c net.Conn) error { return write(c, "GET /link HTTP/1.1\r\nHost: h\r\n"+lines(longHead)) }},
-		{"bodies, a byte missing", bodyClients, (*node).callers, func(c net.Conn) error {
+		{"header lines without end", 400, serveMB, (*node).callers, func(c net.Conn) error { return write(c, head+lines(longHead)) }},
+		{"heads at the link", 400, serveMB, (*node).peers, func(c net.Conn) error { return write(c, "GET /link HTTP/1.1\r\nHost: h\r\n"+lines(longHead)) }},
+		{"bodies, a byte missing", bodyClients, serveMB, (*node).callers, func(c net.Conn) error {
 			return write(c, head+bodyOf(serveBody)+"\r\n\r\n"+strings.Repeat("x", serveBody-1))
 		}},
-		{"bodies that are whole", 2 * bodyClients, (*node).callers, func(c net.Conn) error {
+		{"bodies that are whole", 2 * bodyClients, serveMB, (*node).callers, func(c net.Conn) error {
 			return write(c, head+bodyOf(serveBody)+"\r\n\r\n"+strings.Repeat("x", serveBody))
 		}},
+		{"bodies of empty messages", 2 * bodyClients, serveMB / 2, (*node).callers, func(c net.Conn) error {
+			body := `{"model":"yard","messages":[{}` + strings.Repeat(",{}", serveBody/3-16) + "]}"
+			return write(c, chatHead+bodyOf(len(body))+"\r\n\r\n"+body)
+		}},
+		{"bodies of empty parts of a message", 2 * bodyClients, serveMB / 2, (*node).callers, func(c net.Conn) error {
+			body := `{"model":"yard","messages":[{"role":"user","content":[{}` + strings.Repeat(",{}", serveBody/3-32) + "]}]}"
+			return write(c, chatHead+bodyOf(len(body))+"\r\n\r\n"+body)
+		}},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			n := startNode(t, serveMB)
+			n := startNode(t, k.memoryMB)
 			cr := gather(t, k.addr(n), k.clients, func(c net.Conn, _ int) error { return k.send(c) })
 			n.check("beside the crowd")
 			cr.leave()
--- a/protocol/caller/caller.go
+++ b/protocol/caller/caller.go
@@ -36,7 +36,7 @@
 	MaxIDBytes = 128
 	// MaxDeadline bounds how long a caller may wait.
 	MaxDeadline = time.Hour
-	// MaxMessages bounds the messages of one call.
+	// MaxMessages bounds the messages of one call, and the parts of one message.
 	MaxMessages = 4096
 	// MaxOutputTokens bounds max_tokens.
 	MaxOutputTokens = 1 << 20
@@ -59,9 +59,9 @@
 // callers' libraries send many.
 func ParseChat(data []byte) (*Chat, error) {
 	var b struct {
-		Model     string    `json:"model"`
-		Messages  []message `json:"messages"`
-		MaxTokens *int      `json:"max_tokens"`
+		Model     string   `json:"model"`
+		Messages  messages `json:"messages"`
+		MaxTokens *int     `json:"max_tokens"`
 		// MaxCompletionTokens is the newer name of max_tokens.
 		MaxCompletionTokens *int `json:"max_completion_tokens"`
 		N                   *int `json:"n"`
@@ -70,7 +70,11 @@
 			Program string `json:"program"`
 		} `json:"metadata"`
 	}
-	if err := json.Unmarshal(data, &b); err != nil {
+	err := json.Unmarshal(data, &b)
+	switch {
+	case errors.Is(err, errMessages):
+		return nil, badRequest("%s", errMessages)
+	case err != nil:
 		return nil, badRequest("body: %s", describeJSONError(err))
 	}
 	c := &Chat{Model: b.Model, Stream: b.Stream, Program: b.Metadata.Program}
@@ -86,8 +90,8 @@
 	switch {
 	case !validID(b.Model):
 		return nil, badRequest("model: must name a service in up to %d printable characters", MaxIDBytes)
-	case len(b.Messages) == 0 || len(b.Messages) > MaxMessages:
-		return nil, badRequest("messages: must be from 1 to %d", MaxMessages)
+	case len(b.Messages) == 0:
+		return nil, badRequest("%s", errMessages)
 	case b.N != nil && *b.N != 1:
 		return nil, badRequest("n: only 1 answer is given")
 	}
@@ -101,6 +105,41 @@
 	return c, nil
 }
 
+// messages are those of a call. Their number is checked before they are decoded.
+type messages []message
+
+var errMessages = errors.Newf("messages: must be from 1 to %d", MaxMessages)
+
+// UnmarshalJSON decodes the messages.
+func (l *messages) UnmarshalJSON(data []byte) error {
+	if countElements(data, MaxMessages) > MaxMessages {
+		return errMessages
+	}
+	return json.Unmarshal(data, (*[]message)(l))
+}
+
+// countElements returns how many elements a valid JSON array has, or any number over most if it has more. An
+// element of a few bytes takes many times as much once it is decoded.
+func countElements(array []byte, most int) int {
+	depth, commas, inText := 0, 0, false
+	for i := 0; i < len(array) && commas < most; i++ {
+		switch c := array[i]; {
+		case inText && c == '\\':
+			i++
+		case c == '"':
+			inText = !inText
+		case inText:
+		case c == '[' || c == '{':
+			depth++
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 1:
+			commas++
+		}
+	}
+	return commas + 1
+}
+
 // message is a chat message whose content is text or a list of text parts.
 type message struct {
 	Role    string          `json:"role"`
@@ -122,6 +161,9 @@
 	if json.Unmarshal(m.Content, &content) == nil {
 		return content, nil
 	}
+	if countElements(m.Content, MaxMessages) > MaxMessages {
+		return "", fmt.Errorf("content: must have at most %d parts", MaxMessages)
+	}
 	var parts []struct {
 		Type string `json:"type"`
 		Text string `json:"text"`
--- a/protocol/caller/caller_test.go
+++ b/protocol/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"runtime"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -43,6 +44,31 @@
 	}
 }
 
+// An empty message takes three bytes of a body and some forty once it is decoded, so their number is checked
+// before.
+func TestManyMessagesAreNotDecoded(t *testing.T) {
+	const size = 4 << 20
+	list := "[{}" + strings.Repeat(",{}", size/3) + "]"
+	for body, message := range map[string]string{
+		`{"model":"a","messages":` + list + `}`:                                                                "messages: must be from 1 to 4096",
+		`{"model":"a","messages":` + list + `,"messages":[{"role":"user"}]}`:                                   "messages: must be from 1 to 4096",
+		`{"model":"a","messages":[{"role":"user","content":` + list + `}]}`:                                    "messages[0].content: must have at most 4096 parts",
+		`{"model":"a","messages":[{"role":1}` + strings.Repeat(`,{"role":"user","content":",,[{"}`, 10) + `]}`: "body: messages.role: a JSON number is not allowed here",
+	} {
+		g := NewWithT(t)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := caller.ParseChat([]byte(body))
+		runtime.ReadMemStats(&after)
+		g.Expect(err).To(MatchError(message))
+		g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 4*size), message)
+	}
+	most := `[{"role":"user","content":"x"}` + strings.Repeat(`,{"role":"user","content":"x"}`, caller.MaxMessages-1) + "]"
+	c, err := caller.ParseChat([]byte(`{"model":"a","messages":` + most + `}`))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(c.Messages).To(HaveLen(caller.MaxMessages))
+}
+
 func TestFinishReason(t *testing.T) {
 	g := NewWithT(t)
 	a := &answer.Answer{Outcome: answer.Done, Usage: answer.Usage{Output: 4}}
