--- a/cmd/cowslipstage/cmds/gate.go
+++ b/cmd/cowslipstage/cmds/gate.go
@@ -21,6 +21,7 @@
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/toggle"
 	"github.com/cowslipstage/cowslipstage/transport/intake"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 	"github.com/cowslipstage/cowslipstage/vault"
 )
 
@@ -184,7 +185,7 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	listener, err := intake.Listen(addr)
+	listener, err := intake.Listen(addr, window.Bytes)
 	if err == nil {
 		err = intake.NewBrief(mux, "metrics", set, log).Serve(listener)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -42,6 +42,7 @@
 	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 	"github.com/cowslipstage/cowslipstage/transport/relay"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
@@ -235,11 +236,11 @@
 
 // Run serves until ctx ends, then drains the requests in progress.
 func (g *Gate) Run(ctx context.Context) error {
-	listener, err := intake.Listen(g.site.Frontend)
+	listener, err := intake.Listen(g.site.Frontend, window.Bytes)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for callers")
 	}
-	readyListener, err := intake.Listen(g.site.Ready)
+	readyListener, err := intake.Listen(g.site.Ready, window.Bytes)
 	if err != nil {
 		return errors.Wrap(err, "gate: listening for the balancer")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -325,7 +325,7 @@
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
 	if tlsConfig == nil { // links are read at once
-		config.Control = window.Control
+		config.Control = window.Control(window.Bytes)
 	}
 	l, ok := n.listeners[addr]
 	if !ok {
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -173,9 +173,9 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// Listen listens for clients whose bytes are not all read at once.
-func Listen(addr string) (net.Listener, error) {
-	config := net.ListenConfig{Control: window.Control}
+// Listen listens for clients, each of which may have so many bytes arrive that are not read.
+func Listen(addr string, unread int) (net.Listener, error) {
+	config := net.ListenConfig{Control: window.Control(unread)}
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -255,7 +255,7 @@
 // setOptions limits the time that sent bytes may stay unacknowledged, and the bytes that arrive and are
 // not read.
 func setOptions(network, addr string, raw syscall.RawConn) error {
-	if err := window.Control(network, addr, raw); err != nil {
+	if err := window.Control(window.Bytes)(network, addr, raw); err != nil {
 		return err
 	}
 	var sockErr error
--- a/transport/window/window.go
+++ b/transport/window/window.go
@@ -8,14 +8,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// Bytes is the most that a bounded connection holds unread.
-const Bytes = 32 << 10
+const (
+	// Bytes is the most that a connection of a client or an endpoint holds unread.
+	Bytes = 32 << 10
+	// PeerBytes is that of connections on which processes send each other long messages.
+	PeerBytes = 128 << 10
+)
 
-// Control bounds a connection that is about to be opened, or all that a listener will accept. It is a
-// Control function of package net.
-func Control(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// The kernel doubles the size, for its own overhead. One without the option has a bound of its own.
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, Bytes/2)
-	})
+// Control returns a Control function of package net. It bounds a connection that is about to be opened,
+// or all that a listener will accept.
+func Control(bytes int) func(network, addr string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// The kernel doubles the size, for its own overhead. One without the option has a bound of its own.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+		})
+	}
 }
--- a/transport/window/window_test.go
+++ b/transport/window/window_test.go
@@ -15,7 +15,7 @@
 // However much a client sends, few bytes arrive until the process reads them.
 func TestFewBytesArriveUnread(t *testing.T) {
 	g := gomega.NewWithT(t)
-	config := net.ListenConfig{Control: window.Control}
+	config := net.ListenConfig{Control: window.Control(window.Bytes)}
 	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = l.Close() }()
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -35,6 +35,7 @@
 	"github.com/cowslipstage/cowslipstage/transport/files"
 	"github.com/cowslipstage/cowslipstage/transport/intake"
 	"github.com/cowslipstage/cowslipstage/transport/wallog"
+	"github.com/cowslipstage/cowslipstage/transport/window"
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
@@ -287,7 +288,7 @@
 
 // Run serves until ctx ends.
 func (v *Vault) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", v.Addr())
+	listener, err := intake.Listen(v.Addr(), window.PeerBytes)
 	if err != nil {
 		return errors.Wrap(err, "vault: listening")
 	}
