review: an entry with missing fields sends turns to a runner of another service

Cause: DecodeEndpoint asks for service, address, zone, state and slots only, so an entry of another writer without version, coldLeftMs and seq names a runner.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,7 +25,8 @@
 	size  size
 	model scenario
 }{
-	"same-words": {size{gates: 6, vaults: 3, runners: 12}, sameWords},
+	"foreign-entry": {size{gates: 3, vaults: 3, runners: 4}, foreignEntry},
+	"same-words":    {size{gates: 6, vaults: 3, runners: 12}, sameWords},
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,6 +32,8 @@
 	// down is set from downSince on, and expired once the entry has been removed.
 	down, expired bool
 	downSince     time.Time
+	// lines is what the runner has told of its runs.
+	lines []string
 }
 
 // stop ends the process.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.cmd = exec.Command(self, "runner", "--id", r.id, "--addr", r.addr)
+	r.cmd = exec.Command(self, "runner", "--id", r.id, "--addr", r.addr, "--service", service)
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := r.cmd.StdoutPipe()
 	if err != nil {
@@ -64,6 +65,9 @@
 	go func() {
 		for lines.Scan() {
 			d.note("runner %s: %s", r.id, lines.Text())
+			d.mu.Lock()
+			r.lines = append(r.lines, lines.Text())
+			d.mu.Unlock()
 		}
 	}()
 	d.mu.Lock()
@@ -81,6 +85,13 @@
 	return append([]*runner(nil), d.runners...)
 }
 
+// ranAt returns what a runner has told of its runs.
+func (d *deployment) ranAt(r *runner) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), r.lines...)
+}
+
 // register writes a runner's entry, as the runner does.
 func (d *deployment) register(r *runner) {
 	d.mu.Lock()
@@ -128,6 +139,7 @@
 	flags := flag.NewFlagSet("runner", flag.ExitOnError)
 	id := flags.String("id", "", "the runner's id")
 	addr := flags.String("addr", "", "where it listens")
+	service := flags.String("service", "engines", "the service that it belongs to")
 	_ = flags.Parse(args) // it exits on errors
 	l, err := net.Listen("tcp", *addr)
 	if err != nil {
@@ -135,13 +147,15 @@
 		os.Exit(cannotRun)
 	}
 	fmt.Println("listening")
-	_ = http.Serve(l, &engine{id: *id}) //nolint:gosec // it ends with the process
+	_ = http.Serve(l, &engine{id: *id, streams: *service == "engines"}) //nolint:gosec // it ends with the process
 }
 
-// engine answers as a model runner does.
+// engine answers as a model runner or a desk does.
 type engine struct {
-	id   string
-	runs atomic.Int64
+	id string
+	// streams is set at engines; desks answer at once and whole.
+	streams bool
+	runs    atomic.Int64
 }
 
 // ServeHTTP runs one request.
@@ -165,7 +179,7 @@
 	fmt.Printf("runs %s %s %s, body of %d bytes %s\n", attempt, r.Method, r.RequestURI, len(body), hex.EncodeToString(sum[:4]))
 	h.Set("Cowslipstage-Server-Seal", fmt.Sprintf("%s.%d", e.id, e.runs.Add(1)))
 	h.Set("Cowslipstage-Weight-Versions", "1")
-	if !strings.HasPrefix(r.URL.Path, "/talk/") {
+	if !e.streams {
 		time.Sleep(eventPause / 4)
 		_, _ = io.WriteString(w, "done "+attempt+"\n") // the caller may have left
 		return
