--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -41,7 +41,9 @@
 	network string
 	started time.Time
 	store   *fake.Keyval
-	config  int
+	// front is what the processes reach of the store.
+	front  *storeFront
+	config int
 
 	mu      sync.Mutex
 	record  *os.File
@@ -75,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(l, d.store) }() //nolint:gosec // it ends with the process
+	d.front = &storeFront{next: d.store}
+	go func() { _ = http.Serve(l, d.front) }() //nolint:gosec // it ends with the process
 	d.setConfig()
 	var seeds []string
 	for i := range n.vaults {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 	size  size
 	model scenario
 }{
+	"cut-seat":      {size{gates: 3, vaults: 4, runners: 6}, cutSeat},
 	"foreign-entry": {size{gates: 3, vaults: 3, runners: 4}, foreignEntry},
 	"same-words":    {size{gates: 6, vaults: 3, runners: 12}, sameWords},
 }
