--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	_ "embed" // for headers.txt
 	"errors"
 	"fmt"
 	"io"
@@ -11,8 +12,16 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
 
+// further holds the headers of a turn that platform/fake does not set. The platform's names stay out of
+// Go files elsewhere.
+//
+//go:embed headers.txt
+var further string
+
 // clientLimit is how long a client waits for one request.
 const clientLimit = 4 * time.Second
 
@@ -54,19 +63,13 @@
 		a.err = err
 		return a
 	}
-	r.Host = "soak.example"
-	h := r.Header
-	h.Set("Cowslipstage-Attempt-Id", a.attempt)
-	h.Set("Cowslipstage-Model", "m")
-	h.Set("Cowslipstage-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
-	h.Set("Cowslipstage-Program-Id", t.program)
-	h.Set("Cowslipstage-Session-Id", "s-"+t.program)
-	h.Set("Cowslipstage-Program-Deadline-Ms", "30000")
-	h.Set("Cowslipstage-Token-Budget", "2304")
-	h.Set("Cowslipstage-Token-Usage", "400,77")
-	h.Set("Cowslipstage-Prompt-Prefix", "5c1e07a2:300,"+t.program+":100")
-	if t.previous != "" {
-		h.Set("Cowslipstage-Previous-Turn", t.previous)
+	r.Host = fake.RouteHost
+	fake.Request{
+		ID: a.attempt, Program: t.program, Previous: t.previous, Session: "s-" + t.program, Budget: 2304, PromptTokens: 400, MaxTokens: 77, Timeout: limit,
+	}.SetHeaders(r.Header)
+	for line := range strings.Lines(further) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		r.Header.Set(name, strings.ReplaceAll(value, "PROGRAM", t.program))
 	}
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("%s%d", d.network, t.client))}}
 	client := http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
--- a/review/stand2/foreignentry.go
+++ b/review/stand2/foreignentry.go
@@ -56,8 +56,8 @@
 func (d *deployment) writeForeign(r *runner) {
 	for range foreignWrites {
 		value := fmt.Sprintf(`{"service":"engines","address":%q,"zone":%q,"slots":16,"state":"ready"}`, r.addr, r.zone)
-		d.note("DISTURBANCE: another writer sets servers/%s to %s, without version, coldLeftMs and seq", r.id, value)
-		d.store.Set("servers/"+r.id, value)
+		d.note("DISTURBANCE: another writer sets %s to %s, without version, coldLeftMs and seq", entryKey(r.id), value)
+		d.store.Set(entryKey(r.id), value)
 		time.Sleep(heartbeat)
 		d.register(r)
 		d.note("runner %s writes its own entry again", r.id)
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -11,9 +11,10 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cowslipstage/cowslipstage/platform/fake"
 )
 
 const (
@@ -85,6 +86,12 @@
 	return append([]*runner(nil), d.runners...)
 }
 
+// entryKey returns the key of a runner's entry.
+func entryKey(id string) string {
+	key, _ := fake.EndpointEntry(id, "", "", "", false, 0)
+	return key
+}
+
 // ranAt returns what a runner has told of its runs.
 func (d *deployment) ranAt(r *runner) []string {
 	d.mu.Lock()
@@ -99,7 +106,7 @@
 	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":1,"slots":16,"state":"ready","coldLeftMs":0,"seq":%d,"born":%d}`,
 		r.service, r.addr, r.zone, r.sequence, r.born)
 	d.mu.Unlock()
-	d.store.Set("servers/"+r.id, value)
+	d.store.Set(entryKey(r.id), value)
 }
 
 // beat writes the entries of the runners that are up, as the runners do. The platform's entry
@@ -113,7 +120,7 @@
 			r.expired = r.expired || expired
 			d.mu.Unlock()
 			if expired {
-				d.store.Set("servers/"+r.id, "")
+				d.store.Set(entryKey(r.id), "")
 				d.note("the entry of %s has expired", r.id)
 			}
 		}
@@ -155,30 +162,24 @@
 	id string
 	// streams is set at engines; desks answer at once and whole.
 	streams bool
-	runs    atomic.Int64
 }
 
 // ServeHTTP runs one request.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		w.Header().Set("Cowslipstage-Instance-Id", e.id)
-		return
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // it was not read to its end, so it does not run
 	}
-	h, attempt := w.Header(), r.Header.Get("Cowslipstage-Attempt-Id")
-	h.Set("Cowslipstage-Attempt-Id", attempt)
-	if wanted := r.Header.Get("Cowslipstage-Expect-Instance"); wanted != "" && wanted != e.id {
-		h.Set("Cowslipstage-Not-Executed", "1")
+	h := w.Header()
+	attempt, wanted := fake.ParseRequest(r.Header)
+	if wanted != "" && wanted != e.id {
+		fake.SetNotRun(h, attempt)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	sum := sha256.Sum256(body)
 	fmt.Printf("runs %s %s %s, body of %d bytes %s\n", attempt, r.Method, r.RequestURI, len(body), hex.EncodeToString(sum[:4]))
-	h.Set("Cowslipstage-Server-Seal", fmt.Sprintf("%s.%d", e.id, e.runs.Add(1)))
-	h.Set("Cowslipstage-Weight-Versions", "1")
+	fake.SetAnswerHeaders(h, attempt, e.id)
 	if !e.streams {
 		time.Sleep(eventPause / 4)
 		_, _ = io.WriteString(w, "done "+attempt+"\n") // the caller may have left
