--- /dev/null
+++ b/gate/broken_test.go
@@ -0,0 +1,103 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/cowslipstage/cowslipstage/standin/coord"
+	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/site"
+	"github.com/cowslipstage/cowslipstage/state/table"
+)
+
+// kinds are the kinds of routes.
+var kinds = []table.Kind{table.Idempotent, table.Unsafe, table.Stream}
+
+// post sends a request with a body to the gate on a new connection.
+func (h *gateFixture) post(id string, size int) (int, http.Header, string, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	r, err := http.NewRequest(http.MethodPost, "http://"+h.gate.site.Frontend+"/a", bytes.NewReader(make([]byte, size)))
+	h.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Host = "h"
+	r.Header.Set(headerID, id)
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
+
+// early returns an endpoint that answers once it has read a request's head, in which ID stands for the
+// request's, and then ends the connection.
+func early(t *testing.T, answer string, end func(c *net.TCPConn)) fleet.Entry {
+	return rawEndpoint(t, "e", func(conn net.Conn) {
+		c := conn.(*net.TCPConn)
+		_ = c.SetReadBuffer(4 << 10)
+		r, err := http.ReadRequest(bufio.NewReaderSize(c, 16))
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", r.Header.Get(headerID)))
+		end(c)
+	})
+}
+
+// reset ends a connection with a reset, after what was written has arrived.
+func reset(c *net.TCPConn) {
+	time.Sleep(2 * time.Millisecond)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// closeThenReset says that nothing more follows, and resets the connection.
+func closeThenReset(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	reset(c)
+}
+
+// longUpload is as long as a body may be, and more than the kernel holds of one that nobody reads.
+const longUpload = 4 << 20
+
+func roomySite() *site.Site {
+	return &site.Site{Node: "gate", Centre: "c", Memory: 512 << 20, Grace: time.Second}
+}
+
+// An endpoint answers a long upload at once, without a length. Callers got the part that was sent before a
+// reset as the whole answer. What was sent before a close in order is whole.
+func TestAResetDuringAnUploadIsNotTheEndOfItsAnswer(t *testing.T) {
+	for _, kind := range kinds {
+		for name, end := range map[string]func(c *net.TCPConn){"reset": reset, "closed": closeThenReset} {
+			t.Run(fmt.Sprint(name, ", kind ", kind), func(t *testing.T) {
+				t.Parallel()
+				e := early(t, "HTTP/1.1 200 OK\r\nId: ID\r\n\r\ndata: part\n\n", end)
+				h := startGate(t, roomySite(), coord.New(), plainRoute(kind, 1), []fleet.Entry{e})
+				for range 20 {
+					status, _, body, err := h.post("x", longUpload)
+					switch {
+					case name == "closed":
+						h.g.Expect(err).NotTo(gomega.HaveOccurred())
+						h.g.Expect(status).To(gomega.Equal(http.StatusOK))
+						h.g.Expect(body).To(gomega.Equal("data: part\n\n"))
+					case kind == table.Stream: // its part has been passed on
+						h.g.Expect(err != nil || status == http.StatusBadGateway).To(gomega.BeTrue(), "status %d, %q", status, body)
+					default:
+						h.g.Expect(err).NotTo(gomega.HaveOccurred())
+						h.g.Expect(status).To(gomega.Equal(http.StatusBadGateway), "%q", body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 	"github.com/cowslipstage/cowslipstage/transport/window"
 )
 
@@ -240,10 +241,15 @@
 	return &conn{Conn: n, bounded: b, reader: bufio.NewReaderSize(b, bufferBytes), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
 }
 
-// Dial connects to a host, with the time-outs that notice one that is lost.
+// Dial connects to a host, with the time-outs that notice one that is lost. Reads of the connection end with
+// io.EOF only if the host has closed it in order.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive, Control: setOptions}
-	return d.DialContext(ctx, "tcp", addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return whole.NewConn(conn), nil
 }
 
 // Listen accepts connections with the same time-outs.
@@ -267,11 +273,11 @@
 
 // alive reports whether an idle connection is open and has no unread bytes.
 func (c *conn) alive() bool {
-	t, ok := c.Conn.(*net.TCPConn)
+	s, ok := c.Conn.(syscall.Conn)
 	if !ok || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := t.SyscallConn()
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -312,14 +318,22 @@
 		return err
 	}
 	c.writeDone = make(chan error, 1)
-	go func() {
-		parts := net.Buffers{head, r.Body}
-		_, err := parts.WriteTo(c.Conn)
-		c.writeDone <- err
-	}()
+	go func() { c.writeDone <- c.writeParts(net.Buffers{head, r.Body}) }()
 	return nil
 }
 
+// writeParts writes several buffers, in one call where the connection can.
+func (c *conn) writeParts(parts net.Buffers) error {
+	if w, ok := c.Conn.(interface {
+		WriteBuffers(b *net.Buffers) (int64, error)
+	}); ok {
+		_, err := w.WriteBuffers(&parts)
+		return err
+	}
+	_, err := parts.WriteTo(c.Conn)
+	return err
+}
+
 // read returns the head of the answer that matches the request.
 func (c *conn) read(r Request) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
