--- a/gate/crash.go
+++ b/gate/crash.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipstage/cowslipstage/state/blame"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
+	"github.com/cowslipstage/cowslipstage/transport/relay"
 )
 
 // crashProbeAge is how long it counts whether an endpoint had ended when a connection to
@@ -35,7 +36,7 @@
 // brokeOff reports whether the connection broke before the answer's end.
 func brokeOff(err error) bool {
 	return errors.Is(err, pool.ErrMayHaveRun) &&
-		(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+		errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, relay.ErrUnmarked)
 }
 
 // checkCrash finds out in the background whether an endpoint ended while it ran a
--- a/transport/pool/broken_test.go
+++ b/transport/pool/broken_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,21 +44,14 @@
 	return l.Addr().String()
 }
 
-// arrival is how long the bytes that an endpoint wrote take to arrive at most. A reset may overtake them.
-const arrival = 2 * time.Millisecond
-
-// reset ends a connection with a reset, after what was written has arrived.
+// reset ends a connection with a reset.
 func reset(c *net.TCPConn) {
-	time.Sleep(arrival)
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
 
 // closeUnread closes a connection with unread bytes, which resets it.
-func closeUnread(c *net.TCPConn) {
-	time.Sleep(arrival)
-	_ = c.Close()
-}
+func closeUnread(c *net.TCPConn) { _ = c.Close() }
 
 // closeThenReset says that nothing more follows and resets the connection while the body is still being
 // written.
@@ -73,48 +67,66 @@
 	_ = c.Close()
 }
 
+// after returns an end that comes once what was written has been read, probably.
+func after(end func(c *net.TCPConn)) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		time.Sleep(2 * time.Millisecond)
+		end(c)
+	}
+}
+
 // An endpoint answers before it has read the body. The kernel reports a reset to whichever call comes first: the
 // goroutine that wrote the body took it, and the reader saw an end like that of a connection that is closed
 // in order. A whole answer counts, whatever becomes of the body.
 func TestAnEarlyAnswerIsWholeByItsOwnEnd(t *testing.T) {
-	const (
-		head    = "HTTP/1.1 200 OK\r\nId: 1\r\n"
-		open    = head + "\r\npart"
-		length  = head + "Content-Length: 4\r\n\r\npart"
-		chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
-	)
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	text := strings.Repeat("part", 2<<10) // fits what the kernel holds of it
+	open, length := head+"\r\n"+text, head+"Content-Length: 8192\r\n\r\n"+text
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n2000\r\n" + text + "\r\n"
 	for _, c := range []struct {
 		name, answer string
 		end          func(c *net.TCPConn)
 		whole        bool
 	}{
-		{"reset", open, reset, false}, {"closed with unread bytes", open, closeUnread, false}, {"closed, then reset", open, closeThenReset, true},
-		{"closed and read", open, closeAndRead, true}, {"length, reset", length, reset, true}, {"length, closed with unread bytes", length, closeUnread, true},
-		{"chunks, reset", chunked, reset, true}, {"short of its length", head + "Content-Length: 5\r\n\r\npart", closeThenReset, false},
-		{"without the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", closeThenReset, false},
+		{"reset", open, reset, false}, {"closed with unread bytes", open, closeUnread, false},
+		{"closed, then reset", open, closeThenReset, true}, {"closed and read", open, closeAndRead, true},
+		{"length, reset", length, reset, true}, {"length, closed with unread bytes", length, closeUnread, true},
+		{"chunks, reset", chunked + "0\r\n\r\n", reset, true}, {"short of its length", length[:len(length)-1], closeThenReset, false},
+		{"without the last chunk", chunked, closeThenReset, false},
 	} {
+		for _, atOnce := range []bool{true, false} {
+			end, name := c.end, c.name+", at once"
+			if !atOnce {
+				end, name = after(c.end), c.name
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				testEarlyAnswer(t, c.answer, end, text, c.whole)
+			})
+		}
+	}
+}
+
+// testEarlyAnswer sends requests with bodies of several sizes to an endpoint that answers early, also through
+// a relay.
+func testEarlyAnswer(t *testing.T, answer string, end func(c *net.TCPConn), text string, whole bool) {
+	addr := earlyEndpoint(t, answer, end)
+	for way, dial := range map[string]pool.DialFunc{"direct": pool.Direct, "relayed": throughRelay(t)} {
 		for _, size := range []int{64 << 10, 8 << 20} {
-			for _, relayed := range []bool{false, true} {
-				t.Run(fmt.Sprint(c.name, ", body of ", size, ", relayed ", relayed), func(t *testing.T) {
-					t.Parallel()
-					g := gomega.NewWithT(t)
-					addr, dial := earlyEndpoint(t, c.answer, c.end), pool.Direct
-					if relayed {
-						dial = throughRelay(t)
-					}
-					for range 50 {
-						r := request(addr, "1")
-						r.Body = make([]byte, size)
-						body, err := get(pool.New(metrics.NewSet(), dial), r)
-						if c.whole {
-							g.Expect(err).NotTo(gomega.HaveOccurred())
-							g.Expect(body).To(gomega.Equal("part"))
-						} else {
-							g.Expect(errors.Is(err, pool.ErrMayHaveRun)).To(gomega.BeTrue(), "%q, %v", body, err)
-						}
+			t.Run(fmt.Sprint(way, ", body of ", size), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				for range 50 {
+					r := request(addr, "1")
+					r.Body = make([]byte, size)
+					body, err := get(pool.New(metrics.NewSet(), dial), r)
+					if whole {
+						g.Expect(err).NotTo(gomega.HaveOccurred())
+						g.Expect(body).To(gomega.Equal(text))
+					} else {
+						g.Expect(errors.Is(err, pool.ErrMayHaveRun)).To(gomega.BeTrue(), "%q, %v", body, err)
 					}
-				})
-			}
+				}
+			})
 		}
 	}
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -4,8 +4,8 @@
 // A connection begins with the endpoint's IP:port, " framed" if the gate reads frames, and a
 // line feed. The relay answers with one byte of type outcome. After connected, the gate's bytes
 // follow as they are, and the endpoint's in frames: two bytes of length, big-endian, and as
-// many bytes. A frame without bytes says that the endpoint has closed its connection. Without
-// it the relay has failed, since a process that is killed closes its connections in order, too.
+// many bytes. A frame without bytes says that the endpoint has closed its connection in order. Without
+// it that was reset, or the relay has failed, since a process that is killed closes its connections in order, too.
 //
 // Relays of earlier builds send the endpoint's bytes as they are. A connection through one
 // ends with ErrUnmarked where it cannot be told who has closed it.
@@ -34,7 +34,7 @@
 	ErrRelay = errors.New("relay: no relay")
 	// ErrEndpoint means that the relay does not reach this endpoint.
 	ErrEndpoint = errors.New("relay: endpoint not reached")
-	// ErrUnmarked means that a connection ended without a mark that the endpoint closed it.
+	// ErrUnmarked means that a connection ended without a mark that the endpoint closed it in order.
 	ErrUnmarked = errors.New("relay: ended before the endpoint's bytes did")
 )
 
@@ -149,11 +149,7 @@
 		return
 	}
 	_ = from.SetDeadline(time.Time{})
-	back := copyBuffered
-	if word == framedWord {
-		back = copyFramed
-	}
-	pass(from, to, back, func() { holder.Enter(time.Now(), memory.Idle) })
+	pass(from, to, word == framedWord, func() { holder.Enter(time.Now(), memory.Idle) })
 }
 
 // noted reads and calls note for what comes.
@@ -170,30 +166,44 @@
 }
 
 // pass copies bytes between a gate and an endpoint until one of them ends. A gate that
-// closes has given up its request, so the endpoint sees that at once. back copies the
-// endpoint's bytes. note is called whenever bytes come.
-func pass(gate, endpoint net.Conn, back func(to io.Writer, from io.Reader) error, note func()) {
+// closes has given up its request, so the endpoint sees that at once. note is called whenever bytes come.
+func pass(gate, endpoint net.Conn, framed bool, note func()) {
+	back := copyBuffered
+	if framed {
+		back = copyFramed
+	}
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
-		_ = copyBuffered(endpoint, noted{gate, note}) // either end has gone, which the other copy notices
+		forward(endpoint, noted{gate, note})
 		_ = endpoint.Close()
 	}()
 	err := back(gate, noted{endpoint, note})
-	closer, isTCP := gate.(*net.TCPConn)
-	switch {
-	case !isTCP:
-	case err == nil:
-		_ = closer.CloseWrite()
-		_ = gate.SetReadDeadline(time.Now().Add(closeTimeout))
-		<-gone
-	default:
-		_ = closer.SetLinger(0) // an answer that was reset must not look complete
+	if closer, ok := gate.(*net.TCPConn); ok {
+		if err != nil && !framed {
+			_ = closer.SetLinger(0) // an answer that was reset must not look complete
+		} else {
+			// What was passed on may not have arrived, and a reset would discard it.
+			_ = closer.CloseWrite()
+			_ = gate.SetReadDeadline(time.Now().Add(closeTimeout))
+			<-gone
+		}
 	}
 	_ = gate.Close()
 	<-gone
 }
 
+// forward copies a gate's bytes to an endpoint until the gate ends. An endpoint that takes no more may have
+// answered before, and its answer is still being passed on; the gate's further bytes are then dropped.
+func forward(endpoint io.Writer, gate io.Reader) {
+	if err := copyBuffered(endpoint, gate); errors.Is(err, errWrite) {
+		_, _ = io.Copy(io.Discard, gate)
+	}
+}
+
+// errWrite marks the errors of the side that is written to.
+var errWrite = errors.New("relay: write")
+
 // copyBuffered copies until the source ends. It returns nil if the source was closed.
 func copyBuffered(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, copyBytes)
@@ -201,7 +211,7 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
-				return writeErr
+				return errors.Mark(writeErr, errWrite)
 			}
 		}
 		switch {
