--- a/transport/pool/broken_test.go
+++ b/transport/pool/broken_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,10 +15,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/cowslipstage/cowslipstage/state/memory"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 	"github.com/cowslipstage/cowslipstage/transport/relay"
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // earlyEndpoint starts an endpoint that answers before it has read a request's body, and then ends the
@@ -142,3 +145,59 @@
 		return c, true, err
 	}
 }
+
+// narrow is a socket that holds few unsent or unread bytes.
+func narrow(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, 1)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+	})
+}
+
+// A short body is written before the answer is read. An endpoint may answer and end the connection while that
+// write waits for room.
+func TestAnAnswerDuringTheWriteOfAShortBodyIsWhole(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		end    func(c *net.TCPConn)
+		want   string
+	}{
+		"reset": {ok + "Content-Length: 5\r\n\r\nearly", reset, "early"}, "closed": {ok + "\r\nearly", closeThenReset, "early"},
+		"cut": {ok + "\r\nearly", reset, ""}, "of another request": {"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nearly", reset, ""},
+		"none": {"", reset, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listen := net.ListenConfig{Control: narrow}
+			l, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = io.ReadFull(conn, make([]byte, 16))
+					_, _ = io.WriteString(conn, c.answer)
+					c.end(conn.(*net.TCPConn))
+				}
+			}()
+			p := pool.New(metrics.NewSet(), func(ctx context.Context, addr string) (net.Conn, bool, error) {
+				d := net.Dialer{Control: narrow}
+				conn, err := d.DialContext(ctx, "tcp", addr)
+				return whole.NewConn(conn), false, err
+			})
+			r := request(l.Addr().String(), "1")
+			r.Body = make([]byte, 8<<10)
+			for range 50 {
+				body, err := get(p, r)
+				g.Expect(errors.Is(err, pool.ErrMayHaveRun)).To(gomega.Equal(c.want == ""), "%q, %v", body, err)
+				if err == nil {
+					g.Expect(body).To(gomega.Equal(c.want))
+				}
+			}
+		})
+	}
+}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -182,19 +182,21 @@
 		return nil, errors.Mark(errors.Wrapf(err, "pool: %s", r.Addr), ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // a pending read then fails
-	if err := c.write(r); err != nil {
-		stop()
-		_ = c.Close() // the write's error is the one reported
-		return nil, errors.Mark(errors.Wrapf(err, "pool: writing to %s", r.Addr), ErrMayHaveRun)
-	}
-	a, err := c.read(r)
-	if err != nil {
-		stop()
-		_ = c.Close() // the read's error is the one reported
-		return nil, errors.Mark(errors.Wrapf(err, "pool: reading from %s", r.Addr), ErrMayHaveRun)
+	writeErr := c.write(r)
+	a, err := c.read(r) // the endpoint may have answered before the write failed
+	switch {
+	case err == nil:
+		a.pool, a.addr, a.stopCancel = p, r.Addr, stop
+		a.closeConn = a.closeConn || writeErr != nil
+		return a, nil
+	case writeErr != nil:
+		err = errors.Wrapf(writeErr, "pool: writing to %s", r.Addr)
+	default:
+		err = errors.Wrapf(err, "pool: reading from %s", r.Addr)
 	}
-	a.pool, a.addr, a.stopCancel = p, r.Addr, stop
-	return a, nil
+	stop()
+	_ = c.Close() // the error is reported
+	return nil, errors.Mark(err, ErrMayHaveRun)
 }
 
 // HasFreshConn reports whether an idle connection to an address is fresh enough for
