--- a/gate/broken_test.go
+++ b/gate/broken_test.go
@@ -101,3 +101,31 @@
 		}
 	}
 }
+
+// An endpoint in trouble sends a head that is none in the protocol. The caller gets a plain error, nothing
+// of that head, and neither a closed connection nor a panic.
+func TestAHeadThatIsNoneIsNoAnswer(t *testing.T) {
+	const (
+		ok   = "HTTP/1.1 200 OK\r\nId: ID\r\n"
+		tail = "Content-Length: 6\r\n\r\ndata:\n"
+	)
+	for name, answer := range map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\nId: ID\r\n" + tail, "status 000 without a reason": "HTTP/1.1 000\r\nId: ID\r\n" + tail,
+		"status 099": "HTTP/1.1 099 None\r\nId: ID\r\n" + tail, "status +20": "HTTP/1.1 +20 OK\r\nId: ID\r\n" + tail,
+		"status 600": "HTTP/1.1 600 None\r\nId: ID\r\n" + tail, "status 999": "HTTP/1.1 999 None\r\nId: ID\r\n" + tail,
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\nId: ID\r\nUpgrade: x\r\n\r\n",
+	} {
+		for _, kind := range kinds {
+			t.Run(fmt.Sprint(name, ", kind ", kind), func(t *testing.T) {
+				t.Parallel()
+				e := early(t, answer, closeThenReset)
+				h := startGate(t, roomySite(), coord.New(), plainRoute(kind, 1), []fleet.Entry{e})
+				status, header, body, err := h.post("x", 1)
+				h.g.Expect(err).NotTo(gomega.HaveOccurred())
+				h.g.Expect(status).To(gomega.Equal(http.StatusBadGateway), "%q", body)
+				h.g.Expect(header.Get(headerID)).To(gomega.BeEmpty())
+				h.g.Expect(h.gate.meters.panics.Get()).To(gomega.BeZero())
+			})
+		}
+	}
+}
--- a/transport/pool/broken_test.go
+++ b/transport/pool/broken_test.go
@@ -91,10 +91,14 @@
 		end          func(c *net.TCPConn)
 		whole        bool
 	}{
-		{"reset", open, reset, false}, {"closed with unread bytes", open, closeUnread, false},
-		{"closed, then reset", open, closeThenReset, true}, {"closed and read", open, closeAndRead, true},
-		{"length, reset", length, reset, true}, {"length, closed with unread bytes", length, closeUnread, true},
-		{"chunks, reset", chunked + "0\r\n\r\n", reset, true}, {"short of its length", length[:len(length)-1], closeThenReset, false},
+		{"reset", open, reset, false},
+		{"closed with unread bytes", open, closeUnread, false},
+		{"closed, then reset", open, closeThenReset, true},
+		{"closed and read", open, closeAndRead, true},
+		{"length, reset", length, reset, true},
+		{"length, closed with unread bytes", length, closeUnread, true},
+		{"chunks, reset", chunked + "0\r\n\r\n", reset, true},
+		{"short of its length", length[:len(length)-1], closeThenReset, false},
 		{"without the last chunk", chunked, closeThenReset, false},
 	} {
 		for _, atOnce := range []bool{true, false} {
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -5,7 +5,6 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -57,38 +56,10 @@
 	maxInlineBytes = 8 << 10
 	// maxForeignAnswers bounds the skipped answers to earlier requests.
 	maxForeignAnswers = 3
-	bufferBytes       = 4 << 10
-	// maxHeadBytes bounds the head of an answer, and maxForeignBytes the body of one that
-	// is skipped. An endpoint in trouble may send bytes without end.
-	maxHeadBytes    = 64 << 10
+	// maxForeignBytes bounds the body of one. An endpoint in trouble may send bytes without end.
 	maxForeignBytes = 1 << 20
 )
 
-// errLongHead means that the head of an answer does not end in time.
-var errLongHead = errors.New("the answer's head is too long")
-
-// boundedReader fails once it has read as many bytes as are left.
-type boundedReader struct {
-	reader io.Reader
-	// left is negative if there is no bound.
-	left int
-}
-
-// Read reads from the connection.
-func (b *boundedReader) Read(data []byte) (int, error) {
-	if b.left == 0 {
-		return 0, errLongHead
-	}
-	if b.left > 0 && len(data) > b.left {
-		data = data[:b.left]
-	}
-	n, err := b.reader.Read(data)
-	if b.left > 0 {
-		b.left -= n
-	}
-	return n, err
-}
-
 var keepalive = net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount}
 
 // Request is one request to one endpoint.
@@ -128,9 +99,7 @@
 
 type conn struct {
 	net.Conn
-	// bounded reads from the connection, and reader from bounded.
-	bounded     *boundedReader
-	reader      *bufio.Reader
+	reader      *whole.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	// relayed connections carry one request only.
@@ -239,8 +208,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &boundedReader{reader: n, left: -1}
-	return &conn{Conn: n, bounded: b, reader: bufio.NewReaderSize(b, bufferBytes), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
+	return &conn{Conn: n, reader: whole.NewReader(n), idleTimeout: defaultIdleTimeout, relayed: relayed}, nil
 }
 
 // Dial connects to a host, with the time-outs that notice one that is lost. Reads of the connection end with
@@ -338,11 +306,8 @@
 
 // read returns the head of the answer that matches the request.
 func (c *conn) read(r Request) (*Answer, error) {
-	request := &http.Request{Method: r.Method}
 	for range maxForeignAnswers {
-		c.bounded.left = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // Answer.Close ends the connection below it
-		c.bounded.left = -1
+		response, err := c.reader.Next(r.Method) //nolint:bodyclose // Answer.Close ends the connection below it
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/transport/whole/head.go
@@ -0,0 +1,65 @@
+package whole
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed marks the errors of bytes that are no answer in the protocol.
+var ErrMalformed = errors.New("whole: no answer in the protocol")
+
+func malformed(text string) error { return errors.Mark(errors.New("whole: "+text), ErrMalformed) }
+
+// The lowest and the highest status in the protocol.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus returns an error if a status is none. upgraded says that the request asked for another protocol.
+func checkStatus(status int, upgraded bool) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols && !upgraded {
+		return errors.Mark(errors.Newf("whole: status %03d", status), ErrMalformed)
+	}
+	return nil
+}
+
+// head checks the lines of an answer's head.
+type head struct {
+	// lines counts the lines before the current one.
+	lines int
+}
+
+// add checks the next line, without its end, and reports whether it ends the head.
+func (h *head) add(line []byte) (end bool, err error) {
+	h.lines++
+	switch {
+	case h.lines == 1:
+		return false, checkStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	}
+	return false, nil
+}
+
+// checkStatusLine returns an error if a line is not the first one of an answer.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		return malformed("no status line")
+	}
+	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status := 0
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return malformed("no status")
+		}
+		status = 10*status + int(d-'0')
+	}
+	if len(digits) != len("200") {
+		return malformed("no status")
+	}
+	return checkStatus(status, false)
+}
