--- a/gate/broken_test.go
+++ b/gate/broken_test.go
@@ -107,13 +107,25 @@
 func TestAHeadThatIsNoneIsNoAnswer(t *testing.T) {
 	const (
 		ok   = "HTTP/1.1 200 OK\r\nId: ID\r\n"
-		tail = "Content-Length: 6\r\n\r\ndata:\n"
+		tail = "Content-Length: 9\r\n\r\ndata: a\n\n"
 	)
 	for name, answer := range map[string]string{
 		"status 000": "HTTP/1.1 000 None\r\nId: ID\r\n" + tail, "status 000 without a reason": "HTTP/1.1 000\r\nId: ID\r\n" + tail,
 		"status 099": "HTTP/1.1 099 None\r\nId: ID\r\n" + tail, "status +20": "HTTP/1.1 +20 OK\r\nId: ID\r\n" + tail,
 		"status 600": "HTTP/1.1 600 None\r\nId: ID\r\n" + tail, "status 999": "HTTP/1.1 999 None\r\nId: ID\r\n" + tail,
-		"status 101": "HTTP/1.1 101 Switching Protocols\r\nId: ID\r\nUpgrade: x\r\n\r\n",
+		"status 101":      "HTTP/1.1 101 Switching Protocols\r\nId: ID\r\nUpgrade: x\r\n\r\n",
+		"blank in a name": ok + "A b: x\r\n" + tail, "tab in a name": ok + "A\tb: x\r\n" + tail, "no name": ok + ": x\r\n" + tail,
+		"blank after a name": ok + "A : x\r\n" + tail, "blank after the length's name": ok + "Content-Length : 9\r\n\r\ndata: a\n\n",
+		"blank after the coding's name": ok + "Transfer-Encoding : chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
+		"blank before a name":           ok + "B: y\r\n Content-Length: 9\r\n\r\ndata: a\n\n", "tab before a name": ok + "B: y\r\n\tA: x\r\n" + tail,
+		"blank before the first name": "HTTP/1.1 200 OK\r\n A: x\r\nId: ID\r\n" + tail, "a line of blanks": ok + "B: y\r\n  \r\n" + tail,
+		"control byte in a name": ok + "A\x01b: x\r\n" + tail, "zero byte in a name": ok + "A\x00: x\r\n" + tail,
+		"delete in a name": ok + "A\x7f: x\r\n" + tail, "carriage return in a name": ok + "A\r: x\r\n" + tail,
+		"separator in a name": ok + "A(b): x\r\n" + tail, "high byte in a name": ok + "A\xc3\xa4: x\r\n" + tail, "no colon": ok + "A\r\n" + tail,
+		"control byte in a value": ok + "A: x\x01\r\n" + tail, "zero byte in a value": ok + "A: x\x00\r\n" + tail,
+		"carriage return in a value": ok + "A: x\rContent-Length: 9\r\n\r\ndata: a\n\n", "carriage returns at a line's end": ok + "A: x\r\r\n" + tail,
+		"control byte in the reason": "HTTP/1.1 200 O\x01K\r\nId: ID\r\n" + tail, "another version": "HTTP/2.0 200 OK\r\nId: ID\r\n" + tail,
+		"two lengths": ok + "Content-Length: 5\r\n" + tail, "a length that is no number": ok + "Content-Length: 9x\r\n\r\ndata: a\n\n",
 	} {
 		for _, kind := range kinds {
 			t.Run(fmt.Sprint(name, ", kind ", kind), func(t *testing.T) {
--- a/transport/whole/head.go
+++ b/transport/whole/head.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed marks the errors of bytes that are no answer in the protocol.
@@ -41,7 +43,23 @@
 	case len(line) == 0:
 		return true, nil
 	}
-	return false, nil
+	name, value, found := strings.Cut(string(line), ":")
+	if !found {
+		return false, malformed("a line without a name")
+	}
+	return false, checkField(name, strings.Trim(value, " \t"))
+}
+
+// checkField returns an error if a field's name or value is none in the protocol. The blank that begins a folded
+// line is taken for a part of a name: such a line may hold a length that was meant to count.
+func checkField(name, value string) error {
+	switch {
+	case !httpguts.ValidHeaderFieldName(name):
+		return errors.Mark(errors.Newf("whole: a field with the name %.64q", name), ErrMalformed)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return errors.Mark(errors.Newf("whole: the value of the field %.64q", name), ErrMalformed)
+	}
+	return nil
 }
 
 // checkStatusLine returns an error if a line is not the first one of an answer.
@@ -50,7 +68,7 @@
 	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) {
 		return malformed("no status line")
 	}
-	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	digits, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, d := range digits {
 		if d < '0' || d > '9' {
@@ -58,7 +76,7 @@
 		}
 		status = 10*status + int(d-'0')
 	}
-	if len(digits) != len("200") {
+	if len(digits) != len("200") || !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return malformed("no status")
 	}
 	return checkStatus(status, false)
