--- a/gate/broken_test.go
+++ b/gate/broken_test.go
@@ -125,7 +125,8 @@
 		"control byte in a value": ok + "A: x\x01\r\n" + tail, "zero byte in a value": ok + "A: x\x00\r\n" + tail,
 		"carriage return in a value": ok + "A: x\rContent-Length: 9\r\n\r\ndata: a\n\n", "carriage returns at a line's end": ok + "A: x\r\r\n" + tail,
 		"control byte in the reason": "HTTP/1.1 200 O\x01K\r\nId: ID\r\n" + tail, "another version": "HTTP/2.0 200 OK\r\nId: ID\r\n" + tail,
-		"two lengths": ok + "Content-Length: 5\r\n" + tail, "a length that is no number": ok + "Content-Length: 9x\r\n\r\ndata: a\n\n",
+		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
+		"two lengths":        ok + "Content-Length: 5\r\n" + tail, "a length that is no number": ok + "Content-Length: 9x\r\n\r\ndata: a\n\n",
 	} {
 		for _, kind := range kinds {
 			t.Run(fmt.Sprint(name, ", kind ", kind), func(t *testing.T) {
--- a/transport/whole/head.go
+++ b/transport/whole/head.go
@@ -32,6 +32,8 @@
 type head struct {
 	// lines counts the lines before the current one.
 	lines int
+	// old says that the answer is of HTTP/1.0, coded that it says how its body is coded.
+	old, coded bool
 }
 
 // add checks the next line, without its end, and reports whether it ends the head.
@@ -39,7 +41,11 @@
 	h.lines++
 	switch {
 	case h.lines == 1:
+		h.old = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		return false, checkStatusLine(line)
+	case len(line) == 0 && h.old && h.coded:
+		// The parser would take the bytes between chunks for a part of the body.
+		return true, malformed("a coded body in HTTP/1.0")
 	case len(line) == 0:
 		return true, nil
 	}
@@ -47,6 +53,7 @@
 	if !found {
 		return false, malformed("a line without a name")
 	}
+	h.coded = h.coded || strings.EqualFold(name, "Transfer-Encoding")
 	return false, checkField(name, strings.Trim(value, " \t"))
 }
 
--- a/transport/whole/reader_test.go
+++ b/transport/whole/reader_test.go
@@ -49,6 +49,7 @@
 		ok + "A b: x\r\n" + end, ok + "A : x\r\n" + end, ok + "Content-Length : 4\r\n\r\nbody", ok + "A: x\r\n Content-Length: 4\r\n\r\nbody", ok + "\tA: x\r\n" + end,
 		ok + ": x\r\n" + end, ok + "A\r\n" + end, ok + "A\x01: x\r\n" + end, ok + "A: x\rB: y\r\n" + end, ok + "A: \x00\r\n" + end, ok + "A: x\r\r\n" + end,
 		ok + strings.Repeat("n", 100) + " : x\r\n" + end, ok + "Content-Length: 5\r\n" + end, ok + "Transfer-Encoding: gzip\r\n\r\nbody",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", ok + "Transfer-Encoding: chunked\r\n" + "Content-Length: 9\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		ok + "Content-Length: 4\r\n\r\nbo", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", ok + "A: x\r\n",
 	} {
 		result := read(strings.NewReader(text))
