--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // errWritesBlocked is returned by writes to a connection that accepts no more.
@@ -113,7 +115,7 @@
 func newClient(o Options, single bool) *http.Client {
 	d := net.Dialer{Timeout: o.ConnectTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: whole.Transport(&http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				c, err := d.DialContext(ctx, network, addr)
 				if err != nil {
@@ -125,7 +127,7 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}),
 		// Following a redirect would run the call a second time elsewhere.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/transport/dialer/send.go
+++ b/transport/dialer/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/state/call"
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // nonRewindableBody hides a body's type from net/http, which otherwise retries a
@@ -56,6 +57,9 @@
 		}
 		d.setNaming(a.Target.Addr, named != "")
 		return response, false, ""
+	case errors.Is(err, whole.ErrMalformed):
+		tracker.stopWrites()
+		return nil, false, errGarbage.Error()
 	case !tracker.stopWrites():
 		return nil, false, "connection"
 	case tracker.deadlinePassed():
