--- a/transport/dialer/broken_test.go
+++ b/transport/dialer/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -45,6 +46,9 @@
 	_ = c.Close()
 }
 
+// closeUnread closes a connection with unread bytes, which resets it.
+func closeUnread(c *net.TCPConn) { _ = c.Close() }
+
 // closeThenReset says that nothing more follows, and resets the connection.
 func closeThenReset(c *net.TCPConn) {
 	_ = c.CloseWrite()
@@ -68,3 +72,32 @@
 		Entry("that refuses", "HTTP/1.1 503 Busy\r\nA b: x\r\n", "garbage"),
 	)
 })
+
+var _ = Describe("an answer during the upload", func() {
+	body := `"` + strings.Repeat("x", 8<<20) + `"`
+	DescribeTable("is whole by its own end", func(answer string, end func(c *net.TCPConn), want core.Event) {
+		addr := early(answer, end)
+		for range 20 {
+			Expect(run(dialer.Options{}, plain(addr, false, body))).To(Equal(want))
+		}
+	},
+		Entry("with a length, closed", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", closeThenReset, core.AttemptFinished{Attempt: 7, Status: 200, Body: []byte("{}")}),
+		Entry("with a length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", reset, core.AttemptFinished{Attempt: 7, Status: 200, Body: []byte("{}")}),
+		Entry("with a length, closed unread", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", closeUnread, core.AttemptFinished{Attempt: 7, Status: 200, Body: []byte("{}")}),
+	)
+	DescribeTable("is no answer if it is cut", func(answer string, end func(c *net.TCPConn)) {
+		addr := early(answer, end)
+		for range 20 {
+			Expect(run(dialer.Options{}, plain(addr, false, body))).To(And(BeAssignableToTypeOf(core.AttemptFailed{}), HaveField("NotRun", false)))
+		}
+	},
+		Entry("without a length", "HTTP/1.1 200 OK\r\n\r\n{}", reset),
+		Entry("short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", closeThenReset),
+	)
+	It("that refuses a call is a refusal", func() {
+		addr := early("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", closeUnread)
+		for range 20 {
+			Expect(run(dialer.Options{}, plain(addr, false, body))).To(Equal(core.AttemptFailed{Attempt: 7, NotRun: true, Reason: "refused"}))
+		}
+	})
+})
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,15 +22,17 @@
 	net.Conn
 
 	mu sync.Mutex
-	// writes counts the writes started; it only grows.
-	writes int
+	// writes counts the writes started; it only grows. begun is its value when the current request began.
+	writes, begun int
 	// blocked connections refuse all further writes.
 	blocked bool
 	// sendDeadline is the latest time for the next write; zero means no limit.
 	sendDeadline time.Time
 }
 
-// Write writes unless writes are blocked or the send deadline has passed.
+// Write writes unless writes are blocked or the send deadline has passed. net/http gives an answer up if the
+// write of its request fails, but the endpoint may have answered before; so a write to an endpoint that takes no
+// more succeeds once a part of the request has been written, and the reads tell how the connection ended.
 func (c *trackedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if !c.sendDeadline.IsZero() && time.Now().After(c.sendDeadline) {
@@ -41,8 +44,14 @@
 	}
 	c.sendDeadline = time.Time{}
 	c.writes++
+	partWritten := c.writes > c.begun+1
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	var number syscall.Errno
+	if partWritten && errors.As(err, &number) {
+		return len(b), nil
+	}
+	return n, err
 }
 
 // startRequest assigns the connection to a request and returns the number of earlier
@@ -50,7 +59,7 @@
 func (c *trackedConn) startRequest(sendDeadline time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendDeadline = sendDeadline
+	c.sendDeadline, c.begun = sendDeadline, c.writes
 	return c.writes
 }
 
@@ -121,7 +130,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &trackedConn{Conn: c}, nil
+				return &trackedConn{Conn: whole.NewConn(c)}, nil
 			},
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
