--- a/transport/dialer/broken_test.go
+++ b/transport/dialer/broken_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
+	"github.com/cowslipstage/cowslipstage/state/config"
 	"github.com/cowslipstage/cowslipstage/transport/dialer"
 )
 
@@ -101,3 +102,19 @@
 		}
 	})
 })
+
+var _ = Describe("an order's answer", func() {
+	DescribeTable("confirms the order if it is whole", func(ctx SpecContext, answer string, end func(c *net.TCPConn), whole bool) {
+		released := false
+		d := dialer.New(dialer.Options{}, func(core.Event) { released = true })
+		r := core.Release{Endpoint: "e", Target: &config.Endpoint{Addr: early(answer, end)}, Customer: "c", Program: "p"}
+		d.Release(ctx, r)
+		Expect(released).To(Equal(whole))
+	},
+		Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", reset, true),
+		Entry("closed", "HTTP/1.1 200 OK\r\n\r\n{}", closeThenReset, true),
+		Entry("reset", "HTTP/1.1 200 OK\r\n\r\n{}", reset, false),
+		Entry("short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", closeThenReset, false),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nA b: x\r\nContent-Length: 2\r\n\r\n{}", closeThenReset, false),
+	)
+})
