--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -122,15 +122,15 @@
 // newClient returns an HTTP client that tracks its connections. With single, it uses
 // each connection for one request.
 func newClient(o Options, single bool) *http.Client {
-	d := net.Dialer{Timeout: o.ConnectTimeout}
+	dial := whole.Dialer(&net.Dialer{Timeout: o.ConnectTimeout})
 	return &http.Client{
 		Transport: whole.Transport(&http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := d.DialContext(ctx, network, addr)
+				c, err := dial(ctx, network, addr)
 				if err != nil {
 					return nil, err
 				}
-				return &trackedConn{Conn: whole.NewConn(c)}, nil
+				return &trackedConn{Conn: c}, nil
 			},
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -215,11 +215,7 @@
 // io.EOF only if the host has closed it in order.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive, Control: setOptions}
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return whole.NewConn(conn), nil
+	return whole.Dialer(&d)(ctx, "tcp", addr)
 }
 
 // Listen accepts connections with the same time-outs.
--- a/transport/whole/conn.go
+++ b/transport/whole/conn.go
@@ -1,6 +1,7 @@
 package whole
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -28,6 +29,17 @@
 // NewConn returns a connection that tells its end from a reset.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
+// Dialer returns a function that connects with a net.Dialer, for an http.Transport.
+func Dialer(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+}
+
 // Read reads from the connection.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
