--- a/transport/hosts/hosts.go
+++ b/transport/hosts/hosts.go
@@ -6,10 +6,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // ErrList means that the list could not be read.
@@ -30,7 +33,8 @@
 
 // New returns a client of the list at addr (IP:port). timeout bounds each read.
 func New(addr string, timeout time.Duration) *Client {
-	return &Client{url: "http://" + addr + "/hosts", http: &http.Client{Timeout: timeout, Transport: &http.Transport{}}}
+	transport := whole.Transport(&http.Transport{DialContext: whole.Dialer(&net.Dialer{})})
+	return &Client{url: "http://" + addr + "/hosts", http: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // maxListBytes bounds the size of the list.
--- a/transport/hosts/hosts_test.go
+++ b/transport/hosts/hosts_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/cowslipstage/cowslipstage/standin/broken"
 	"github.com/cowslipstage/cowslipstage/transport/hosts"
 )
 
@@ -51,3 +52,18 @@
 		NewWithT(t).Expect(errors.Is(err, hosts.ErrList)).To(BeTrue(), name)
 	}
 }
+
+// An answer that is cut or has a head that is none in the protocol is no list.
+func TestABrokenAnswerIsNoList(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nA b: x\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\n\r\n{", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{",
+	} {
+		g := NewWithT(t)
+		e, err := broken.Listen(answer, broken.CloseThenReset, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = e.Close() })
+		_, err = hosts.New(e.Addr(), 10*time.Second).Unavailable(t.Context())
+		g.Expect(errors.Is(err, hosts.ErrList)).To(BeTrue(), "%q: %v", answer, err)
+	}
+}
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -7,10 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // Errors that a failed call's error is marked with.
@@ -42,8 +45,8 @@
 // New returns a client of the service at addr (IP:port). Each call except Watch
 // is bounded by timeout.
 func New(addr string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
-	return &Client{baseURL: "http://" + addr, http: &http.Client{Timeout: timeout, Transport: transport}}
+	transport := &http.Transport{DialContext: whole.Dialer(&net.Dialer{}), MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	return &Client{baseURL: "http://" + addr, http: &http.Client{Timeout: timeout, Transport: whole.Transport(transport)}}
 }
 
 // Get returns a key's pair, or ErrMissing.
