--- a/gate/broken_test.go
+++ b/gate/broken_test.go
@@ -36,6 +36,11 @@
 	return response.StatusCode, response.Header, string(body), err
 }
 
+// broken returns how many answers the gate has counted as broken for a reason.
+func (h *gateFixture) broken(reason string) uint64 {
+	return h.gate.set.GetOrCreateCounter(`cowslipstage_gate_broken_answers_total{reason="` + reason + `"}`).Get()
+}
+
 // brokenEndpoint starts an endpoint in trouble.
 func brokenEndpoint(t *testing.T, answer string, end broken.End) fleet.Entry {
 	e, err := broken.Listen(answer, end, 2*time.Millisecond)
@@ -74,6 +79,7 @@
 						h.g.Expect(status).To(gomega.Equal(http.StatusBadGateway), "%q", body)
 					}
 				}
+				h.g.Expect(h.broken("cut") > 0).To(gomega.Equal(name == "reset"))
 			})
 		}
 	}
@@ -115,6 +121,7 @@
 				h.g.Expect(status).To(gomega.Equal(http.StatusBadGateway), "%q", body)
 				h.g.Expect(header.Get(headerID)).To(gomega.BeEmpty())
 				h.g.Expect(h.gate.meters.panics.Get()).To(gomega.BeZero())
+				h.g.Expect(h.broken("malformed")).To(gomega.BeEquivalentTo(1))
 			})
 		}
 	}
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipstage/cowslipstage/state/fleet"
 	"github.com/cowslipstage/cowslipstage/transport/pool"
 	"github.com/cowslipstage/cowslipstage/transport/relay"
+	"github.com/cowslipstage/cowslipstage/transport/whole"
 )
 
 // crashProbeAge is how long it counts whether an endpoint had ended when a connection to
@@ -39,6 +40,18 @@
 		errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, relay.ErrUnmarked)
 }
 
+// brokenReason returns what is wrong with an answer that was none in the protocol or not whole, or "" if there
+// is nothing.
+func brokenReason(err error) string {
+	switch {
+	case errors.Is(err, whole.ErrMalformed):
+		return "malformed"
+	case brokeOff(err):
+		return "cut"
+	}
+	return ""
+}
+
 // checkCrash finds out in the background whether an endpoint ended while it ran a
 // request. An endpoint may also break off a single answer.
 func (g *Gate) checkCrash(now time.Time, q *request, e fleet.Entry, err error) {
--- a/gate/meters.go
+++ b/gate/meters.go
@@ -73,6 +73,11 @@
 	m.set.GetOrCreateCounter(`cowslipstage_gate_answers_total{reason="` + reason + `"}`).Inc()
 }
 
+// countBroken counts an answer that was none, or not whole, by its reason.
+func (m *meters) countBroken(reason string) {
+	m.set.GetOrCreateCounter(`cowslipstage_gate_broken_answers_total{reason="` + reason + `"}`).Inc()
+}
+
 // countDenied counts a hedge or a retry that was not sent, by its reason.
 func (m *meters) countDenied(reason string) {
 	m.set.GetOrCreateCounter(`cowslipstage_gate_hedges_denied_total{reason="` + reason + `"}`).Inc()
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -286,6 +286,10 @@
 		return
 	}
 	g.checkCrash(time.Now(), q, e, err)
+	broken := brokenReason(err)
+	if broken != "" {
+		g.meters.countBroken(broken)
+	}
 	if g.isCutOff() {
 		g.log.Info().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr).Msg("endpoint not reached while this gate is cut off")
 		return
@@ -295,7 +299,11 @@
 	} else {
 		g.recordOutcome(time.Now(), e.Service, e.ID, false)
 	}
-	g.log.Warn().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr).Msg("endpoint failed")
+	line := g.log.Warn().Err(err).Str("request", q.ID).Str("endpoint", e.ID).Str("addr", e.Addr)
+	if broken != "" {
+		line = line.Str("broken", broken)
+	}
+	line.Msg("endpoint failed")
 }
 
 // writeAnswer sends a whole answer to the caller.
--- a/node/loads.go
+++ b/node/loads.go
@@ -55,18 +55,20 @@
 	t.changed[endpoint] = true
 }
 
-func (t *loadTable) endAttempt(attempt uint64) {
+// endAttempt notes that an attempt has ended and returns its endpoint, "" if it is not known.
+func (t *loadTable) endAttempt(attempt uint64) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoint, ok := t.attempts[attempt]
 	if !ok {
-		return
+		return ""
 	}
 	delete(t.attempts, attempt)
 	t.changed[endpoint] = true
 	if t.inFlight[endpoint]--; t.inFlight[endpoint] == 0 {
 		delete(t.inFlight, endpoint)
 	}
+	return endpoint
 }
 
 // reportRepeatInterval is how often an unchanged report is sent again.
--- a/node/node.go
+++ b/node/node.go
@@ -203,7 +203,7 @@
 		fetchWake:     make(chan struct{}, 1),
 		configApplied: make(chan struct{}, 1),
 		limits:        newLimits(),
-		observer:      newObserver(s.Node.Name),
+		observer:      newObserver(s.Node.Name, log),
 	}
 	n.metrics.GetOrCreateGauge("hosts_departing", func() float64 {
 		n.mu.Lock()
@@ -246,7 +246,7 @@
 	case core.AttemptFinished:
 		n.loads.endAttempt(f.Attempt)
 	case core.AttemptFailed:
-		n.loads.endAttempt(f.Attempt)
+		n.noteFailure(f, n.loads.endAttempt(f.Attempt))
 	}
 	n.mailbox <- e
 }
--- a/node/observe.go
+++ b/node/observe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/state/answer"
@@ -37,10 +38,15 @@
 	// traceLock guards trace.
 	traceLock sync.Mutex
 	trace     *trace.Log
+	// broken logs some of the answers that are none.
+	broken zerolog.Logger
 }
 
-func newObserver(node string) *observer {
-	return &observer{calls: burn.New(node), trace: trace.New(traceLength)}
+func newObserver(node string, log zerolog.Logger) *observer {
+	return &observer{
+		calls: burn.New(node), trace: trace.New(traceLength),
+		broken: log.With().Str("node", node).Logger().Sample(&zerolog.BurstSampler{Burst: brokenLines, Period: time.Second}),
+	}
 }
 
 // recordCall records one finished call.
@@ -116,6 +122,18 @@
 	}
 }
 
+// brokenLines is how many log lines a second name endpoints whose answers are none.
+const brokenLines = 5
+
+// noteFailure counts an attempt that ended without an answer. It logs an endpoint whose answer was
+// none; the other reasons also stand for attempts that were given up.
+func (n *Node) noteFailure(f core.AttemptFailed, endpoint string) {
+	n.metrics.GetOrCreateCounter(fmt.Sprintf("attempts_failed_total{reason=%q}", f.Reason)).Inc()
+	if f.Reason == "garbage" || f.Reason == "mixed" {
+		n.observer.broken.Warn().Str("endpoint", endpoint).Str("reason", f.Reason).Msg("endpoint sent what is no answer to its call")
+	}
+}
+
 func (n *Node) traceRecord(at time.Time, r *record.Record) {
 	switch {
 	case r.Intent != nil:
--- a/node/observe_test.go
+++ b/node/observe_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipstage/cowslipstage/coordination/core"
 	"github.com/cowslipstage/cowslipstage/setup"
 	"github.com/cowslipstage/cowslipstage/state/answer"
 	"github.com/cowslipstage/cowslipstage/state/burn"
@@ -46,3 +47,20 @@
 		HaveKeyWithValue("burn_5m0s", BeNumerically("~", 90, 1e-9)), HaveKey("burn_72h0m0s"), HaveKey("left")))
 	g.Expect(string(lines[1])).To(ContainSubstring("no longer burns"))
 }
+
+// Operators see which endpoint sends what is no answer.
+func TestABrokenAnswerIsCountedAndLogged(t *testing.T) {
+	g := NewWithT(t)
+	var out, served bytes.Buffer
+	s := setup.Default()
+	n := New(&s, zerolog.New(&out))
+	defer func() { _ = n.links.Close() }()
+	for attempt, reason := range []string{"garbage", "cut"} {
+		n.loads.beginAttempt(uint64(attempt), "engine-1")
+		n.emit(core.AttemptFailed{Attempt: uint64(attempt), Reason: reason})
+	}
+	n.metrics.WritePrometheus(&served)
+	g.Expect(served.String()).To(And(ContainSubstring(`attempts_failed_total{reason="garbage"} 1`), ContainSubstring(`attempts_failed_total{reason="cut"} 1`)))
+	g.Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(Equal(1), out.String())
+	g.Expect(out.String()).To(And(ContainSubstring(`"endpoint":"engine-1","reason":"garbage"`), ContainSubstring("no answer")))
+}
