--- a/transport/pool/broken_test.go
+++ b/transport/pool/broken_test.go
@@ -50,6 +50,7 @@
 		{"closed and read", open, broken.CloseAndRead, true},
 		{"length, reset", length, broken.Reset, true},
 		{"length, closed with unread bytes", length, broken.CloseUnread, true},
+		{"length, closed and read", length, broken.CloseAndRead, true},
 		{"chunks, reset", chunked + "0\r\n\r\n", broken.Reset, true},
 		{"short of its length", length[:len(length)-1], broken.CloseThenReset, false},
 		{"without the last chunk", chunked, broken.CloseThenReset, false},
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -290,10 +290,8 @@
 
 // writeParts writes several buffers, in one call where the connection can.
 func (c *conn) writeParts(parts net.Buffers) error {
-	if w, ok := c.Conn.(interface {
-		WriteBuffers(b *net.Buffers) (int64, error)
-	}); ok {
-		_, err := w.WriteBuffers(&parts)
+	if direct, ok := c.Conn.(*whole.Conn); ok {
+		_, err := direct.WriteBuffers(&parts)
 		return err
 	}
 	_, err := parts.WriteTo(c.Conn)
--- a/transport/whole/conn.go
+++ b/transport/whole/conn.go
@@ -14,8 +14,8 @@
 // Conn is a connection whose reads end with io.EOF only if the peer has closed it in order.
 //
 // The kernel reports a reset, or a peer that was given up, to one call only. If that call is a write, reads
-// find the same end afterwards as behind a connection that was closed. A write that fails with EPIPE
-// has found a connection that the peer had closed in order before.
+// find the same end afterwards as behind a connection that was closed. A write that is told EPIPE first is
+// no such call: the peer had closed the connection in order before it was reset.
 type Conn struct {
 	net.Conn
 	// writing is held during each write.
@@ -43,22 +43,24 @@
 // Read reads from the connection.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
 		c.awaitWrite()
 		if failure := c.failed(); failure != nil {
 			return n, failure
 		}
-		return n, err
+	default:
+		c.note(err)
 	}
-	c.note(err)
 	return n, err
 }
 
 // past is a deadline that ends a pending write.
 var past = time.Unix(1, 0)
 
-// awaitWrite ends the pending write, so that its error is known. The peer reads no more, or has no use for
-// what it reads: its own bytes have ended.
+// awaitWrite ends the pending write, so that its error is known. Writes after it fail: the peer has said all
+// that it will say.
 func (c *Conn) awaitWrite() {
 	_ = c.SetWriteDeadline(past) // a closed connection needs none
 	c.writing.Lock()
