--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -32,7 +32,8 @@
 // idMark stands for a request's ID in an answer.
 const idMark = "{id}"
 
-// windowBytes is what the kernel holds of a body that is not read, apart from its own overhead.
+// windowBytes is what the kernel holds of a body that is not read, apart from its own overhead. A body that
+// is read would take seconds by it, and the kernel's memory meanwhile.
 const windowBytes = 4 << 10
 
 // Endpoint answers each connection's first request.
@@ -76,7 +77,9 @@
 // has left is what some tests are about.
 func (e *Endpoint) serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
-	_ = c.SetReadBuffer(windowBytes)
+	if e.end != CloseAndRead {
+		_ = c.SetReadBuffer(windowBytes)
+	}
 	r, err := http.ReadRequest(bufio.NewReaderSize(c, 16))
 	if err != nil {
 		return
