--- a/transport/intake/intake_test.go
+++ b/transport/intake/intake_test.go
@@ -24,6 +24,7 @@
 // fixture is a server on loopback.
 type fixture struct {
 	*intake.Server
+	t      *testing.T
 	g      *gomega.WithT
 	addr   string
 	budget *memory.Budget
@@ -32,7 +33,7 @@
 
 // serve starts a server. change may change its options.
 func serve(t *testing.T, handler http.HandlerFunc, change ...func(*intake.Options)) *fixture {
-	f := &fixture{g: gomega.NewWithT(t), budget: memory.New(4 << 20), set: metrics.NewSet()}
+	f := &fixture{t: t, g: gomega.NewWithT(t), budget: memory.New(4 << 20), set: metrics.NewSet()}
 	o := intake.Options{Name: "test", Budget: f.budget, Set: f.set, Log: zerolog.Nop()}
 	for _, c := range change {
 		c(&o)
@@ -45,10 +46,12 @@
 	return f
 }
 
-// dial opens a connection to the server.
+// dial opens a connection to the server, which stays open until the test ends. A connection that nothing
+// refers to is closed when the garbage collector finds it.
 func (f *fixture) dial() (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp", f.addr)
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	f.t.Cleanup(func() { _ = c.Close() }) // many tests close it before
 	return c, bufio.NewReader(c)
 }
 
