--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,10 +160,7 @@
 
 var _ = Describe("a call that was not written", func() {
 	It("is reported as not run when the port is closed", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(l.Close()).To(Succeed())
-		Expect(run(dialer.Options{}, plain(l.Addr().String(), false, "{}"))).
+		Expect(run(dialer.Options{}, plain("127.0.0.1:1", false, "{}"))).
 			To(Equal(core.AttemptFailed{Attempt: 7, NotRun: true, Reason: "connect"}))
 	})
 
@@ -358,8 +356,14 @@
 // a refusal once more in front of the next answer. If it names attempts, its answers repeat
 // X-Attempt.
 type repeatingEndpoint struct {
-	naming      bool
-	conns, runs atomic.Int32
+	naming bool
+	// pause is the time between a refusal that is written again and the answer behind it.
+	pause time.Duration
+	conns atomic.Int32
+
+	mu sync.Mutex
+	// ran holds the attempts that have run.
+	ran map[string]bool
 }
 
 func (e *repeatingEndpoint) serve(c net.Conn) {
@@ -372,27 +376,46 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		name := ""
+		attempt, name := r.Header.Get("X-Attempt"), ""
 		if e.naming {
-			name = "X-Attempt: " + r.Header.Get("X-Attempt") + "\r\n"
+			name = "X-Attempt: " + attempt + "\r\n"
 		}
-		reply := refusal
-		if refusal = ""; n == 2 {
+		if n == 2 {
 			refusal = "HTTP/1.1 503 Busy\r\n" + name + "Content-Length: 0\r\n\r\n"
-			reply = refusal
-		} else {
-			e.runs.Add(1)
-			reply += "HTTP/1.1 200 OK\r\n" + name + "Content-Length: 2\r\n\r\n{}"
+			_, _ = io.WriteString(c, refusal)
+			continue
 		}
-		_, _ = io.WriteString(c, reply)
+		e.run(attempt)
+		answer := "HTTP/1.1 200 OK\r\n" + name + "Content-Length: 2\r\n\r\n{}"
+		if e.pause > 0 && refusal != "" {
+			_, _ = io.WriteString(c, refusal)
+			time.Sleep(e.pause)
+			refusal = ""
+		}
+		_, _ = io.WriteString(c, refusal+answer)
+		refusal = ""
 	}
 }
 
+func (e *repeatingEndpoint) run(attempt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ran[attempt] = true
+}
+
+func (e *repeatingEndpoint) hasRun(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ran[attempt]
+}
+
 // An endpoint writes an earlier refusal once more, where the next answer is expected. The call
-// that it arrives at may have run, and is not reported as not run.
+// that it arrives at may have run, and is not reported as not run. What follows on that connection
+// answers earlier calls, so none is sent on it any more.
 var _ = Describe("a refusal that is written again", func() {
-	DescribeTable("refuses no other attempt", func(naming, kept bool) {
-		e := &repeatingEndpoint{naming: naming}
+	DescribeTable("refuses no other attempt", func(naming bool, pause time.Duration, conns int) {
+		const attempts = 12
+		e := &repeatingEndpoint{naming: naming, pause: pause, ran: map[string]bool{}}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
@@ -407,25 +430,27 @@
 		}()
 		var last core.Event
 		d := dialer.New(dialer.Options{}, func(e core.Event) { last = e })
-		refused := 0
-		for attempt := range uint64(12) {
-			ran := e.runs.Load()
+		var refused []string
+		for n := range uint64(attempts) {
 			a := plain(l.Addr().String(), true, "{}")
-			a.Attempt = attempt
+			a.Attempt = n
 			d.Prepare(context.Background(), a)()
 			if f, ok := last.(core.AttemptFailed); ok && f.NotRun {
-				refused++
-				Expect(e.runs.Load()).To(Equal(ran), "attempt %d ran and is reported as not run", attempt)
+				Expect(f.Attempt).To(Equal(n))
+				refused = append(refused, fmt.Sprint(n))
 			}
 		}
-		if kept {
-			Expect(e.conns.Load()).To(BeNumerically("<", 12), "connections are used again")
-			Expect(refused).To(BeNumerically(">", 0))
-		} else {
-			Expect(e.conns.Load()).To(BeEquivalentTo(12), "nothing shows whose an answer is")
+		for _, name := range refused {
+			Consistently(e.hasRun).WithArguments(name).WithTimeout(2*pause+time.Millisecond).Should(BeFalse(), "attempt %s ran and is reported as not run", name)
+		}
+		Expect(e.conns.Load()).To(BeEquivalentTo(conns))
+		if naming {
+			// The first attempt has a connection of its own; each later one serves three.
+			Expect(refused).To(Equal([]string{"2", "5", "8", "11"}))
 		}
 	},
-		Entry("of an endpoint that names attempts", true, true),
-		Entry("of one that does not", false, false),
+		Entry("of an endpoint that names attempts", true, time.Duration(0), 5),
+		Entry("of one that does so and is slow", true, 20*time.Millisecond, 5),
+		Entry("of one that does not: nothing shows whose an answer is", false, time.Duration(0), 12),
 	)
 })
--- a/transport/dialer/send.go
+++ b/transport/dialer/send.go
@@ -53,6 +53,7 @@
 		named := response.Header.Get(headerAttempt)
 		if named != id && (pooled || named != "") {
 			_ = response.Body.Close() // it answers another attempt
+			c.CloseIdleConnections()  // what follows on its connection may do so as well
 			return nil, false, errMixed.Error()
 		}
 		d.setNaming(a.Target.Addr, named != "")
