--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -454,3 +455,45 @@
 		Entry("of one that does not: nothing shows whose an answer is", false, time.Duration(0), 12),
 	)
 })
+
+// An endpoint writes each outcome once more, where the next answer is expected. Nothing in an outcome shows
+// whose it is.
+var _ = Describe("an outcome that is written again", func() {
+	It("is that of no other call", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go repeatOutcomes(c)
+			}
+		}()
+		var last core.Event
+		d := dialer.New(dialer.Options{}, func(e core.Event) { last = e })
+		for n, key := range []string{"a", "b", "c"} {
+			q := core.Inquire{Inquiry: uint64(n), Target: &config.Endpoint{Addr: l.Addr().String()}, Call: &call.Call{Key: key, Customer: "c", Program: "p"}}
+			d.Inquire(context.Background(), q)
+			Expect(last).To(Equal(core.InquiryAnswered{Inquiry: uint64(n), Found: true, Status: http.StatusOK, Body: fmt.Appendf(nil, "%q", key)}))
+		}
+	})
+})
+
+// repeatOutcomes answers with the key that is asked for, and with the key before in front of that.
+func repeatOutcomes(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader, before := bufio.NewReader(c), ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body := fmt.Sprintf("%q", path.Base(r.URL.Path))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		_, _ = io.WriteString(c, before+answer)
+		before = answer
+	}
+}
--- a/transport/dialer/query.go
+++ b/transport/dialer/query.go
@@ -39,7 +39,7 @@
 		return 0, nil, errors.Wrap(err, "dialer: request")
 	}
 	request.Header.Set("X-Program", q.Call.QualifiedProgram())
-	response, err := d.pooled.Do(request)
+	response, err := d.singleUse.Do(request) // nothing in an outcome shows whose it is
 	if err != nil {
 		return 0, nil, errors.Mark(errors.Wrap(err, "dialer: outcome"), ErrEndpoint)
 	}
