--- a/transport/dialer/copy.go
+++ b/transport/dialer/copy.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dialer: request")
 	}
-	response, err := d.pooled.Do(request)
+	response, err := d.singleUse.Do(request) // nothing in an answer to an order shows whose it is
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "dialer: order"), ErrEndpoint)
 	}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -38,7 +38,7 @@
 type Dialer struct {
 	options Options
 	// pooled reuses connections, for calls that may be repeated at endpoints whose answers
-	// name their attempt, and for loads, listings and orders.
+	// name their attempt, and for loads and listings.
 	pooled *http.Client
 	// singleUse opens a connection for each call: net/http never retries a request
 	// that it wrote to a new connection, and an answer to an earlier one cannot arrive.
--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -456,44 +457,68 @@
 	)
 })
 
-// An endpoint writes each outcome once more, where the next answer is expected. Nothing in an outcome shows
-// whose it is.
-var _ = Describe("an outcome that is written again", func() {
-	It("is that of no other call", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(l.Close)
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go repeatOutcomes(c)
-			}
-		}()
+// An endpoint writes each answer once more, where the next one is expected. Nothing in an outcome or in the answer to
+// an order shows whose it is.
+var _ = Describe("an answer that is written again", func() {
+	It("is the outcome of no other call", func() {
+		addr := serveRepeated(func(r *http.Request) (int, string) {
+			return http.StatusOK, strconv.Quote(path.Base(r.URL.Path))
+		})
 		var last core.Event
 		d := dialer.New(dialer.Options{}, func(e core.Event) { last = e })
 		for n, key := range []string{"a", "b", "c"} {
-			q := core.Inquire{Inquiry: uint64(n), Target: &config.Endpoint{Addr: l.Addr().String()}, Call: &call.Call{Key: key, Customer: "c", Program: "p"}}
+			q := core.Inquire{Inquiry: uint64(n), Target: &config.Endpoint{Addr: addr}, Call: &call.Call{Key: key, Customer: "c", Program: "p"}}
 			d.Inquire(context.Background(), q)
-			Expect(last).To(Equal(core.InquiryAnswered{Inquiry: uint64(n), Found: true, Status: http.StatusOK, Body: fmt.Appendf(nil, "%q", key)}))
+			Expect(last).To(Equal(core.InquiryAnswered{Inquiry: uint64(n), Found: true, Status: http.StatusOK, Body: []byte(strconv.Quote(key))}))
 		}
 	})
+
+	It("confirms no other order", func() {
+		var orders atomic.Int32
+		addr := serveRepeated(func(*http.Request) (int, string) {
+			if orders.Add(1) == 1 {
+				return http.StatusOK, "{}"
+			}
+			return http.StatusServiceUnavailable, "{}"
+		})
+		var released []string
+		d := dialer.New(dialer.Options{}, func(e core.Event) { released = append(released, e.(core.Released).Program) })
+		for _, program := range []string{"a", "b", "c"} {
+			d.Release(context.Background(), core.Release{Endpoint: "e", Target: &config.Endpoint{Addr: addr}, Customer: "c", Program: program})
+		}
+		Expect(released).To(Equal([]string{"a"}))
+	})
 })
 
-// repeatOutcomes answers with the key that is asked for, and with the key before in front of that.
-func repeatOutcomes(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader, before := bufio.NewReader(c), ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
+// serveRepeated starts an endpoint that writes each answer once more in front of the next one on the
+// connection, and returns its address.
+func serveRepeated(answer func(*http.Request) (status int, body string)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader, before := bufio.NewReader(c), ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			status, body := answer(r)
+			next := fmt.Sprintf("HTTP/1.1 %d Answer\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+			_, _ = io.WriteString(c, before+next)
+			before = next
 		}
-		body := fmt.Sprintf("%q", path.Base(r.URL.Path))
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		_, _ = io.WriteString(c, before+answer)
-		before = answer
 	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
 }
