--- a/coordination/cover/model_test.go
+++ b/coordination/cover/model_test.go
@@ -1,4 +1,4 @@
-package seats_test
+package cover_test
 
 import (
 	"fmt"
@@ -9,16 +9,19 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/cowslipstage/cowslipstage/coordination/cover"
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
+	"github.com/cowslipstage/cowslipstage/state/tenure"
 )
 
 // diskHost is a host with a disk in the model.
 type diskHost struct {
 	up bool
-	// records, countedSince and claimed are on its disk.
-	records               map[int]bool
-	countedSince, claimed uint64
-	retiring, removed     bool
+	// records, countedSince and tenure are on its disk.
+	records           map[int]bool
+	countedSince      uint64
+	tenure            tenure.Tenure
+	retiring, removed bool
 }
 
 // world is a model of hosts that change their seats while disks are lost, hosts
@@ -39,7 +42,7 @@
 	for i := range seats.TargetCount(losses) {
 		name := fmt.Sprint("m", i)
 		w.claim(name)
-		w.hosts[name].countedSince = w.roster.Version // Initial
+		w.count(name, w.roster.Version) // Initial
 	}
 	return w
 }
@@ -51,7 +54,12 @@
 
 // fresh reports whether the holder of a seat knows that it has never counted in it.
 func (w *world) fresh(s seats.Seat) bool {
-	return s.Fresh && w.hosts[s.Node].claimed == s.SinceVersion && !w.replica(s)
+	return s.Fresh && w.hosts[s.Node].tenure.NeverCounted(s.SinceVersion)
+}
+
+func (w *world) count(name string, since uint64) {
+	m := w.hosts[name]
+	m.countedSince, m.tenure = since, m.tenure.Count(since)
 }
 
 func (w *world) replicas() []string {
@@ -87,7 +95,7 @@
 	if !ok {
 		return
 	}
-	m.claimed = next.Version
+	m.tenure = m.tenure.Claim(next.Version)
 	w.roster = next
 }
 
@@ -99,34 +107,38 @@
 	if seat == nil || !m.up {
 		return false
 	}
-	others := seats.Others{}
+	read := cover.New(w.roster, name, cover.Heard{Replica: w.replica(*seat), Tenure: m.tenure})
 	from := []string{}
+	list := func(other string) {
+		h := w.hosts[other]
+		if !h.up {
+			read.Fail(other)
+			return
+		}
+		from = append(from, other)
+		held := w.roster.Find(other)
+		read.Hear(other, cover.Heard{Replica: held != nil && w.replica(*held), Tenure: h.tenure})
+	}
 	for _, s := range w.roster.Seats {
-		switch {
-		case s.Node == name:
-		case !w.hosts[s.Node].up:
-			others.Failed++
-		default:
-			from = append(from, s.Node)
-			switch {
-			case w.replica(s):
-			case w.fresh(s):
-				others.Fresh++
-			default:
-				others.Behind++
-			}
+		if s.Node != name {
+			list(s.Node)
+		}
+	}
+	for formers := read.Formers(); len(formers) > 0; formers = read.Formers() {
+		for _, f := range formers {
+			list(f.Node)
 		}
 	}
 	if source != "" {
 		from = append(from, source)
 	}
-	if !w.roster.CanCatchUp(w.fresh(*seat), others) {
+	if !read.Complete() {
 		return w.replica(*seat)
 	}
 	for _, other := range from {
 		maps.Copy(m.records, w.hosts[other].records)
 	}
-	m.countedSince = seat.SinceVersion
+	w.count(name, seat.SinceVersion)
 	return true
 }
 
@@ -180,7 +192,7 @@
 	}
 	m.up = false
 	if wipe {
-		m.records, m.countedSince, m.claimed = map[int]bool{}, 0, 0
+		m.records, m.countedSince, m.tenure = map[int]bool{}, 0, tenure.Tenure{}
 	}
 }
 
--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -22,6 +22,30 @@
 	// Fresh is set if the seat was free before SinceVersion, so that its holder
 	// replaced nobody who may have held records.
 	Fresh bool `cbor:"5,keyasint,omitempty" json:"fresh,omitempty"`
+	// Former are the hosts that had the seat before, the last one first. The list ends with
+	// one that counted as a replica, as far as that is known. It matters until the holder
+	// counts. The build before drops it when it writes a roster.
+	Former []Former `cbor:"6,keyasint,omitempty" json:"former,omitempty"`
+}
+
+// Former is a host that had a seat before its holder. Its fields are as in Seat.
+type Former struct {
+	Node         string `cbor:"1,keyasint" json:"node"`
+	Addr         string `cbor:"2,keyasint" json:"addr"`
+	SinceVersion uint64 `cbor:"3,keyasint" json:"since"`
+	Fresh        bool   `cbor:"4,keyasint,omitempty" json:"fresh,omitempty"`
+}
+
+// maxFormer bounds Seat.Former: a seat rarely changes hands twice before a holder counts.
+const maxFormer = 8
+
+// succeed returns the former holders of a seat that another host takes.
+func (s Seat) succeed(h Holder) []Former {
+	former := []Former{{Node: s.Node, Addr: s.Addr, SinceVersion: s.SinceVersion, Fresh: s.Fresh}}
+	if !h.Counted {
+		former = append(former, s.Former...)
+	}
+	return former[:min(len(former), maxFormer)]
 }
 
 // Holder is what a host last learned about the holder of a seat.
@@ -29,8 +53,9 @@
 	// Lost is set if the holder has not answered for so long that another host may
 	// take the seat.
 	Lost bool
-	// Replica is set if the holder counts as a replica in this seat.
-	Replica bool
+	// Replica is set if the holder answers and counts as a replica in this seat. Counted is
+	// set if it once did.
+	Replica, Counted bool
 }
 
 // Roster is one version of the assignment of hosts to seats. Versions are
@@ -104,11 +129,12 @@
 // their disks could find their seats taken by empty ones.
 func (r *Roster) Claim(host Seat, losses int, holder func(Seat) Holder) (*Roster, bool) {
 	next := &Roster{Version: r.Version + 1, Seats: slices.Clone(r.Seats), MaxLosses: losses}
-	host.SinceVersion, host.Fresh = next.Version, false
+	host.SinceVersion, host.Fresh, host.Former = next.Version, false, nil
 	if old := next.Find(host.Node); old != nil {
 		if old.Addr == host.Addr {
 			return nil, false
 		}
+		host.Former = old.succeed(Holder{})
 		*old = host
 		return next, true
 	}
@@ -124,39 +150,17 @@
 			lost = i
 		case h.Replica && !h.Lost:
 			replicas++
+			next.Seats[i].Former = nil
 		}
 	}
 	if lost < 0 || len(next.Seats)-replicas >= next.Quorum() {
 		return nil, false
 	}
+	host.Former = next.Seats[lost].succeed(holder(next.Seats[lost]))
 	next.Seats[lost] = host
 	return next, true
 }
 
-// Others counts what a host that catches up learned about the holders of the other
-// seats.
-type Others struct {
-	// Failed did not list their records. Behind did, but are no replicas. Fresh took a
-	// free seat and have never been replicas in it, so they held no record.
-	Failed, Behind, Fresh int
-}
-
-// CanCatchUp reports whether a host holds all that its seat must once it has copied
-// what the holders of the other seats listed. fresh says that the host itself has
-// never been a replica since it took a free seat.
-//
-// A record is stored at a quorum of seats, so it may be missed only if a whole
-// quorum failed, is behind, or had its data in this seat before. If all others
-// answered and none is a replica, they hold together what there is.
-func (r *Roster) CanCatchUp(fresh bool, o Others) bool {
-	missing := o.Failed + o.Behind
-	if !fresh {
-		missing++
-	}
-	noReplica := o.Failed == 0 && o.Behind+o.Fresh == len(r.Seats)-1
-	return missing < r.Quorum() || noReplica
-}
-
 // ShouldYield reports whether a host should leave the next seat to another
 // data centre: its own has its share, or the free seats are just enough for
 // the data centres without one. Seats in several data centres survive the loss
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -1,6 +1,7 @@
 package seats_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -85,28 +86,6 @@
 	}
 }
 
-// Of five seats three store a record. A host that never held one in its seat need not
-// count itself among those that may be missed.
-func TestAHostCatchesUpFromEnoughOthers(t *testing.T) {
-	g := gomega.NewWithT(t)
-	r := full(2)
-	for _, c := range []struct {
-		fresh  bool
-		others seats.Others
-		want   bool
-	}{
-		{false, seats.Others{Failed: 1}, true},
-		{false, seats.Others{Failed: 1, Behind: 1}, false},
-		{true, seats.Others{Failed: 1, Behind: 1}, true},
-		{true, seats.Others{Failed: 1, Behind: 2}, false},
-		{false, seats.Others{Behind: 1, Fresh: 2}, true},
-		{false, seats.Others{Behind: 4}, true},
-		{false, seats.Others{Failed: 1, Behind: 3}, false},
-	} {
-		g.Expect(r.CanCatchUp(c.fresh, c.others)).To(gomega.Equal(c.want), "fresh %t, %+v", c.fresh, c.others)
-	}
-}
-
 func TestRemoveLeavesAQuorum(t *testing.T) {
 	g := gomega.NewWithT(t)
 	next, ok := full(1).Remove("n0")
@@ -176,3 +155,35 @@
 		})
 	}
 }
+
+// productionRoster is a roster as the build in production reads and writes it.
+type productionRoster struct {
+	Version uint64 `json:"version"`
+	Seats   []struct {
+		Node         string `json:"node"`
+		Addr         string `json:"addr"`
+		Centre       string `json:"centre"`
+		SinceVersion uint64 `json:"since"`
+		Fresh        bool   `json:"fresh,omitempty"`
+	} `json:"seats"`
+	MaxLosses int `json:"losses"`
+}
+
+// The build in production reads a roster with former holders as one without, and what it writes is
+// read here, without former holders.
+func TestProductionReadsAndWritesRosters(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, ok := full(1).Claim(seats.Seat{Node: "newcomer", Addr: "b", Centre: "c"}, 1, lostNode("n1"))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(r.Find("newcomer").Former).To(gomega.HaveLen(1))
+	data, err := json.Marshal(r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var there productionRoster
+	g.Expect(json.Unmarshal(data, &there)).To(gomega.Succeed())
+	data, err = json.Marshal(there)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	back := &seats.Roster{}
+	g.Expect(json.Unmarshal(data, back)).To(gomega.Succeed())
+	r.Find("newcomer").Former = nil
+	g.Expect(back).To(gomega.Equal(r))
+}
--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -15,6 +15,7 @@
 	"github.com/cowslipstage/cowslipstage/state/chains"
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/spend"
+	"github.com/cowslipstage/cowslipstage/state/tenure"
 	"github.com/cowslipstage/cowslipstage/state/usage"
 )
 
@@ -270,6 +271,8 @@
 	Owners []string `cbor:"9,keyasint,omitempty"`
 	// Packed holds Records in CBOR, compressed as in package pack. Either is empty.
 	Packed []byte `cbor:"10,keyasint,omitempty"`
+	// Tenure says which seats the vault has had with its disk.
+	Tenure tenure.Tenure `cbor:"11,keyasint,omitempty"`
 }
 
 // Get requests turns with their texts, or how long chains and accounts are kept.
--- a/standin/coord/coord.go
+++ b/standin/coord/coord.go
@@ -116,7 +116,7 @@
 	if r.down {
 		return ErrDown
 	}
-	if !slices.Contains(r.spares, s) {
+	if !slices.ContainsFunc(r.spares, func(known seats.Seat) bool { return known.Node == s.Node }) {
 		r.spares = append(r.spares, s)
 	}
 	return nil
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -277,7 +277,7 @@
 		roster = v.adopt(m.Roster)
 		_, caughtUp = v.seatState()
 	}
-	l := &vaults.ListReply{CaughtUp: caughtUp, Fresh: v.isFresh(roster)}
+	l := &vaults.ListReply{CaughtUp: caughtUp, Fresh: v.isFresh(roster), Tenure: v.knownTenure()}
 	if m.Roster != nil && m.Roster.Version < roster.Version {
 		l.Status, l.Roster = vaults.SenderStale, roster
 		answer(l)
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -4,13 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
-	"github.com/cowslipstage/cowslipstage/protocol/pack"
 	"github.com/cowslipstage/cowslipstage/protocol/vaults"
-	"github.com/cowslipstage/cowslipstage/state/chains"
-	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
 const (
@@ -44,9 +39,9 @@
 type holderState struct {
 	// silentSince is when it stopped answering; zero while it answers.
 	silentSince time.Time
-	// replicaSince is the SinceVersion of the seat in which it counts as a replica,
-	// or 0.
-	replicaSince uint64
+	// replicaSince is the SinceVersion of the seat in which it counted as a replica when it
+	// last answered, or 0. countedSince is that of the last seat in which it has counted.
+	replicaSince, countedSince uint64
 }
 
 // holderStates are the states of the seats' holders by node.
@@ -58,8 +53,9 @@
 		state, known := h[s.Node]
 		silent := !state.silentSince.IsZero()
 		return seats.Holder{
-			Lost:    known && silent && now.Sub(state.silentSince) >= lostAfter,
+			Lost:    silent && now.Sub(state.silentSince) >= lostAfter,
 			Replica: known && !silent && state.replicaSince == s.SinceVersion,
+			Counted: known && state.countedSince == s.SinceVersion,
 		}
 	}
 }
@@ -173,14 +169,14 @@
 	for range roster.Seats {
 		p := <-probes
 		calm = calm && p.err == nil && !p.newer
-		state := holderState{}
+		state := holderState{countedSince: holders[p.seat.Node].countedSince}
 		switch {
 		case p.err != nil:
 			if state.silentSince = holders[p.seat.Node].silentSince; state.silentSince.IsZero() {
 				state.silentSince = time.Now()
 			}
 		case p.replica:
-			state.replicaSince = p.seat.SinceVersion
+			state.replicaSince, state.countedSince = p.seat.SinceVersion, p.seat.SinceVersion
 		}
 		holders[p.seat.Node] = state
 	}
@@ -208,8 +204,9 @@
 		return
 	}
 	v.mu.Lock()
-	v.claimedVersion = next.Version
+	v.claimedVersion, v.tenure = next.Version, v.tenure.Claim(next.Version)
 	v.mu.Unlock()
+	v.storeTenure()
 	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
 		v.log.Info().Err(err).Stringer("roster", next).Msg("claiming the seat failed; retrying")
 		return
@@ -234,233 +231,12 @@
 		return
 	}
 	v.mu.Lock()
-	v.caughtUpSince = seat.SinceVersion
+	v.caughtUpSince, v.tenure = seat.SinceVersion, v.tenure.Count(seat.SinceVersion)
 	v.mu.Unlock()
+	v.storeTenure()
 	v.log.Info().Stringer("roster", roster).Uint64("since", seat.SinceVersion).Msg("counts as a copy")
 }
 
-var errCatchUp = errors.New("vault: too few copies answered to catch up")
-
-// catchUp copies records that lack copies: all accounts, and the turns that
-// fewer other seats hold than a quorum has. source is read in addition and does
-// not count as a copy. It succeeds once it has read so many seats that every
-// stored record must be on one of them.
-func (v *Vault) catchUp(ctx context.Context, source *seats.Seat) error {
-	v.syncing.Lock()
-	defer v.syncing.Unlock()
-	roster, _ := v.seatState()
-	var others []seats.Seat
-	for _, s := range roster.Seats {
-		if s.Node != v.site.Node {
-			others = append(others, s)
-		}
-	}
-	listings := make(chan listing, len(others)+1)
-	for _, s := range others {
-		go func() { listings <- v.listRecords(ctx, s.Addr, roster) }()
-	}
-	answered := seats.Others{}
-	var all []listing
-	for range others {
-		switch l := <-listings; {
-		case l.err != nil:
-			answered.Failed++
-			v.log.Info().Err(l.err).Str("vault", l.addr).Msg("a seat did not list its records for a catch-up")
-		default:
-			switch {
-			case l.caughtUp:
-			case l.fresh:
-				answered.Fresh++
-			default:
-				answered.Behind++
-			}
-			l.isCopy = true
-			all = append(all, l)
-		}
-	}
-	if source != nil {
-		l := v.listRecords(ctx, source.Addr, nil)
-		if l.err != nil {
-			return l.err
-		}
-		all = append(all, l)
-	}
-	if !roster.CanCatchUp(v.isFresh(roster), answered) {
-		return errors.Wrapf(errCatchUp, "of %d others %d failed, %d are behind, %d fresh", len(others), answered.Failed, answered.Behind, answered.Fresh)
-	}
-	if err := v.copyMissing(ctx, all, roster.Quorum()); err != nil {
-		return err
-	}
-	if now, _ := v.seatState(); now.Version != roster.Version {
-		return errors.Wrap(errCatchUp, "the roster changed during the catch-up")
-	}
-	v.markCaughtUp(roster)
-	return nil
-}
-
-// isFresh reports whether this host took a seat that was free and has never counted
-// as a copy in it. If its disk was lost since, that is not known.
-func (v *Vault) isFresh(roster *seats.Roster) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	seat := roster.Find(v.site.Node)
-	return seat != nil && seat.Fresh && v.claimedVersion == seat.SinceVersion && v.caughtUpSince != seat.SinceVersion
-}
-
-// listing is what one other vault holds.
-type listing struct {
-	addr string
-	err  error
-	// caughtUp is set if the vault itself counts as a copy, isCopy if its
-	// records count as copies.
-	caughtUp bool
-	isCopy   bool
-	// fresh is set if the vault has never counted in its seat.
-	fresh bool
-	// records are the entries of accounts.
-	records []chains.Record
-	turns   []turnName
-}
-
-// turnName identifies a turn. Callers choose the IDs, so customers can choose the same one.
-type turnName struct{ id, owner string }
-
-// listRecords asks one vault for all that it holds, without the texts of turns.
-func (v *Vault) listRecords(ctx context.Context, addr string, roster *seats.Roster) listing {
-	l := listing{addr: addr}
-	for cursor, more := uint64(0), true; more; {
-		m, err := callPeer(ctx, v.peer(addr), &vaults.List{Cursor: cursor, Roster: roster, Packs: true})
-		if err != nil {
-			l.err = err
-			return l
-		}
-		page, ok := m.(*vaults.ListReply)
-		if !ok || page.Status != vaults.Done {
-			if ok {
-				v.adopt(page.Roster)
-			}
-			l.err = errors.Wrapf(errCatchUp, "%s did not list its records", addr)
-			return l
-		}
-		if len(page.Packed) > 0 {
-			if err := pack.Decode(page.Packed, &page.Records); err != nil {
-				l.err = err
-				return l
-			}
-		}
-		for _, data := range page.Records {
-			r, err := chains.Decode(data)
-			if err != nil {
-				l.err = err
-				return l
-			}
-			l.records = append(l.records, r)
-		}
-		for i, id := range page.Turns {
-			name := turnName{id: id}
-			if i < len(page.Owners) {
-				name.owner = page.Owners[i]
-			}
-			l.turns = append(l.turns, name)
-		}
-		l.caughtUp, l.fresh, cursor, more = page.CaughtUp, page.Fresh, page.Next, page.More
-	}
-	return l
-}
-
-// callPeer sends a message to another vault, bounded by pageTimeout.
-func callPeer(ctx context.Context, c *wsrpc.Client, m vaults.Message) (vaults.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	return c.Call(ctx, m)
-}
-
-// copyMissing stores the listed accounts and fetches the turns that have fewer
-// copies than wanted.
-func (v *Vault) copyMissing(ctx context.Context, listings []listing, wanted int) error {
-	copies := map[turnName]int{}
-	for _, l := range listings {
-		if err := v.persistRecords(ctx, l.records); err != nil {
-			return err
-		}
-		for _, t := range l.turns {
-			if l.isCopy {
-				copies[t]++
-			}
-		}
-	}
-	for _, l := range listings {
-		var missing []turnName
-		for _, t := range l.turns {
-			if copies[t] < wanted {
-				missing = append(missing, t)
-			}
-		}
-		if err := v.fetchTurns(ctx, l.addr, missing); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// fetchTurns fetches from a vault those of the turns that are not here.
-func (v *Vault) fetchTurns(ctx context.Context, addr string, turns []turnName) error {
-	var wanted []string
-	if err := v.runOnControl(ctx, func() { wanted = v.missingTurns(turns) }); err != nil {
-		return err
-	}
-	for len(wanted) > 0 {
-		batch := wanted[:min(turnsPerGet, len(wanted))]
-		m, err := callPeer(ctx, v.peer(addr), &vaults.Get{Turns: batch})
-		if err != nil {
-			return err
-		}
-		got, ok := m.(*vaults.GetReply)
-		if !ok {
-			return errors.Wrap(errCatchUp, "unexpected answer to a request for turns")
-		}
-		records := make([]chains.Record, 0, len(got.Turns))
-		received := map[string]bool{}
-		for _, t := range got.Turns {
-			records = append(records, t)
-			received[t.ID] = true
-		}
-		if err := v.persistRecords(ctx, records); err != nil {
-			return err
-		}
-		// An answer is bounded and may hold only the first of them, so the rest
-		// is requested again. An empty answer means that they have expired there.
-		if n := len(received); n > 0 && n < len(batch) {
-			batch = batch[:n]
-		}
-		wanted = wanted[len(batch):]
-	}
-	return nil
-}
-
-// persistRecords stores records and waits until the new ones are on disk.
-func (v *Vault) persistRecords(ctx context.Context, records []chains.Record) error {
-	var fresh []chains.Record
-	err := v.runOnControl(ctx, func() {
-		for _, r := range records {
-			if v.chains.Add(r) {
-				fresh = append(fresh, r)
-			}
-		}
-	})
-	if err != nil {
-		return err
-	}
-	done := make(chan error, 1)
-	v.writer.add(func(err error) { done <- err }, fresh...)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // answerAdopt adopts a roster from another host, and catches up if asked to.
 func (v *Vault) answerAdopt(m *vaults.Adopt, answer func(vaults.Message)) {
 	roster := v.adopt(m.Roster)
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -31,6 +31,7 @@
 	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/tally"
+	"github.com/cowslipstage/cowslipstage/state/tenure"
 	"github.com/cowslipstage/cowslipstage/state/usage"
 	"github.com/cowslipstage/cowslipstage/transport/files"
 	"github.com/cowslipstage/cowslipstage/transport/intake"
@@ -60,7 +61,10 @@
 	// claimFile holds the roster version that this host last tried to write to get
 	// its seat. A host with an empty disk does not have it.
 	claimFile = "claim"
-	logFolder = "log"
+	// tenureFile holds all seats that this host has had with its disk, and what seatFile and
+	// claimFile said then: the build before writes only those.
+	tenureFile = "tenure"
+	logFolder  = "log"
 	// diskShare is the fraction of the disk that the log may take. The rest is
 	// for the file system and for the files above.
 	diskShare = 0.9
@@ -174,6 +178,8 @@
 	countedBefore, usesRead bool
 	// claimedVersion is the content of claimFile, or 0.
 	claimedVersion uint64
+	// tenure holds the seats that this host has had with the disk that it has now.
+	tenure tenure.Tenure
 	// retiring is set once the operators want this host emptied. It then takes no
 	// seat any more.
 	retiring bool
@@ -193,6 +199,8 @@
 	sync *metrics.Histogram
 	// panics counts messages whose handling panicked.
 	panics *metrics.Counter
+	// formers counts the former holders of seats that were asked for their records.
+	formers *metrics.Counter
 }
 
 // New returns a vault with the records of its data folder.
@@ -212,6 +220,7 @@
 		fetches: set.NewCounter("cowslipstage_vault_fetches_total"), refused: set.NewCounter("cowslipstage_vault_refused_total"),
 		full: set.NewCounter("cowslipstage_vault_full_total"),
 		sync: set.NewHistogram("cowslipstage_vault_sync_seconds"), panics: set.NewCounter("cowslipstage_vault_panics_total"),
+		formers: set.NewCounter("cowslipstage_vault_formers_asked_total"),
 	}
 	if s.Data == "" {
 		return nil, errors.New("vault: the settings name no data folder")
@@ -251,6 +260,7 @@
 	}
 	v.caughtUpSince = v.loadVersion(seatFile)
 	v.claimedVersion = v.loadVersion(claimFile)
+	v.tenure = v.loadTenure()
 	v.loadViews()
 	v.loadVerdicts(time.Now())
 	v.countedBefore, v.usesRead = v.caughtUpSince > 0, v.loadUses(time.Now())
