--- a/coordination/cover/cover_test.go
+++ b/coordination/cover/cover_test.go
@@ -69,7 +69,7 @@
 func lost(node string, counted bool) func(seats.Seat) seats.Holder {
 	return func(s seats.Seat) seats.Holder {
 		if s.Node == node {
-			return seats.Holder{Lost: true, Counted: counted}
+			return seats.Holder{Silent: true, Lost: true, Counted: counted}
 		}
 		return seats.Holder{Replica: true, Counted: true}
 	}
--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -50,9 +50,9 @@
 
 // Holder is what a host last learned about the holder of a seat.
 type Holder struct {
-	// Lost is set if the holder has not answered for so long that another host may
-	// take the seat.
-	Lost bool
+	// Silent is set if the holder does not answer, and Lost once it has not for so long that
+	// another host may take the seat.
+	Silent, Lost bool
 	// Replica is set if the holder answers and counts as a replica in this seat. Counted is
 	// set if it once did.
 	Replica, Counted bool
@@ -122,11 +122,12 @@
 	return order
 }
 
-// Claim returns the next roster, in which the host has a free seat or the seat
-// of a lost holder, or false if there is no seat for it. A host whose address
-// changed keeps its seat. A lost holder is replaced only while enough of the others
-// are replicas for the newcomer to catch up from them; else hosts that return with
-// their disks could find their seats taken by empty ones.
+// Claim returns the next roster, in which the host has the seat of a lost holder or a
+// free seat, or false if there is no seat for it. A host whose address changed keeps its
+// seat. A lost holder is replaced only while enough of the others are replicas for the
+// newcomer to catch up from them; else hosts that return with their disks could find
+// their seats taken by empty ones. A free seat is left alone while some holder is silent:
+// if that one is gone for good, its seat is the one to take.
 func (r *Roster) Claim(host Seat, losses int, holder func(Seat) Holder) (*Roster, bool) {
 	next := &Roster{Version: r.Version + 1, Seats: slices.Clone(r.Seats), MaxLosses: losses}
 	host.SinceVersion, host.Fresh, host.Former = next.Version, false, nil
@@ -138,14 +139,11 @@
 		*old = host
 		return next, true
 	}
-	if len(next.Seats) < TargetCount(losses) {
-		host.Fresh = true
-		next.Seats = append(next.Seats, host)
-		return next, true
-	}
-	replicas, lost := 0, -1
+	replicas, lost, silent := 0, -1, false
 	for i, s := range next.Seats {
-		switch h := holder(s); {
+		h := holder(s)
+		silent = silent || h.Silent && !h.Lost
+		switch {
 		case h.Lost && lost < 0:
 			lost = i
 		case h.Replica && !h.Lost:
@@ -153,11 +151,17 @@
 			next.Seats[i].Former = nil
 		}
 	}
-	if lost < 0 || len(next.Seats)-replicas >= next.Quorum() {
+	free := len(next.Seats) < TargetCount(losses)
+	switch {
+	case lost >= 0 && len(next.Seats)-replicas < next.Quorum():
+		host.Former = next.Seats[lost].succeed(holder(next.Seats[lost]))
+		next.Seats[lost] = host
+	case free && !silent:
+		host.Fresh = true
+		next.Seats = append(next.Seats, host)
+	default:
 		return nil, false
 	}
-	host.Former = next.Seats[lost].succeed(holder(next.Seats[lost]))
-	next.Seats[lost] = host
 	return next, true
 }
 
--- a/coordination/seats/seats_test.go
+++ b/coordination/seats/seats_test.go
@@ -60,6 +60,40 @@
 	g.Expect(r.String()).To(gomega.Equal("v3 n0 n1 n2"), "Claim does not change its receiver")
 }
 
+// A newcomer that finds a free seat beside that of a lost holder takes the latter, since else nobody ever would. It
+// leaves both alone while a holder may only be restarting, and takes the free one where too few others count.
+func TestTheSeatOfALostHolderIsTakenBeforeAFreeOne(t *testing.T) {
+	without, _ := full(1).Remove("n0")
+	for _, c := range []struct {
+		name   string
+		silent seats.Holder
+		other  seats.Holder
+		want   string
+	}{
+		{"all answer", seats.Holder{Replica: true}, seats.Holder{Replica: true}, "v5 n1 n2 newcomer"},
+		{"one is silent", seats.Holder{Silent: true}, seats.Holder{Replica: true}, ""},
+		{"one is lost", seats.Holder{Silent: true, Lost: true}, seats.Holder{Replica: true}, "v5 newcomer n2"},
+		{"one is lost and the other does not count", seats.Holder{Silent: true, Lost: true}, seats.Holder{}, "v5 n1 n2 newcomer"},
+		{"one is lost and the other silent", seats.Holder{Silent: true, Lost: true}, seats.Holder{Silent: true}, ""},
+		{"both are lost", seats.Holder{Silent: true, Lost: true}, seats.Holder{Silent: true, Lost: true}, "v5 n1 n2 newcomer"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			next, ok := without.Claim(seats.Seat{Node: "newcomer", Addr: "b"}, 1, func(s seats.Seat) seats.Holder {
+				if s.Node == "n1" {
+					return c.silent
+				}
+				return c.other
+			})
+			g.Expect(ok).To(gomega.Equal(c.want != ""))
+			if ok {
+				g.Expect(next.String()).To(gomega.Equal(c.want))
+				g.Expect(next.Find("newcomer").Fresh).To(gomega.Equal(len(next.Seats) == 3))
+			}
+		})
+	}
+}
+
 func TestClaimWithNewAddressRenewsSeat(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := full(1)
--- a/vault/catchup.go
+++ b/vault/catchup.go
@@ -26,13 +26,7 @@
 	defer v.syncing.Unlock()
 	roster, caughtUp := v.seatState()
 	read := cover.New(roster, v.site.Node, cover.Heard{Replica: caughtUp, Tenure: v.knownTenure()})
-	var holders []host
-	for _, s := range roster.Seats {
-		if s.Node != v.site.Node {
-			holders = append(holders, host{s.Node, s.Addr})
-		}
-	}
-	all := v.listAll(ctx, roster, holders, read)
+	all := v.listAll(ctx, roster, v.otherHolders(roster), read)
 	for i, l := range all {
 		all[i].isCopy = l.caughtUp && (source == nil || l.host.node != source.Node)
 	}
@@ -65,6 +59,31 @@
 	return nil
 }
 
+// copyAhead copies the records that lack copies without the silent holders of seats, before this
+// host has a seat.
+func (v *Vault) copyAhead(ctx context.Context, roster *seats.Roster) {
+	v.syncing.Lock()
+	defer v.syncing.Unlock()
+	all := v.listAll(ctx, roster, v.otherHolders(roster), cover.New(roster, v.site.Node, cover.Heard{}))
+	for i, l := range all {
+		all[i].isCopy = l.caughtUp
+	}
+	if err := v.copyMissing(ctx, all, roster.Quorum()); err != nil {
+		v.log.Info().Err(err).Stringer("roster", roster).Msg("copying records before a seat is claimed failed")
+	}
+}
+
+// otherHolders returns the other hosts that have seats.
+func (v *Vault) otherHolders(roster *seats.Roster) []host {
+	var holders []host
+	for _, s := range roster.Seats {
+		if s.Node != v.site.Node {
+			holders = append(holders, host{s.Node, s.Addr})
+		}
+	}
+	return holders
+}
+
 // listAll has hosts list their records at once, and notes in read which did. It returns the
 // listings of those.
 func (v *Vault) listAll(ctx context.Context, roster *seats.Roster, hosts []host, read *cover.Cover) []listing {
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -53,6 +53,7 @@
 		state, known := h[s.Node]
 		silent := !state.silentSince.IsZero()
 		return seats.Holder{
+			Silent:  silent,
 			Lost:    silent && now.Sub(state.silentSince) >= lostAfter,
 			Replica: known && !silent && state.replicaSince == s.SinceVersion,
 			Counted: known && state.countedSince == s.SinceVersion,
@@ -88,9 +89,15 @@
 		default:
 			calm = v.watchSeats(ctx, roster, holders) && announced
 			yield := v.site.FirstStart && time.Since(started) < seatSpreadTime
-			if _, free := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, holders.at(time.Now())); free {
+			switch _, mayClaim := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, v.judgeHolders(roster, holders)); {
+			case mayClaim:
 				v.claimSeat(ctx, holders, yield)
-			} else if !announced {
+			case len(roster.Seats) < seats.TargetCount(v.site.MaxLostHosts):
+				// A holder is silent. This host takes its seat or the free one as soon as it is known
+				// whether that holder is lost, and needs the same records for either.
+				calm = true
+				v.copyAhead(ctx, roster)
+			case !announced:
 				announced = v.announceSpare(ctx)
 			}
 			if announced {
@@ -183,6 +190,16 @@
 	return calm
 }
 
+// judgeHolders returns what is known of the holders of a roster's seats as of now. While the
+// whole system starts, a holder that does not answer is not taken for lost as long as there
+// are free seats.
+func (v *Vault) judgeHolders(roster *seats.Roster, holders holderStates) func(seats.Seat) seats.Holder {
+	if v.site.FirstStart && roster.Initial() && len(roster.Seats) < seats.TargetCount(v.site.MaxLostHosts) {
+		return func(seats.Seat) seats.Holder { return seats.Holder{} }
+	}
+	return holders.at(time.Now())
+}
+
 // claimSeat claims a free seat or that of a lost host. If yield is set, it
 // leaves the seat to another data centre if its own has enough seats.
 func (v *Vault) claimSeat(ctx context.Context, holders holderStates, yield bool) {
@@ -195,7 +212,7 @@
 		v.log.Warn().Err(err).Msg("no seat claimed: reading the roster failed")
 		return
 	}
-	next, ok := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, holders.at(time.Now()))
+	next, ok := roster.Claim(v.ownSeat(), v.site.MaxLostHosts, v.judgeHolders(roster, holders))
 	if !ok || yield && roster.ShouldYield(v.site.Centre, v.site.MaxLostHosts, v.site.Centres) {
 		return
 	}
