--- a/coordination/seats/seats.go
+++ b/coordination/seats/seats.go
@@ -188,9 +188,9 @@
 func (r *Roster) Initial() bool { return r.Version == uint64(len(r.Seats)) }
 
 // Remove returns the roster without a node, or false if the node has no seat or
-// too few seats would remain for a quorum. All remaining holders must be replicas
-// when a seat is removed, because a record may have only one copy less than a
-// quorum after that.
+// too few seats would remain for a quorum. Before a seat is removed, all remaining
+// holders must be replicas and hold every record that was stored in it, and no further
+// one may be stored there: nobody asks a host that has no seat and no successor.
 func (r *Roster) Remove(node string) (*Roster, bool) {
 	next := &Roster{Version: r.Version + 1, MaxLosses: r.MaxLosses}
 	for _, s := range r.Seats {
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -75,7 +75,7 @@
 		return vaults.SenderStale, roster
 	case version > roster.Version:
 		return vaults.VaultStale, nil
-	case !caughtUp:
+	case !caughtUp || v.isDraining():
 		return vaults.Unseated, nil
 	}
 	return vaults.Done, nil
--- a/vault/retire.go
+++ b/vault/retire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
@@ -27,7 +28,9 @@
 		switch {
 		case err != nil:
 			v.log.Warn().Err(err).Msg("reading whether to empty this host failed")
-		case wanted:
+		case !wanted:
+			v.resume()
+		default:
 			v.mu.Lock()
 			v.retiring = true
 			v.mu.Unlock()
@@ -91,7 +94,8 @@
 }
 
 // giveUpSeat removes this host from the roster if it has a seat. It returns the newest
-// roster and reports whether this host is not in it.
+// roster and reports whether this host is not in it. From before the others copy what this host
+// holds until it has no seat it stores nothing, so that they hold all that was ever stored here.
 func (v *Vault) giveUpSeat(ctx context.Context) (*seats.Roster, bool) {
 	roster, revision, err := v.registry.Roster(ctx)
 	if err != nil {
@@ -99,6 +103,7 @@
 		return nil, false
 	}
 	v.adopt(roster)
+	v.resume()
 	if roster.Find(v.site.Node) == nil {
 		return roster, true
 	}
@@ -107,18 +112,58 @@
 		v.log.Warn().Stringer("roster", roster).Msg("not emptied: too few seats would remain; waiting for another host")
 		return nil, false
 	}
+	if _, caughtUp := v.seatState(); !caughtUp || !v.othersCount(ctx, roster) {
+		v.log.Info().Stringer("roster", roster).Bool("counts", caughtUp).Msg("not emptied yet: not all seats count")
+		return nil, false
+	}
+	v.drain()
 	if !v.handOver(ctx, roster) {
+		v.resume()
 		return nil, false
 	}
+	v.mu.Lock()
+	v.removalVersion = next.Version
+	v.mu.Unlock()
 	if err := v.registry.PutRoster(ctx, next, revision); err != nil {
+		// The write may still be carried out, so this host stores nothing until it knows better.
 		v.log.Info().Err(err).Msg("giving up the seat failed; retrying")
 		return nil, false
 	}
 	v.log.Info().Stringer("old", roster).Stringer("new", next).Msg("seat given up")
 	v.adopt(next)
+	v.resume()
 	return next, true
 }
 
+// drain has this host store nothing more in its seat.
+func (v *Vault) drain() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.draining {
+		v.log.Info().Stringer("roster", v.roster).Msg("storing nothing more before the seat is given up")
+	}
+	v.draining = true
+}
+
+// resume ends drain, unless a roster without this host may still be written: a call of the
+// key-value service without an answer may be carried out later.
+func (v *Vault) resume() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.draining && v.roster.Version >= v.removalVersion {
+		v.draining = false
+		v.log.Info().Stringer("roster", v.roster).Msg("storing again, if this host has a seat")
+	}
+}
+
+// othersCount reports whether all other holders of seats count.
+func (v *Vault) othersCount(ctx context.Context, roster *seats.Roster) bool {
+	holders := holderStates{}
+	v.watchSeats(ctx, roster, holders)
+	judge := holders.at(time.Now())
+	return !slices.ContainsFunc(roster.Seats, func(s seats.Seat) bool { return s.Node != v.site.Node && !judge(s).Replica })
+}
+
 // awaitSuccessor waits until another host has the free seat, and returns the newest
 // roster.
 func (v *Vault) awaitSuccessor(ctx context.Context, roster *seats.Roster) *seats.Roster {
@@ -185,9 +230,10 @@
 	}
 	caught := 0
 	for range others {
-		if <-results {
-			caught++
+		if !<-results {
+			break // the others go on copying
 		}
+		caught++
 	}
 	v.log.Info().Int("caught", caught).Int("seats", others).Msg("seats caught up from this host")
 	return caught == others && caught >= roster.Quorum()
--- a/vault/seat.go
+++ b/vault/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cowslipstage/cowslipstage/coordination/seats"
@@ -111,6 +112,13 @@
 	}
 }
 
+// isDraining reports whether this host stores nothing because it gives its seat up.
+func (v *Vault) isDraining() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.draining
+}
+
 // isRetiring reports whether the operators want this host emptied.
 func (v *Vault) isRetiring() bool {
 	v.mu.Lock()
@@ -152,7 +160,7 @@
 	return true
 }
 
-// watchSeats asks the holders of the seats whether they count as replicas, and
+// watchSeats asks the other holders of the seats whether they count as replicas, and
 // records the answers in holders. It reports whether all answered and none knows a
 // newer roster.
 func (v *Vault) watchSeats(ctx context.Context, roster *seats.Roster, holders holderStates) bool {
@@ -162,8 +170,9 @@
 		newer   bool
 		err     error
 	}
-	probes := make(chan probe, len(roster.Seats))
-	for _, s := range roster.Seats {
+	others := slices.DeleteFunc(slices.Clone(roster.Seats), func(s seats.Seat) bool { return s.Node == v.site.Node })
+	probes := make(chan probe, len(others))
+	for _, s := range others {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
@@ -172,8 +181,8 @@
 			probes <- probe{s, ok && a.CaughtUp && a.Version == roster.Version, ok && a.Version > roster.Version, err}
 		}()
 	}
-	calm := len(roster.Seats) > 0
-	for range roster.Seats {
+	calm := len(others) > 0
+	for range others {
 		p := <-probes
 		calm = calm && p.err == nil && !p.newer
 		state := holderState{countedSince: holders[p.seat.Node].countedSince}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -183,6 +183,10 @@
 	// retiring is set once the operators want this host emptied. It then takes no
 	// seat any more.
 	retiring bool
+	// draining is set while this host stores nothing in its seat, because it gives the seat up.
+	// removalVersion is the last version of the roster without it that it tried to write.
+	draining       bool
+	removalVersion uint64
 	// views holds what the key-value service holds below each prefix.
 	views map[string]*viewState
 	// syncing allows one catch-up at a time.
