--- a/protocol/vaults/vaults.go
+++ b/protocol/vaults/vaults.go
@@ -273,6 +273,9 @@
 	Packed []byte `cbor:"10,keyasint,omitempty"`
 	// Tenure says which seats the vault has had with its disk.
 	Tenure tenure.Tenure `cbor:"11,keyasint,omitempty"`
+	// Started is when the vault's process started, in Unix ns. Pages of two processes are
+	// not one listing.
+	Started int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Get requests turns with their texts, or how long chains and accounts are kept.
@@ -292,6 +295,9 @@
 	Status       Status          `cbor:"2,keyasint,omitempty"`
 	RootsLeft    []time.Duration `cbor:"3,keyasint,omitempty"`
 	AccountsLeft []time.Duration `cbor:"4,keyasint,omitempty"`
+	// Started is as in ListReply. A turn that is not here has expired only if the process is
+	// the one that listed it.
+	Started int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Adopt sends a roster to a vault.
--- a/vault/answer.go
+++ b/vault/answer.go
@@ -277,7 +277,7 @@
 		roster = v.adopt(m.Roster)
 		_, caughtUp = v.seatState()
 	}
-	l := &vaults.ListReply{CaughtUp: caughtUp, Fresh: v.isFresh(roster), Tenure: v.knownTenure()}
+	l := &vaults.ListReply{CaughtUp: caughtUp, Fresh: v.isFresh(roster), Tenure: v.knownTenure(), Started: v.startedAt.UnixNano()}
 	if m.Roster != nil && m.Roster.Version < roster.Version {
 		l.Status, l.Roster = vaults.SenderStale, roster
 		answer(l)
@@ -335,7 +335,7 @@
 			answer(nil)
 			return
 		}
-		answer(&vaults.GetReply{Turns: l.turns})
+		answer(&vaults.GetReply{Turns: l.turns, Started: v.startedAt.UnixNano()})
 	}()
 }
 
--- a/vault/catchup.go
+++ b/vault/catchup.go
@@ -14,7 +14,11 @@
 	"github.com/cowslipstage/cowslipstage/transport/wsrpc"
 )
 
-var errCatchUp = errors.New("vault: too few copies answered to catch up")
+var (
+	errCatchUp = errors.New("vault: too few copies answered to catch up")
+	// errRestarted means that a vault may have lost its disk since it listed its records.
+	errRestarted = errors.New("vault: restarted since it began to list its records")
+)
 
 // catchUp copies records that lack copies: all accounts, and the turns that
 // fewer other seats hold than a quorum has. source is read in any case and does
@@ -127,6 +131,8 @@
 	// which seats it has had; the build before does not send it.
 	fresh  bool
 	tenure tenure.Tenure
+	// started is when the process that sent the listing started.
+	started int64
 	// records are the entries of accounts.
 	records []chains.Record
 	turns   []turnName
@@ -160,6 +166,10 @@
 			l.err = errors.Wrapf(errCatchUp, "%s did not list its records", h.node)
 			return l
 		}
+		if cursor > 0 && page.Started != l.started {
+			l.err = errors.Wrapf(errRestarted, "%s", h.node)
+			return l
+		}
 		if len(page.Packed) > 0 {
 			if err := pack.Decode(page.Packed, &page.Records); err != nil {
 				l.err = err
@@ -181,7 +191,8 @@
 			}
 			l.turns = append(l.turns, name)
 		}
-		l.caughtUp, l.fresh, l.tenure, cursor, more = page.CaughtUp, page.Fresh, page.Tenure, page.Next, page.More
+		l.caughtUp, l.fresh, l.tenure, l.started = page.CaughtUp, page.Fresh, page.Tenure, page.Started
+		cursor, more = page.Next, page.More
 	}
 	return l
 }
@@ -214,22 +225,22 @@
 				missing = append(missing, t)
 			}
 		}
-		if err := v.fetchTurns(ctx, l.host.addr, missing); err != nil {
+		if err := v.fetchTurns(ctx, l, missing); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// fetchTurns fetches from a vault those of the turns that are not here.
-func (v *Vault) fetchTurns(ctx context.Context, addr string, turns []turnName) error {
+// fetchTurns fetches from the vault that sent a listing those of the turns that are not here.
+func (v *Vault) fetchTurns(ctx context.Context, l listing, turns []turnName) error {
 	var wanted []string
 	if err := v.runOnControl(ctx, func() { wanted = v.missingTurns(turns) }); err != nil {
 		return err
 	}
 	for len(wanted) > 0 {
 		batch := wanted[:min(turnsPerGet, len(wanted))]
-		m, err := callPeer(ctx, v.peer(addr), &vaults.Get{Turns: batch})
+		m, err := callPeer(ctx, v.peer(l.host.addr), &vaults.Get{Turns: batch})
 		if err != nil {
 			return err
 		}
@@ -237,6 +248,9 @@
 		if !ok {
 			return errors.Wrap(errCatchUp, "unexpected answer to a request for turns")
 		}
+		if got.Started != l.started {
+			return errors.Wrapf(errRestarted, "%s", l.host.node)
+		}
 		records := make([]chains.Record, 0, len(got.Turns))
 		received := map[string]bool{}
 		for _, t := range got.Turns {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -135,6 +135,8 @@
 	meters   meters
 	mailbox  chan event
 	writer   *writer
+	// startedAt is when this process started.
+	startedAt time.Time
 
 	// chains and the tallies belong to the control goroutine. The tallies count
 	// by endpoint the gates' running calls, and the recent ones that succeeded
@@ -210,7 +212,7 @@
 // New returns a vault with the records of its data folder.
 func New(s *site.Site, r Registry, set *metrics.Set, log zerolog.Logger) (*Vault, error) {
 	v := &Vault{
-		site: s, registry: r, log: log, set: set,
+		site: s, registry: r, log: log, set: set, startedAt: time.Now(),
 		mailbox: make(chan event, mailboxSize), chains: chains.New(), runningCalls: tally.New(), successes: tally.New(), failures: tally.New(), sent: tally.New(), leaving: leave.New(), caps: caps.New(), relays: peers.New(), blame: blame.New(blame.Crashes), homes: homes.New(int(s.Memory / homeBytes)), usage: usage.New(s.Quota.Window()),
 		verdicts: newSaver(s.Data, verdictsFile, log), uses: newSaver(s.Data, usesFile, log),
 		roster: &seats.Roster{}, views: map[string]*viewState{}, growth: growth.New(keptBytes(s.Memory)),
