--- a/gate/broken_test.go
+++ b/gate/broken_test.go
@@ -4,17 +4,23 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cowslipstage/cowslipstage/standin/broken"
 	"github.com/cowslipstage/cowslipstage/standin/coord"
 	"github.com/cowslipstage/cowslipstage/state/fleet"
+	"github.com/cowslipstage/cowslipstage/state/memory"
+	"github.com/cowslipstage/cowslipstage/state/peers"
 	"github.com/cowslipstage/cowslipstage/state/site"
 	"github.com/cowslipstage/cowslipstage/state/table"
+	"github.com/cowslipstage/cowslipstage/transport/pool"
+	"github.com/cowslipstage/cowslipstage/transport/relay"
 )
 
 // kinds are the kinds of routes.
@@ -126,3 +132,36 @@
 		}
 	}
 }
+
+// A gate that is cut off from an endpoint reaches it through its neighbour, and the endpoint answers with a status that is
+// none. The caller gets a plain error, as where the gate reaches the endpoint itself.
+func TestAStatusThatIsNoneIsNoAnswerThroughARelay(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 None\r\n", "HTTP/1.1 000\r\n", "HTTP/1.1 600 None\r\n"} {
+		for _, kind := range kinds {
+			for _, framed := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%q, kind %v, framed %t", head, kind, framed), func(t *testing.T) {
+					t.Parallel()
+					e := brokenEndpoint(t, head+"Id: {id}\r\nContent-Length: 9\r\n\r\ndata: a\n\n", broken.CloseThenReset)
+					listener, err := net.Listen("tcp", "127.0.0.1:0")
+					gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+					go func() { _ = relay.New(pool.Dial, memory.New(0).Group(0), zerolog.Nop()).Serve(listener) }()
+					t.Cleanup(func() { _ = listener.Close() })
+					cut := &partition{addrs: []string{e.Addr}}
+					cut.cut.Store(true)
+					h := startGate(t, roomySite(), coord.New(), plainRoute(kind, 1), []fleet.Entry{e}, func(g *Gate) {
+						g.connect = cut.connect
+						g.relays.peers = []peers.Peer{{Addr: listener.Addr().String(), Centre: "c", Framed: framed}}
+					})
+					h.g.Eventually(func() uint64 {
+						status, header, body, err := h.post("x", 1)
+						h.g.Expect(err).NotTo(gomega.HaveOccurred())
+						h.g.Expect(status).To(gomega.BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable), "%q", body)
+						h.g.Expect(header.Get(headerID)).To(gomega.BeEmpty())
+						return h.broken("malformed")
+					}).WithTimeout(5*time.Second).Should(gomega.BeNumerically(">", 0), "the endpoint answers through the relay")
+					h.g.Expect(h.gate.meters.panics.Get()).To(gomega.BeZero())
+				})
+			}
+		}
+	}
+}
