--- a/vault/catchup.go
+++ b/vault/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,7 +44,7 @@
 		v.log.Info().Stringer("roster", roster).Stringer("read", read).Int("formers", len(hosts)).Msg("asking former holders of seats for their records")
 		all = append(all, v.listAll(ctx, roster, hosts, read)...)
 	}
-	if source != nil && roster.Find(source.Node) == nil {
+	if source != nil && !slices.ContainsFunc(all, func(l listing) bool { return l.host.node == source.Node }) {
 		l := v.listRecords(ctx, host{source.Node, source.Addr}, nil)
 		if l.err != nil {
 			return l.err
--- a/vault/restarted_test.go
+++ b/vault/restarted_test.go
@@ -94,3 +94,25 @@
 	})
 	return v
 }
+
+// A host that is emptied has another one copy what it holds, and does not answer when that one lists its records. It
+// must not hear that the other one has copied them: it would give up its seat.
+func TestAHandOverNeedsTheListingOfTheHostThatIsEmptied(t *testing.T) {
+	for _, seated := range []bool{true, false} {
+		t.Run(fmt.Sprint("seated ", seated), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			v := openRunning(t)
+			emptied := seats.Seat{Node: "emptied", Addr: "127.0.0.1:1", SinceVersion: 1}
+			roster := &seats.Roster{Version: 4, MaxLosses: 1, Seats: []seats.Seat{
+				{Node: "vault", Addr: "127.0.0.1:1", SinceVersion: 2}, {Node: "c", Addr: (&restartingVault{}).serve(t), SinceVersion: 3},
+			}}
+			if seated {
+				roster.Seats = append(roster.Seats, emptied)
+			}
+			v.adopt(roster)
+			v.markCaughtUp(roster)
+			g.Expect(v.catchUp(t.Context(), nil)).To(gomega.Succeed(), "it counts and has read a quorum")
+			g.Expect(v.catchUp(t.Context(), &emptied)).NotTo(gomega.Succeed())
+		})
+	}
+}
